--- /dev/null
+++ b/baobabtide-load/btdeploy/backends.go
@@ -0,0 +1,150 @@
+package btdeploy
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btbackendstandin"
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btrelay"
+	"github.com/baobabtide/baobabtide/btcodec"
+)
+
+// backendFile is what the backend command of the stand-ins reads.
+type backendFile struct {
+	Servers []btbackendstandin.Spec
+}
+
+// StartVersion starts a backend server of a version beside each node of a
+// service.
+func (d *Deployment) StartVersion(service, version string, behavior btbackendstandin.Behavior) error {
+	var group []*Backend
+	for _, n := range d.Nodes {
+		if n.Service == service {
+			group = append(group, d.newBackend(n, version, behavior))
+		}
+	}
+	size := max(1, d.Spec.BackendsPerProcess)
+	for start := 0; start < len(group); start += size {
+		if err := d.startBackends(group[start:min(start+size, len(group))]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) newBackend(n *Node, version string, behavior btbackendstandin.Behavior) *Backend {
+	s := d.service(n.Service)
+	b := &Backend{Node: n, Spec: btbackendstandin.Spec{
+		Name:        fmt.Sprintf("%s-%s", n.Name, version),
+		Service:     n.Service,
+		Version:     version,
+		Listen:      fmt.Sprintf("%s:%d", n.IP, serverPort+len(n.backends)),
+		Announce:    fmt.Sprintf("%s:%d", n.IP, backendPort),
+		Slots:       s.Slots,
+		Connections: s.Connections,
+		Work:        s.Work,
+		OpenCost:    s.OpenCost,
+		ColdStart:   s.ColdStart,
+		ColdFactor:  s.ColdFactor,
+		Seed:        d.seed + uint64(len(d.backends)),
+		Behavior:    behavior,
+	}}
+	n.backends = append(n.backends, b)
+	d.mu.Lock()
+	d.backends = append(d.backends, b)
+	d.mu.Unlock()
+	return b
+}
+
+func (d *Deployment) service(name string) Service {
+	for _, s := range d.Spec.Services {
+		if s.Service == name {
+			return s
+		}
+	}
+	return Service{}
+}
+
+// startBackends starts one process for a group of backend servers.
+func (d *Deployment) startBackends(group []*Backend) error {
+	var file backendFile
+	for _, b := range group {
+		file.Servers = append(file.Servers, b.Spec)
+	}
+	name := "backend-" + group[0].Spec.Name
+	path := filepath.Join(d.Dir, name+".json")
+	if err := writeJSON(path, file); err != nil {
+		return err
+	}
+	p, err := d.starter.start(d.Dir, name, filepath.Join(d.bin, "baobabtide-standin"), "backend", path)
+	if err != nil {
+		return err
+	}
+	for _, b := range group {
+		b.process = p
+	}
+	return nil
+}
+
+// Backends returns all backend servers that were started.
+func (d *Deployment) Backends() []*Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*Backend(nil), d.backends...)
+}
+
+// KillBackend ends a backend server's process at once.
+func (d *Deployment) KillBackend(b *Backend) { b.process.kill() }
+
+// Running tells whether a backend server's process has not ended.
+func (b *Backend) Running() bool { return b.process != nil && b.process.running() }
+
+// Report asks a backend server what it has seen.
+func (b *Backend) Report() (*btbackendstandin.Report, error) {
+	status, body, err := fasthttp.Get(nil, "http://"+b.Spec.Listen+btbackendstandin.ReportPath)
+	if err != nil {
+		return nil, fmt.Errorf("report of %s: %w", b.Spec.Name, err)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, fmt.Errorf("report of %s: status %d", b.Spec.Name, status)
+	}
+	return btcodec.DecodeJSON[btbackendstandin.Report](body)
+}
+
+// SetBehavior changes what a backend server does wrong.
+func (b *Backend) SetBehavior(behavior btbackendstandin.Behavior) error {
+	return post("http://"+b.Spec.Listen+btbackendstandin.ControlPath, behavior)
+}
+
+// SetLogFaults changes what the log does wrong.
+func (d *Deployment) SetLogFaults(faults btlogstandin.Faults) error {
+	return post("http://"+d.LogAddress()+btlogstandin.ControlPath, faults)
+}
+
+// SetRules changes what the relay does.
+func (d *Deployment) SetRules(rules []btrelay.Rule) error {
+	return post("http://"+d.relayControl(), btrelay.Rules{Rules: rules})
+}
+
+func post(url string, v any) error {
+	data, err := btcodec.EncodeJSON(v)
+	if err != nil {
+		return fmt.Errorf("encode body for %s: %w", url, err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(url)
+	req.SetBodyRaw(data)
+	if err := fasthttp.Do(req, resp); err != nil {
+		return fmt.Errorf("post to %s: %w", url, err)
+	}
+	if resp.StatusCode()/100 != 2 {
+		return fmt.Errorf("post to %s: status %d: %s", url, resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
--- /dev/null
+++ b/baobabtide-load/btexperiment/result.go
@@ -0,0 +1,166 @@
+package btexperiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/baobabtide/baobabtide/baobabtide-load/btworkload"
+	"github.com/baobabtide/baobabtide/btoperator"
+)
+
+const (
+	percentile50 = 50
+	percentile99 = 99
+)
+
+// result puts together what was measured.
+func (r *Runner) result(before, after *btoperator.Status, span time.Duration) *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	result := &Result{
+		Experiment: r.Experiment.Experiment,
+		Seed:       r.Seed,
+		Nodes:      len(r.deployment.Nodes),
+		WentBack:   &r.observer.WentBack,
+		Problems:   r.problems,
+	}
+	if len(r.Experiment.Load) > 0 {
+		r.addRequests(result)
+	}
+	if len(r.convergence) > 0 {
+		addConvergence(result, r.convergence)
+	}
+	if len(r.outcomes) > 0 {
+		r.addOutcomes(result)
+	}
+	r.addCost(result, before, after, span)
+	return result
+}
+
+func (r *Runner) addRequests(result *Result) {
+	executions, complete := r.executions()
+	s := r.tally.Summarize(executions, complete)
+	result.Requests = &s.Requests
+	result.Whole = &s.Whole
+	result.WrongCaller = &s.WrongCaller
+	result.PassedCut = &s.PassedCut
+	result.Doubled = &s.Doubled
+	if complete {
+		result.Lost = &s.Lost
+	}
+	result.FalseNotRun = &s.FalseNotRun
+	result.MayHaveRun = &s.MayHaveRun
+	result.RefusedNotRun = &s.NotRun
+	result.Failed = &s.Failed
+	result.NoAnswer = &s.NoAnswer
+	result.Problems = append(result.Problems, s.Problems...)
+	if s.Direct.TotalCount() > 0 {
+		result.AddedP50Millis = added(s, percentile50)
+		result.AddedP99Millis = added(s, percentile99)
+	}
+}
+
+// added returns how much later a percentile of answers came than straight from
+// the backend servers.
+func added(s btworkload.Summary, percentile float64) *float64 {
+	difference := millis(s.Via, percentile) - millis(s.Direct, percentile)
+	return &difference
+}
+
+func millis(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtPercentile(percentile)) / 1000
+}
+
+// executions returns what the backend servers recorded, and whether none of
+// the records is lost.
+func (r *Runner) executions() ([]btworkload.Execution, bool) {
+	var executions []btworkload.Execution
+	complete := !r.lostRecords
+	for _, b := range r.deployment.Backends() {
+		if !b.Running() {
+			continue
+		}
+		report, err := b.Report()
+		if err != nil {
+			complete = false
+			r.problems = append(r.problems, err.Error())
+			continue
+		}
+		for _, run := range report.Runs {
+			executions = append(executions, btworkload.Execution{Key: run.Key, Caller: run.Caller})
+		}
+	}
+	return executions, complete
+}
+
+func addConvergence(result *Result, times []time.Duration) {
+	slices.Sort(times)
+	at := func(part float64) *float64 {
+		i := min(int(part*float64(len(times))), len(times)-1)
+		ms := float64(times[i].Microseconds()) / 1000
+		return &ms
+	}
+	result.ConvergenceP50Millis = at(0.5)
+	result.ConvergenceP99Millis = at(0.99)
+	result.ConvergenceMaxMillis = at(1)
+}
+
+func (r *Runner) addOutcomes(result *Result) {
+	var goodInTime, good, badBack, bad int
+	var badShare float64
+	for _, o := range r.outcomes {
+		if o.release.Good {
+			good++
+			if o.result == "Completed" && o.inTime {
+				goodInTime++
+			}
+			continue
+		}
+		bad++
+		if o.result == "Reverted" {
+			badBack++
+		}
+		badShare = max(badShare, o.share)
+	}
+	result.GoodInTime, result.GoodTotal = &goodInTime, &good
+	result.BadTakenBack, result.BadTotal = &badBack, &bad
+	if bad > 0 {
+		result.BadShare = &badShare
+	}
+}
+
+// addCost adds what the nodes used that ran from the start to the end.
+func (r *Runner) addCost(result *Result, before, after *btoperator.Status, span time.Duration) {
+	costs := make(map[string]btoperator.NodeCost, len(before.Nodes))
+	for _, n := range before.Nodes {
+		if n.Reachable {
+			costs[n.Name] = n.Cost
+		}
+	}
+	var control, processor, reads, resident, nodes float64
+	for _, n := range after.Nodes {
+		old, ok := costs[n.Name]
+		if !ok || !n.Reachable || n.Cost.ProcessorTime < old.ProcessorTime {
+			continue // restarted in between
+		}
+		nodes++
+		control += float64(n.Cost.ControlBytesIn - old.ControlBytesIn + n.Cost.ControlBytesOut - old.ControlBytesOut)
+		processor += float64(n.Cost.ProcessorTime - old.ProcessorTime)
+		reads += float64(n.Cost.LogReads - old.LogReads)
+		resident = max(resident, float64(n.Cost.ResidentBytes))
+	}
+	if nodes == 0 {
+		return
+	}
+	bytesPerSecond := control / nodes / span.Seconds()
+	readsPerSecond := reads / span.Seconds()
+	result.ControlBytesPerNodeSecond = &bytesPerSecond
+	result.LogReadsPerSecond = &readsPerSecond
+	result.NodeResidentBytes = &resident
+	if len(r.Experiment.Load) == 0 {
+		share := processor / nodes / float64(span)
+		result.ControlCoreShare = &share
+	}
+}
--- /dev/null
+++ b/baobabtide-load/run.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/baobabtide/baobabtide/baobabtide-load/btexperiment"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btflag"
+)
+
+// runOptions are the flags of the run command.
+type runOptions struct {
+	Seed  uint64 `flag:"seed" default:"1" help:"seed of all random choices"`
+	Quiet bool   `flag:"quiet" help:"print the result only"`
+}
+
+func init() {
+	options := &runOptions{}
+	c := &cobra.Command{
+		Use:   "run FILE",
+		Short: "Run an experiment and print its result as one JSON line",
+		Long: `Runs an experiment file with real processes on loopback. The last line of the
+output is the result. Exit codes: 0 all held, 1 something that must always hold
+did not, 2 the run itself failed.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return run(c, args[0], options) },
+	}
+	btflag.Bind(c.Flags(), options)
+	register(c)
+}
+
+// binFolder returns the folder of this program, where the others are too.
+func binFolder() (string, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("find programs: %w", err)
+	}
+	return filepath.Dir(path), nil
+}
+
+func run(c *cobra.Command, path string, options *runOptions) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read experiment: %w", err)
+	}
+	experiment, err := btcodec.DecodeJSON[btexperiment.Experiment](data)
+	if err != nil {
+		return fmt.Errorf("experiment %s: %w", path, err)
+	}
+	bin, err := binFolder()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	runner := &btexperiment.Runner{Experiment: experiment, Seed: options.Seed, Bin: bin, Progress: c.ErrOrStderr()}
+	if options.Quiet {
+		runner.Progress = io.Discard
+	}
+	result, err := runner.Run(ctx)
+	if err != nil {
+		return err
+	}
+	line, err := btcodec.EncodeJSON(result)
+	if err != nil {
+		return fmt.Errorf("encode result: %w", err)
+	}
+	if _, err := fmt.Fprintf(c.OutOrStdout(), "%s\n", line); err != nil {
+		return err
+	}
+	if what := result.Broken(); what != "" {
+		return &brokenError{what: what}
+	}
+	return nil
+}
--- /dev/null
+++ b/baobabtide-standin/btlogstandin/log.go
@@ -0,0 +1,177 @@
+// Package btlogstandin is a small stand-in for the platform's append-only log
+// service, with bounded retention and faults on demand.
+package btlogstandin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+const maxPageEntries = 1000
+
+// Faults are what a test makes the log do wrong.
+type Faults struct {
+	Outage      bool          // every call fails and has no effect
+	Delay       time.Duration // added to every call
+	LoseAnswers int           // so many appends take effect and get no answer
+	Truncate    int           // so many of the newest config records are lost, once
+}
+
+// Check reports the first field that breaks a rule.
+func (f *Faults) Check() error {
+	if f.Delay < 0 || f.Delay > time.Minute {
+		return fmt.Errorf("Delay: %s, 0s to 1m are allowed", f.Delay)
+	}
+	if f.LoseAnswers < 0 || f.Truncate < 0 {
+		return fmt.Errorf("LoseAnswers, Truncate: negative")
+	}
+	return nil
+}
+
+// stream is one stream of records.
+type stream struct {
+	entries []baobabtide.Entry // the newest, contiguous
+	next    baobabtide.Offset
+	changed chan struct{} // closed and replaced with each append
+}
+
+// Log is a baobabtide.Log in memory. All methods are safe for concurrent use.
+type Log struct {
+	retention int
+	limiter   *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[baobabtide.Stream]*stream
+	faults  Faults
+}
+
+var _ baobabtide.Log = (*Log)(nil)
+
+// New returns a log that keeps a number of records of each stream and accepts
+// a number of appends a second.
+func New(retention, appendsPerSecond int) *Log {
+	return &Log{
+		retention: retention,
+		limiter:   rate.NewLimiter(rate.Limit(appendsPerSecond), max(1, appendsPerSecond/10)),
+		streams:   make(map[baobabtide.Stream]*stream),
+	}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Truncate > 0 {
+		s := l.stream(baobabtide.ConfigStream)
+		lost := min(f.Truncate, len(s.entries))
+		s.entries = s.entries[:len(s.entries)-lost]
+		s.next -= baobabtide.Offset(lost)
+	}
+	f.Truncate = 0
+	l.faults = f
+}
+
+func (l *Log) stream(name baobabtide.Stream) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{next: 1, changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+// enter delays a call and fails it during an outage.
+func (l *Log) enter(ctx context.Context) error {
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, ctx.Err())
+		}
+	}
+	if faults.Outage {
+		return fmt.Errorf("%w: outage", baobabtide.ErrUnavailable)
+	}
+	return nil
+}
+
+// Append implements baobabtide.Log.
+func (l *Log) Append(ctx context.Context, name baobabtide.Stream, data []byte) (baobabtide.Entry, error) {
+	if err := l.enter(ctx); err != nil {
+		return baobabtide.Entry{}, err
+	}
+	if !l.limiter.Allow() {
+		return baobabtide.Entry{}, fmt.Errorf("%w: too many appends", baobabtide.ErrUnavailable)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	entry := baobabtide.Entry{Offset: s.next, Time: time.Now().UTC(), Data: slices.Clone(data)}
+	s.next++
+	s.entries = append(s.entries, entry)
+	if len(s.entries) > l.retention {
+		s.entries = slices.Clone(s.entries[len(s.entries)-l.retention:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return baobabtide.Entry{}, baobabtide.ErrUncertain
+	}
+	return entry, nil
+}
+
+// Read implements baobabtide.Log.
+func (l *Log) Read(ctx context.Context, name baobabtide.Stream, from baobabtide.Offset, wait time.Duration) (baobabtide.Page, error) {
+	if err := l.enter(ctx); err != nil {
+		return baobabtide.Page{}, err
+	}
+	timeout := time.After(wait)
+	for {
+		page, changed, err := l.page(name, from)
+		if err != nil || len(page.Entries) > 0 || wait <= 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return page, fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+// page returns what the stream holds from an offset on, 0 for the oldest, and
+// a channel that is closed with the next append.
+func (l *Log) page(name baobabtide.Stream, from baobabtide.Offset) (baobabtide.Page, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	page := baobabtide.Page{Next: s.next}
+	if len(s.entries) == 0 {
+		return page, s.changed, nil
+	}
+	page.First = s.entries[0].Offset
+	if from == 0 {
+		from = page.First
+	}
+	if from < page.First {
+		return page, nil, baobabtide.ErrRetention
+	}
+	if from < s.next {
+		entries := s.entries[from-page.First:]
+		page.Entries = slices.Clone(entries[:min(len(entries), maxPageEntries)])
+	}
+	return page, s.changed, nil
+}
--- /dev/null
+++ b/baobabtide-standin/btlogstandin/server.go
@@ -0,0 +1,98 @@
+package btlogstandin
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconn"
+	"github.com/baobabtide/baobabtide/btplatform"
+)
+
+// ControlPath takes Faults by POST.
+const ControlPath = "/control"
+
+// NewServer returns an HTTP server for a log and a function that stops it.
+func NewServer(l *Log) (*fasthttp.Server, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &fasthttp.Server{
+		Handler:            func(c *fasthttp.RequestCtx) { handle(ctx, c, l) },
+		MaxRequestBodySize: 2 * baobabtide.MaxRecordSize,
+		Logger:             btconn.QuietLogger{},
+		CloseOnShutdown:    true,
+	}
+	return s, func() {
+		cancel()
+		_ = s.Shutdown()
+	}
+}
+
+func handle(ctx context.Context, c *fasthttp.RequestCtx, l *Log) {
+	path := string(c.Path())
+	if path == ControlPath {
+		control(c, l)
+		return
+	}
+	name, ok := strings.CutPrefix(path, btplatform.StreamsPath)
+	name, suffixed := strings.CutSuffix(name, btplatform.RecordsSuffix)
+	if !ok || !suffixed || name == "" {
+		c.Error("no such page", fasthttp.StatusNotFound)
+		return
+	}
+	if c.IsPost() {
+		entry, err := l.Append(ctx, baobabtide.Stream(name), c.PostBody())
+		write(c, entry, err)
+		return
+	}
+	from, err := strconv.ParseUint(string(c.QueryArgs().Peek(btplatform.FromParam)), 10, 64)
+	if err != nil {
+		c.Error("from: "+err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(string(c.QueryArgs().Peek(btplatform.WaitParam)))
+	if err != nil {
+		c.Error("wait: "+err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	page, err := l.Read(ctx, baobabtide.Stream(name), baobabtide.Offset(from), wait)
+	write(c, page, err)
+}
+
+func control(c *fasthttp.RequestCtx, l *Log) {
+	faults, err := btcodec.DecodeJSON[Faults](c.PostBody())
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	l.SetFaults(*faults)
+	c.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// write answers a call. An append whose answer is lost closes the connection.
+func write(c *fasthttp.RequestCtx, v any, err error) {
+	switch {
+	case errors.Is(err, baobabtide.ErrUncertain):
+		c.HijackSetNoResponse(true)
+		_ = c.Conn().Close()
+		return
+	case errors.Is(err, baobabtide.ErrRetention):
+		c.Error(err.Error(), fasthttp.StatusGone)
+		return
+	case err != nil:
+		c.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	data, err := btcodec.EncodeJSON(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(data)
+}
--- /dev/null
+++ b/baobabtide-standin/log.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/spf13/cobra"
+
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
+	"github.com/baobabtide/baobabtide/btflag"
+)
+
+// logOptions are the flags of the log command.
+type logOptions struct {
+	Listen           string `flag:"listen" default:"127.0.0.1:7100" help:"address, host:port"`
+	Retention        int    `flag:"retention" default:"10000" help:"records kept of each stream"`
+	AppendsPerSecond int    `flag:"appends-per-second" default:"400" help:"appends accepted a second, over all streams"`
+}
+
+func init() {
+	options := &logOptions{}
+	c := &cobra.Command{
+		Use:   "log",
+		Short: "Run a stand-in for the platform's append-only log",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			listener, err := net.Listen("tcp", options.Listen)
+			if err != nil {
+				return fmt.Errorf("listen for the log: %w", err)
+			}
+			server, stop := btlogstandin.NewServer(btlogstandin.New(options.Retention, options.AppendsPerSecond))
+			defer stop()
+			go func() { _ = server.Serve(listener) }()
+			waitForSignal()
+			return nil
+		},
+	}
+	btflag.Bind(c.Flags(), options)
+	register(c)
+}
--- /dev/null
+++ b/baobabtide-standin/main.go
@@ -0,0 +1,27 @@
+// Command baobabtide-standin holds small stand-ins for what the system talks
+// to: the platform's log, backend servers and the network between nodes. They
+// serve tests, demonstrations and experiments.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// commands holds the commands that the files of this package register.
+var commands []*cobra.Command
+
+func register(c *cobra.Command) { commands = append(commands, c) }
+
+func main() {
+	root := &cobra.Command{
+		Use:          "baobabtide-standin",
+		Short:        "Stand-ins for the platform's log, backend servers and the network",
+		SilenceUsage: true,
+	}
+	root.AddCommand(commands...)
+	if err := root.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/baobabtide-standin/relay.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btrelay"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconn"
+)
+
+// relayFile is the file that the relay command takes.
+type relayFile struct {
+	Control string // host:port, takes btrelay.Rules by POST
+	Links   []btrelay.Link
+}
+
+func init() {
+	register(&cobra.Command{
+		Use:   "relay FILE",
+		Short: "Run a TCP relay that cuts, freezes and delays",
+		Args:  cobra.ExactArgs(1),
+		RunE:  func(_ *cobra.Command, args []string) error { return runRelay(args[0]) },
+	})
+}
+
+func runRelay(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read links: %w", err)
+	}
+	file, err := btcodec.DecodeJSON[relayFile](data)
+	if err != nil {
+		return fmt.Errorf("links %s: %w", path, err)
+	}
+	relay, stop := btrelay.New()
+	defer stop()
+	for _, link := range file.Links {
+		if err := relay.Open(link); err != nil {
+			return err
+		}
+	}
+	listener, err := net.Listen("tcp", file.Control)
+	if err != nil {
+		return fmt.Errorf("listen for control: %w", err)
+	}
+	control := &fasthttp.Server{Logger: btconn.QuietLogger{}, Handler: func(ctx *fasthttp.RequestCtx) {
+		rules, err := btcodec.DecodeJSON[btrelay.Rules](ctx.PostBody())
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		relay.SetRules(rules.Rules)
+	}}
+	go func() { _ = control.Serve(listener) }()
+	waitForSignal()
+	return nil
+}
--- /dev/null
+++ b/baobabtidectl/status.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/baobabtide/baobabtide/btoperator"
+)
+
+func init() {
+	register(&cobra.Command{
+		Use:   "status",
+		Short: "Show the traffic of each customer and service and the state of each node",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return showStatus(c) },
+	})
+}
+
+func showStatus(c *cobra.Command) error {
+	client, err := global.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := global.context()
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return global.print(c, status, func(w io.Writer) {
+		printAssignments(w, status)
+		fmt.Fprintln(w)
+		printNodes(w, status)
+	})
+}
+
+func printAssignments(w io.Writer, s *btoperator.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CUSTOMER\tSERVICE\tSHARES\tSTAGE\tDEADLINE\tOUTCOME\tREASON")
+	for i := range s.Assignments {
+		a := &s.Assignments[i]
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", a.Customer, a.Service, shares(a), orDash(a.Phase), deadline(a), orDash(string(a.Result)), orDash(a.Reason))
+	}
+	_ = t.Flush()
+}
+
+func shares(a *btoperator.AssignmentStatus) string {
+	parts := make([]string, 0, len(a.Shares))
+	for _, s := range a.Shares {
+		parts = append(parts, fmt.Sprintf("%s=%.0f%%", s.Version, 100*s.Share))
+	}
+	if a.Held != "" {
+		parts = append(parts, "waiting for targets of "+a.Held)
+	}
+	return strings.Join(parts, " ")
+}
+
+func deadline(a *btoperator.AssignmentStatus) string {
+	if a.Phase == "" {
+		return "-"
+	}
+	return a.Deadline.Format(time.RFC3339)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func printNodes(w io.Writer, s *btoperator.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NODE\tZONE\tSTATUS\tVERSION\tPEERS\tMEMBERS\tREADER\tLOG")
+	for i := range s.Nodes {
+		n := &s.Nodes[i]
+		state := n.Status.String()
+		if n.Draining {
+			state += ", draining"
+		}
+		if !n.Reachable {
+			fmt.Fprintf(t, "%s\t%s\t%s\t-\t-\t-\t-\t-\n", n.Name, n.Zone, state)
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", n.Name, n.Zone, state, n.Offset, n.Peers, n.Members, yes(n.Reader), upDown(n))
+	}
+	_ = t.Flush()
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "-"
+}
+
+func upDown(n *btoperator.NodeStatus) string {
+	switch {
+	case !n.Reader:
+		return "-"
+	case n.LogUp:
+		return "up"
+	default:
+		return "down"
+	}
+}
--- /dev/null
+++ b/baobabtidectl/watch.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/term"
+
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btflag"
+	"github.com/baobabtide/baobabtide/btoperator"
+)
+
+const clearScreen = "\x1b[H\x1b[2J"
+
+// watchOptions are the flags of the watch command.
+type watchOptions struct {
+	Every time.Duration `flag:"every" default:"1s" help:"time between looks"`
+	Until bool          `flag:"until-ended" help:"end once no rollout runs"`
+}
+
+func init() {
+	options := &watchOptions{}
+	c := &cobra.Command{
+		Use:   "watch",
+		Short: "Follow the rollouts: a table on a terminal, JSON lines elsewhere",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return watch(c, options) },
+	}
+	btflag.Bind(c.Flags(), options)
+	register(c)
+}
+
+func watch(c *cobra.Command, options *watchOptions) error {
+	client, err := global.client()
+	if err != nil {
+		return err
+	}
+	terminal := global.Output == outputText && term.IsTerminal(int(os.Stdout.Fd()))
+	for {
+		status, err := look(client)
+		if err != nil {
+			return err
+		}
+		if err := show(c.OutOrStdout(), status, terminal); err != nil {
+			return err
+		}
+		if options.Until && !anyRunning(status) {
+			return nil
+		}
+		time.Sleep(options.Every)
+	}
+}
+
+func look(client *btoperator.Client) (*btoperator.Status, error) {
+	ctx, cancel := global.context()
+	defer cancel()
+	return client.Status(ctx)
+}
+
+func show(w io.Writer, status *btoperator.Status, terminal bool) error {
+	if terminal {
+		fmt.Fprint(w, clearScreen)
+		printAssignments(w, status)
+		return nil
+	}
+	data, err := btcodec.EncodeJSON(status)
+	if err != nil {
+		return fmt.Errorf("encode status: %w", err)
+	}
+	_, err = fmt.Fprintf(w, "%s\n", data)
+	return err
+}
+
+func anyRunning(s *btoperator.Status) bool {
+	for i := range s.Assignments {
+		if s.Assignments[i].Phase != "" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/btbackend/announce.go
@@ -0,0 +1,82 @@
+package btbackend
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconn"
+)
+
+const (
+	maxAnnouncement = 16 << 10 // bytes
+	announceTimeout = time.Second
+)
+
+// NewAnnounceServer returns the HTTP server that takes announcements, and a
+// function that stops it.
+func NewAnnounceServer(registry *Registry) (*fasthttp.Server, func()) {
+	s := &fasthttp.Server{
+		Handler:               func(ctx *fasthttp.RequestCtx) { handleAnnounce(ctx, registry) },
+		MaxRequestBodySize:    maxAnnouncement,
+		NoDefaultServerHeader: true,
+		ReadTimeout:           time.Minute,
+		Logger:                btconn.QuietLogger{},
+	}
+	return s, func() { _ = s.Shutdown() }
+}
+
+func handleAnnounce(ctx *fasthttp.RequestCtx, registry *Registry) {
+	if string(ctx.Path()) != AnnouncePath || !ctx.IsPost() {
+		ctx.Error("no such page", fasthttp.StatusNotFound)
+		return
+	}
+	a, err := btcodec.DecodeJSON[Announcement](ctx.PostBody())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	if !registry.Announce(*a, time.Now()) {
+		ctx.Error("a later incarnation has announced itself", fasthttp.StatusConflict)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// ErrSuperseded means that a later incarnation of the same name has announced
+// itself.
+var ErrSuperseded = errors.New("a later incarnation has announced itself")
+
+// Announce sends an announcement to the node at an address. Backend servers
+// written in Go may use it.
+func Announce(address string, a *Announcement) error {
+	body, err := btcodec.EncodeJSON(a)
+	if err != nil {
+		return fmt.Errorf("encode announcement: %w", err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + AnnouncePath)
+	req.SetBodyRaw(body)
+	if err := announceClient.DoTimeout(req, resp, announceTimeout); err != nil {
+		return fmt.Errorf("announce to %s: %w", address, err)
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusNoContent:
+		return nil
+	case fasthttp.StatusConflict:
+		return ErrSuperseded
+	default:
+		return fmt.Errorf("announce to %s: status %d: %s", address, resp.StatusCode(), resp.Body())
+	}
+}
+
+var announceClient = fasthttp.Client{
+	Dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, announceTimeout) },
+}
--- /dev/null
+++ b/btbackend/pool.go
@@ -0,0 +1,296 @@
+package btbackend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconn"
+)
+
+const (
+	connBuffer      = 4 << 10 // bytes of each read and write buffer
+	defaultConns    = 128     // open connections where the announcement sets no limit
+	idleLimit       = 30 * time.Second
+	shedRetryAfter  = 200 * time.Millisecond
+	noDefaultLength = -2 // fasthttp's length of a body that ends with the connection
+)
+
+// backendConn is one connection to a backend server.
+type backendConn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	idleAt time.Time
+}
+
+// Pool sends requests to one backend server over reused connections. It
+// implements baobabtide.Backend.
+type Pool struct {
+	address string
+	tokens  chan struct{} // one per connection that may be open
+
+	mu     sync.Mutex
+	idle   []*backendConn // the most recently used last
+	closed bool
+}
+
+// NewPool returns a pool for an address with a number of connections at most,
+// and a function that closes the idle ones.
+func NewPool(address string, connections int) (*Pool, func()) {
+	if connections <= 0 {
+		connections = defaultConns
+	}
+	p := &Pool{address: address, tokens: make(chan struct{}, connections)}
+	return p, p.close
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// get returns a connection on which nothing is under way.
+func (p *Pool) get(ctx context.Context) (*backendConn, error) {
+	select {
+	case p.tokens <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for a connection to %s: %w", p.address, context.Cause(ctx))
+	}
+	if c := p.popIdle(); c != nil {
+		return c, nil
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		<-p.tokens
+		return nil, fmt.Errorf("dial backend server: %w", err)
+	}
+	return &backendConn{
+		Conn:   conn,
+		reader: bufio.NewReaderSize(conn, connBuffer),
+		writer: bufio.NewWriterSize(conn, connBuffer),
+	}, nil
+}
+
+// popIdle returns the newest idle connection that is still open and quiet.
+func (p *Pool) popIdle() *backendConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if time.Since(c.idleAt) < idleLimit && c.reader.Buffered() == 0 && btconn.Reusable(c.Conn) {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *Pool) put(c *backendConn) {
+	defer func() { <-p.tokens }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.Close()
+		return
+	}
+	c.idleAt = time.Now()
+	p.idle = append(p.idle, c)
+}
+
+// drop closes a connection that may carry a late answer.
+func (p *Pool) drop(c *backendConn) {
+	_ = c.Close()
+	<-p.tokens
+}
+
+// Do implements baobabtide.Backend.
+func (p *Pool) Do(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+	c, err := p.get(ctx)
+	if err != nil {
+		return nil, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
+	}
+	if err := c.SetDeadline(req.Deadline); err != nil {
+		p.drop(c)
+		return nil, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	resp, err := p.exchange(c, req)
+	if err != nil {
+		stop()
+		p.drop(c)
+		return nil, lostBackend(ctx, err)
+	}
+	return p.response(c, req, resp, stop)
+}
+
+// lostBackend reports a request that was sent at least in part.
+func lostBackend(ctx context.Context, err error) *baobabtide.RequestError {
+	re := &baobabtide.RequestError{Reason: baobabtide.ReasonBackend, Err: err}
+	var timeout net.Error
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		re.Reason = baobabtide.ReasonDeadline
+	case ctx.Err() != nil:
+		re.Reason = baobabtide.ReasonCanceled
+	case errors.As(err, &timeout) && timeout.Timeout():
+		re.Reason = baobabtide.ReasonDeadline
+	}
+	return re
+}
+
+// exchange writes a request and reads the head of its answer.
+func (p *Pool) exchange(c *backendConn, req *baobabtide.Request) (*fasthttp.Response, error) {
+	out := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(out)
+	fillRequest(out, p.address, req)
+	if err := out.Write(c.writer); err != nil {
+		return nil, fmt.Errorf("write request: %w", err)
+	}
+	if err := c.writer.Flush(); err != nil {
+		return nil, fmt.Errorf("write request: %w", err)
+	}
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = true
+	resp.SkipBody = req.Method == fasthttp.MethodHead
+	if err := resp.Read(c.reader); err != nil {
+		fasthttp.ReleaseResponse(resp)
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	return resp, nil
+}
+
+func fillRequest(out *fasthttp.Request, address string, req *baobabtide.Request) {
+	out.Header.SetMethod(req.Method)
+	out.Header.SetRequestURI(req.Target)
+	out.Header.SetHost(address)
+	out.Header.SetNoDefaultContentType(true)
+	for _, f := range req.Header {
+		if f.Name == fasthttp.HeaderHost {
+			out.UseHostHeader = true
+			out.Header.SetHost(f.Value)
+			continue
+		}
+		out.Header.Add(f.Name, f.Value)
+	}
+	left := max(1, time.Until(req.Deadline).Milliseconds())
+	out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	out.Header.Set(HeaderDepth, strconv.Itoa(req.Depth+1))
+	out.Header.Set(HeaderAttempt, req.Attempt)
+	if req.Retried {
+		out.Header.Set(HeaderRetried, "1")
+	}
+	if req.Body != nil {
+		out.SetBodyStream(req.Body, int(req.BodyLength))
+	}
+}
+
+// response turns an answer's head into a Response that streams its body.
+func (p *Pool) response(c *backendConn, req *baobabtide.Request, in *fasthttp.Response, stop func() bool) (*baobabtide.Response, error) {
+	resp := &baobabtide.Response{Status: in.StatusCode(), Length: int64(in.Header.ContentLength()), Version: req.Version}
+	shed := false
+	for name, value := range in.Header.All() {
+		switch string(name) {
+		case HeaderShed:
+			shed = true
+		default:
+			if !hopByHop(string(name)) {
+				resp.Header = append(resp.Header, baobabtide.HeaderField{Name: string(name), Value: string(value)})
+			}
+		}
+	}
+	body := &responseBody{pool: p, conn: c, in: in, stop: stop, reuse: !in.ConnectionClose()}
+	resp.Body = body
+	if in.BodyStream() == nil {
+		body.ended = true
+		resp.Length = max(0, resp.Length)
+	}
+	switch {
+	case shed:
+		_ = body.Close()
+		return nil, baobabtide.Refuse(baobabtide.ReasonOverload, shedRetryAfter, errors.New("backend server shed the request"))
+	case resp.Length == noDefaultLength && !body.ended:
+		_ = body.Close()
+		return nil, &baobabtide.RequestError{
+			Verdict: baobabtide.Ran,
+			Reason:  baobabtide.ReasonTruncated,
+			Err:     errors.New("the answer has neither a length nor chunks, its end can't be told"),
+		}
+	}
+	return resp, nil
+}
+
+// hopByHop tells headers that hold for one connection only.
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
+		return true
+	default:
+		return false
+	}
+}
+
+// responseBody streams the body of an answer and gives the connection back
+// once the body was read to its end.
+type responseBody struct {
+	pool   *Pool
+	conn   *backendConn
+	in     *fasthttp.Response
+	stop   func() bool // ends the watch for cancellation
+	reuse  bool
+	ended  bool
+	closed bool
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	if b.closed {
+		return 0, io.ErrClosedPipe
+	}
+	n, err := b.in.BodyStream().Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended = true
+		return n, io.EOF
+	}
+	if err != nil {
+		err = &baobabtide.RequestError{Verdict: baobabtide.Ran, Reason: baobabtide.ReasonTruncated, Err: err}
+	}
+	return n, err
+}
+
+// Close gives the connection back or, where the answer was not read to its
+// end, closes it. It may be called more than once.
+func (b *responseBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	quiet := b.stop()
+	if b.ended && b.reuse && quiet {
+		b.pool.put(b.conn)
+	} else {
+		b.pool.drop(b.conn)
+	}
+	fasthttp.ReleaseResponse(b.in)
+	return nil
+}
--- /dev/null
+++ b/btcodec/cbor.go
@@ -0,0 +1,60 @@
+package btcodec
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bounds on a CBOR message.
+const (
+	maxArrayElements = 1 << 16
+	maxMapPairs      = 1 << 16
+	maxNesting       = 16
+)
+
+var (
+	cborEncoder = mustEncMode()
+	cborDecoder = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic, Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// EncodeCBOR returns the encoding of v.
+func EncodeCBOR(v any) ([]byte, error) {
+	return cborEncoder.Marshal(v)
+}
+
+// DecodeCBOR decodes one message into v and runs its Check. Fields that this
+// version does not know are ignored, so that nodes can be upgraded one by one.
+func DecodeCBOR(data []byte, v any) error {
+	if err := cborDecoder.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	if c, ok := v.(Checker); ok {
+		if err := c.Check(); err != nil {
+			return fmt.Errorf("check %T: %w", v, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/btconfig/state.go
@@ -0,0 +1,133 @@
+// Package btconfig folds the records of the platform's log into the
+// configuration that is in force. Every node folds the same records with the
+// same pure function and so accepts and rejects the same ones.
+package btconfig
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// State is the configuration at one offset of the log. It is immutable: Fold
+// returns a new State and shares what did not change.
+type State struct {
+	Offset      baobabtide.Offset                `cbor:"1,keyasint"`
+	Contracts   map[string]ContractState         `cbor:"2,keyasint,omitempty"` // by customer
+	Services    map[string]ServiceState          `cbor:"3,keyasint,omitempty"` // by service
+	Assignments map[string]baobabtide.Assignment `cbor:"4,keyasint,omitempty"` // by AssignmentKey
+	Audit       AuditLog                         `cbor:"5,keyasint,omitempty"`
+}
+
+// ContractState is a contract with its revision.
+type ContractState struct {
+	Revision baobabtide.Offset   `cbor:"1,keyasint"` // offset of the record that set it
+	Contract baobabtide.Contract `cbor:"2,keyasint"`
+}
+
+// ServiceState lists what was released of a service.
+type ServiceState struct {
+	Revision baobabtide.Offset `cbor:"1,keyasint"` // offset of the last accepted release
+	Versions []string          `cbor:"2,keyasint"` // in order of first release, without repeats
+}
+
+// AssignmentKey returns the key of State.Assignments.
+func AssignmentKey(customer, service string) string { return customer + "/" + service }
+
+// Terms returns a customer's terms for a service.
+func (s *State) Terms(customer, service string) (*baobabtide.ServiceTerms, bool) {
+	c, ok := s.Contracts[customer]
+	if !ok {
+		return nil, false
+	}
+	for i := range c.Contract.Services {
+		if c.Contract.Services[i].Service == service {
+			return &c.Contract.Services[i], true
+		}
+	}
+	return nil, false
+}
+
+// Running returns the rollouts that have not ended, ordered by offset.
+func (s *State) Running() []baobabtide.Rollout {
+	var running []baobabtide.Rollout
+	for _, a := range s.Assignments {
+		if a.Running() {
+			running = append(running, *a.Rollout)
+		}
+	}
+	slices.SortFunc(running, compareRollouts)
+	return running
+}
+
+func compareRollouts(a, b baobabtide.Rollout) int {
+	if a.Offset != b.Offset {
+		return int(a.Offset) - int(b.Offset)
+	}
+	return slices.Compare([]byte(AssignmentKey(a.Customer, a.Service)), []byte(AssignmentKey(b.Customer, b.Service)))
+}
+
+// clone returns a copy whose maps may be changed.
+func (s *State) clone() *State {
+	c := &State{
+		Offset:      s.Offset,
+		Contracts:   maps.Clone(s.Contracts),
+		Services:    maps.Clone(s.Services),
+		Assignments: maps.Clone(s.Assignments),
+		Audit:       s.Audit,
+	}
+	if c.Contracts == nil {
+		c.Contracts = make(map[string]ContractState)
+	}
+	if c.Services == nil {
+		c.Services = make(map[string]ServiceState)
+	}
+	if c.Assignments == nil {
+		c.Assignments = make(map[string]baobabtide.Assignment)
+	}
+	return c
+}
+
+const (
+	auditChunkSize  = 64
+	maxAuditEntries = 4096 // about three days at 1,300 changes a day
+)
+
+// AuditLog holds the newest audit entries. Append returns a new value and
+// copies no more than one chunk.
+type AuditLog struct {
+	Chunks [][]baobabtide.AuditEntry `cbor:"1,keyasint,omitempty"` // each of 1 to auditChunkSize entries
+}
+
+// Append returns a log with one more entry and without those beyond the bound.
+func (l AuditLog) Append(e baobabtide.AuditEntry) AuditLog {
+	chunks := slices.Clone(l.Chunks)
+	last := len(chunks) - 1
+	if last >= 0 && len(chunks[last]) < auditChunkSize {
+		chunks[last] = append(slices.Clone(chunks[last]), e)
+	} else {
+		chunks = append(chunks, []baobabtide.AuditEntry{e})
+	}
+	if len(chunks) > maxAuditEntries/auditChunkSize {
+		chunks = chunks[1:]
+	}
+	return AuditLog{Chunks: chunks}
+}
+
+// Find returns the entry of a record's ID.
+func (l AuditLog) Find(id string) (baobabtide.AuditEntry, bool) {
+	for i := len(l.Chunks) - 1; i >= 0; i-- {
+		for j := len(l.Chunks[i]) - 1; j >= 0; j-- {
+			if l.Chunks[i][j].ID == id {
+				return l.Chunks[i][j], true
+			}
+		}
+	}
+	return baobabtide.AuditEntry{}, false
+}
+
+// Entries returns all entries, oldest first.
+func (l AuditLog) Entries() []baobabtide.AuditEntry {
+	return slices.Concat(l.Chunks...)
+}
--- /dev/null
+++ b/btflag/bind.go
@@ -0,0 +1,68 @@
+// Package btflag declares a command's flags from the tags of a struct:
+//
+//	flag:"name" short:"n" default:"value" help:"text"
+package btflag
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/spf13/pflag"
+)
+
+// Bind declares a flag for each tagged field of the struct that options points
+// to. It panics on a tag that does not fit its field, which is an error of the
+// program.
+func Bind(flags *pflag.FlagSet, options any) {
+	v := reflect.ValueOf(options).Elem()
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		name, ok := field.Tag.Lookup("flag")
+		if !ok {
+			continue
+		}
+		if err := bind(flags, v.Field(i).Addr().Interface(), name, field.Tag); err != nil {
+			panic(fmt.Sprintf("flag %q: %v", name, err))
+		}
+	}
+}
+
+func bind(flags *pflag.FlagSet, target any, name string, tag reflect.StructTag) error {
+	short, initial, help := tag.Get("short"), tag.Get("default"), tag.Get("help")
+	switch p := target.(type) {
+	case *string:
+		flags.StringVarP(p, name, short, initial, help)
+	case *[]string:
+		flags.StringSliceVarP(p, name, short, nil, help)
+	case *bool:
+		value, err := parse(initial, strconv.ParseBool)
+		flags.BoolVarP(p, name, short, value, help)
+		return err
+	case *int:
+		value, err := parse(initial, strconv.Atoi)
+		flags.IntVarP(p, name, short, value, help)
+		return err
+	case *uint64:
+		value, err := parse(initial, func(s string) (uint64, error) { return strconv.ParseUint(s, 10, 64) })
+		flags.Uint64VarP(p, name, short, value, help)
+		return err
+	case *time.Duration:
+		value, err := parse(initial, time.ParseDuration)
+		flags.DurationVarP(p, name, short, value, help)
+		return err
+	default:
+		return fmt.Errorf("type %T is not supported", target)
+	}
+	return nil
+}
+
+// parse returns the zero value for an empty text.
+func parse[T any](text string, convert func(string) (T, error)) (T, error) {
+	if text == "" {
+		var zero T
+		return zero, nil
+	}
+	return convert(text)
+}
--- /dev/null
+++ b/btlocal/admitter.go
@@ -0,0 +1,216 @@
+// Package btlocal lets requests in to the backend servers beside a node. Only
+// the node beside a backend server admits work into it.
+package btlocal
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btadmit"
+	"github.com/baobabtide/baobabtide/btbackend"
+	"github.com/baobabtide/baobabtide/btconn"
+	"github.com/baobabtide/baobabtide/btledger"
+)
+
+const goneRetry = time.Second
+
+// Observer counts what requests show of a version.
+type Observer interface {
+	// Observe notes an answer. A request that says nothing of the version, such
+	// as one whose caller went away, is not observed.
+	Observe(req *baobabtide.Request, took time.Duration, failed bool)
+}
+
+// server is one backend server beside the node.
+type server struct {
+	announcement btbackend.Announcement
+	queue        *btadmit.Queue
+	pool         *btbackend.Pool
+	closePool    func()
+}
+
+// Admitter implements baobabtide.Admitter for the backend servers that the
+// registry holds.
+type Admitter struct {
+	Limiter  *btadmit.RateLimiter
+	Observer Observer
+
+	ledger btledger.Ledger
+
+	mu       sync.Mutex
+	servers  map[string]*server // by name
+	draining bool
+	active   int // requests under way
+}
+
+// New returns an Admitter and a function that closes its connections.
+func New(observer Observer) (*Admitter, func()) {
+	a := &Admitter{
+		Limiter:  &btadmit.RateLimiter{},
+		Observer: observer,
+		servers:  make(map[string]*server),
+	}
+	return a, a.close
+}
+
+func (a *Admitter) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.servers {
+		s.closePool()
+	}
+}
+
+// Update replaces the set of backend servers. Requests to a server that is
+// gone go on; new ones are refused.
+func (a *Admitter) Update(servers []btbackend.Server) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	next := make(map[string]*server, len(servers))
+	for i := range servers {
+		announcement := servers[i].Announcement
+		old := a.servers[announcement.Name]
+		if old != nil && sameServer(&old.announcement, &announcement) {
+			old.announcement = announcement
+			next[announcement.Name] = old
+			continue
+		}
+		next[announcement.Name] = newServer(announcement)
+	}
+	for name, old := range a.servers {
+		if next[name] != old {
+			old.queue.Close()
+			old.closePool()
+		}
+	}
+	for _, s := range next {
+		if a.draining || s.announcement.State == baobabtide.TargetDraining {
+			s.queue.Close()
+		}
+	}
+	a.servers = next
+}
+
+func sameServer(a, b *btbackend.Announcement) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Slots == b.Slots && a.Connections == b.Connections
+}
+
+func newServer(announcement btbackend.Announcement) *server {
+	pool, closePool := btbackend.NewPool(announcement.Address, announcement.Connections)
+	return &server{
+		announcement: announcement,
+		queue:        btadmit.NewQueue(announcement.Slots),
+		pool:         pool,
+		closePool:    closePool,
+	}
+}
+
+// Drain refuses all new work and returns the number of requests under way.
+func (a *Admitter) Drain() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining = true
+	for _, s := range a.servers {
+		s.queue.Close()
+	}
+	return a.active
+}
+
+// Active returns the number of requests under way.
+func (a *Admitter) Active() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.active
+}
+
+// Load returns the load of each backend server by name.
+func (a *Admitter) Load() map[string]baobabtide.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	loads := make(map[string]baobabtide.Load, len(a.servers))
+	for name, s := range a.servers {
+		loads[name] = s.queue.Load()
+	}
+	return loads
+}
+
+// begin counts a request and returns its server.
+func (a *Admitter) begin(target string, incarnation uint64) (*server, *baobabtide.RequestError) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.servers[target]
+	if s == nil || s.announcement.Incarnation != incarnation {
+		return nil, baobabtide.Refuse(baobabtide.ReasonDraining, goneRetry, errors.New("the backend server is gone"))
+	}
+	a.active++
+	return s, nil
+}
+
+func (a *Admitter) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+}
+
+// SettleLocal implements baobabtide.Admitter.
+func (a *Admitter) SettleLocal(attempt string) baobabtide.Verdict {
+	return a.ledger.Settle(attempt, time.Now())
+}
+
+// Admit implements baobabtide.Admitter.
+func (a *Admitter) Admit(ctx context.Context, target string, incarnation uint64, req *baobabtide.Request) (*baobabtide.Response, error) {
+	s, refusal := a.begin(target, incarnation)
+	if refusal != nil {
+		return nil, refusal
+	}
+	resp, refusal := a.admit(ctx, s, req)
+	if refusal != nil {
+		a.end()
+		return nil, refusal
+	}
+	return resp, nil
+}
+
+func (a *Admitter) admit(ctx context.Context, s *server, req *baobabtide.Request) (*baobabtide.Response, *baobabtide.RequestError) {
+	if wait := a.Limiter.Take(req.Customer, req.Service, time.Now()); wait > 0 {
+		return nil, baobabtide.Refuse(baobabtide.ReasonRateLimit, wait, nil)
+	}
+	if refusal := a.acquire(ctx, s, req); refusal != nil {
+		return nil, refusal
+	}
+	run := &run{admitter: a, server: s, req: req, started: time.Now()}
+	if answer, refusal := run.enter(); answer != nil || refusal != nil {
+		run.release()
+		return replay(answer, a), refusal
+	}
+	resp, err := s.pool.Do(ctx, req)
+	if err != nil {
+		return nil, run.fail(baobabtide.AsRequestError(err))
+	}
+	return run.succeed(resp), nil
+}
+
+// acquire waits for a slot.
+func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request) *baobabtide.RequestError {
+	ticket := btadmit.Ticket{Customer: req.Customer, Priority: req.Priority, Deadline: req.Deadline}
+	w, refusal := s.queue.Offer(ticket, time.Now())
+	if refusal != nil {
+		return refusal
+	}
+	select {
+	case <-w.Ready():
+		return w.Refusal()
+	case <-ctx.Done():
+	}
+	if !s.queue.Cancel(w) {
+		s.queue.Release(req.Customer, 0, time.Now())
+	}
+	reason := baobabtide.ReasonCanceled
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), btconn.ErrGone) {
+		reason = baobabtide.ReasonDeadline
+	}
+	return baobabtide.Refuse(reason, 0, context.Cause(ctx))
+}
--- /dev/null
+++ b/btlocal/run.go
@@ -0,0 +1,152 @@
+package btlocal
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btledger"
+)
+
+// run is one request that holds a slot.
+type run struct {
+	admitter *Admitter
+	server   *server
+	req      *baobabtide.Request
+	started  time.Time
+	keyName  string
+	recorded bool // the ledger knows the attempt
+	released bool
+}
+
+// enter records a non-idempotent attempt. It returns the stored answer or a
+// refusal where the request must not run.
+func (r *run) enter() (*btledger.Answer, *baobabtide.RequestError) {
+	if r.req.Idempotent {
+		return nil, nil
+	}
+	if r.req.Key != "" {
+		r.keyName = btledger.KeyName(r.req.Customer, r.req.Service, r.req.Key)
+	}
+	answer, refusal := r.admitter.ledger.Begin(r.req.Attempt, r.keyName, time.Now())
+	r.recorded = answer == nil && refusal == nil
+	return answer, refusal
+}
+
+// release gives the slot back.
+func (r *run) release() {
+	if r.released {
+		return
+	}
+	r.released = true
+	now := time.Now()
+	r.server.queue.Release(r.req.Customer, now.Sub(r.started), now)
+}
+
+// fail ends a request that got no answer.
+func (r *run) fail(err *baobabtide.RequestError) *baobabtide.RequestError {
+	if r.recorded {
+		r.admitter.ledger.End(r.req.Attempt, r.keyName, err.Verdict, nil)
+	}
+	if err.Reason == baobabtide.ReasonOverload {
+		r.server.queue.Shed()
+	}
+	r.release()
+	if err.Reason != baobabtide.ReasonOverload && err.Reason != baobabtide.ReasonCanceled {
+		r.admitter.Observer.Observe(r.req, time.Since(r.started), true)
+	}
+	return err
+}
+
+// succeed wraps an answer so that the request ends with its body.
+func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
+	took := time.Since(r.started)
+	resp.Load = r.server.queue.Load()
+	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp, took: took}
+	return resp
+}
+
+const storedBody = 16 << 10 // bytes of an answer that is kept for repeats
+
+// runBody ends its request when the body is closed.
+type runBody struct {
+	io.ReadCloser
+	run    *run
+	resp   *baobabtide.Response
+	took   time.Duration
+	kept   bytes.Buffer // start of the body of a keyed request
+	whole  bool
+	failed bool
+	closed bool
+}
+
+// Read implements io.Reader.
+func (b *runBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.run.keyName != "" && b.kept.Len() <= storedBody {
+		b.kept.Write(p[:n])
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		b.whole = true
+	case err != nil:
+		b.failed = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer. It may be called more than once.
+func (b *runBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	err := b.ReadCloser.Close()
+	r := b.run
+	if r.recorded {
+		r.admitter.ledger.End(r.req.Attempt, r.keyName, baobabtide.Ran, b.answer())
+	}
+	r.release()
+	r.admitter.end()
+	r.admitter.Observer.Observe(r.req, b.took, b.failed || b.resp.Status >= 500)
+	return err
+}
+
+// answer returns what a repeat of the key gets, or nil where it is too large.
+func (b *runBody) answer() *btledger.Answer {
+	if b.run.keyName == "" || !b.whole || b.kept.Len() > storedBody {
+		return nil
+	}
+	return &btledger.Answer{Status: b.resp.Status, Header: b.resp.Header, Body: bytes.Clone(b.kept.Bytes())}
+}
+
+// replay returns a stored answer as a response, or nil for none.
+func replay(answer *btledger.Answer, a *Admitter) *baobabtide.Response {
+	if answer == nil {
+		return nil
+	}
+	return &baobabtide.Response{
+		Status: answer.Status,
+		Header: answer.Header,
+		Body:   &replayBody{Reader: *bytes.NewReader(answer.Body), admitter: a},
+		Length: int64(len(answer.Body)),
+	}
+}
+
+// replayBody is the body of a stored answer.
+type replayBody struct {
+	bytes.Reader
+	admitter *Admitter
+	closed   bool
+}
+
+// Close implements io.Closer. It may be called more than once.
+func (b *replayBody) Close() error {
+	if !b.closed {
+		b.closed = true
+		b.admitter.end()
+	}
+	return nil
+}
--- /dev/null
+++ b/btmember/detect.go
@@ -0,0 +1,199 @@
+package btmember
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// Heard notes that a neighbor gave a sign of life.
+func (t *Table) Heard(name string, now time.Time) {
+	if e, ok := t.entries[name]; ok && e.member.Status < baobabtide.Failed {
+		t.heard[name] = now
+	}
+}
+
+// Watch starts to expect heartbeats from a neighbor.
+func (t *Table) Watch(name string, now time.Time) {
+	if _, ok := t.heard[name]; !ok {
+		t.Heard(name, now)
+	}
+}
+
+// Unwatch ends the expectation of heartbeats from a former neighbor.
+func (t *Table) Unwatch(name string) { delete(t.heard, name) }
+
+// Accuse marks a member as suspect because it could not be reached.
+func (t *Table) Accuse(name string, now time.Time) Delta {
+	e, ok := t.entries[name]
+	if !ok || name == t.self || e.member.Status >= baobabtide.Failed {
+		return Delta{}
+	}
+	accusation := StatusUpdate{
+		Name:        name,
+		Incarnation: e.member.Incarnation,
+		Status:      baobabtide.Suspect,
+		Accusers:    []string{t.self},
+	}
+	if !t.mergeStatus(accusation, now) {
+		return Delta{}
+	}
+	return Delta{Statuses: []StatusUpdate{statusOf(&e.member)}}
+}
+
+// Tick accuses silent neighbors, confirms old suspicions and forgets members
+// that are long gone. A tick that comes late means that this node was paused:
+// then its neighbors get a new chance before they are accused.
+func (t *Table) Tick(now time.Time) Delta {
+	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > t.timing.SilenceLimit/2
+	t.lastTick = now
+	if paused {
+		for name := range t.heard {
+			t.heard[name] = now
+		}
+		return Delta{}
+	}
+	var delta Delta
+	for name, heard := range t.heard {
+		if now.Sub(heard) > t.timing.SilenceLimit {
+			delta.Append(t.Accuse(name, now))
+		}
+	}
+	for name, e := range t.entries {
+		switch {
+		case name == t.self:
+		case e.member.Status == baobabtide.Suspect && t.confirmed(e, now):
+			delta.Append(t.fail(e, now))
+		case e.member.Status >= baobabtide.Failed && now.Sub(e.changed) > t.timing.ForgetAfter:
+			t.forget(name)
+		}
+	}
+	return delta
+}
+
+func (t *Table) confirmed(e *entry, now time.Time) bool {
+	age := now.Sub(e.changed)
+	if len(e.member.Accusers) >= 2 {
+		return age >= t.timing.ConfirmQuorum
+	}
+	return age >= t.timing.ConfirmSingle
+}
+
+func (t *Table) fail(e *entry, now time.Time) Delta {
+	m := e.member
+	m.Status = baobabtide.Failed
+	m.Accusers = nil
+	t.put(m, now)
+	return Delta{Statuses: []StatusUpdate{statusOf(&m)}}
+}
+
+// Neighbors returns the members that this node opens a gossip connection to:
+// its successor on each ring, without repeats. The successors' union over all
+// nodes is a random graph of degree 2*Rings, so that changes reach everyone in
+// a logarithmic number of steps at a constant cost per node.
+func (t *Table) Neighbors() []baobabtide.Member {
+	var neighbors []baobabtide.Member
+	for ring := range Rings {
+		next := t.successor(ring)
+		if next == nil || slices.ContainsFunc(neighbors, func(m baobabtide.Member) bool { return m.Name == next.Name }) {
+			continue
+		}
+		neighbors = append(neighbors, *next)
+	}
+	return neighbors
+}
+
+// successor returns the live member that follows this node on a ring.
+func (t *Table) successor(ring int) *baobabtide.Member {
+	self := t.entries[t.self]
+	var best *entry
+	var bestDistance uint64
+	for _, e := range t.entries {
+		if e == self || e.member.Status >= baobabtide.Failed {
+			continue
+		}
+		if ring == 0 && e.member.Zone != self.member.Zone {
+			continue
+		}
+		distance := e.positions[ring] - self.positions[ring] // wraps around the ring
+		if best == nil || distance < bestDistance {
+			best, bestDistance = e, distance
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return &best.member
+}
+
+// Rejoin returns a failed member to try again, at most once per interval, so
+// that a partition heals on its own.
+func (t *Table) Rejoin(now time.Time) (baobabtide.Member, bool) {
+	if now.Sub(t.lastRejoin) < t.timing.RejoinInterval {
+		return baobabtide.Member{}, false
+	}
+	t.lastRejoin = now
+	var failed []baobabtide.Member
+	for _, e := range t.entries {
+		if e.member.Status == baobabtide.Failed {
+			failed = append(failed, e.member)
+		}
+	}
+	if len(failed) == 0 {
+		return baobabtide.Member{}, false
+	}
+	slices.SortFunc(failed, func(a, b baobabtide.Member) int { return strings.Compare(a.Name, b.Name) })
+	return failed[t.rng.IntN(len(failed))], true
+}
+
+// Readers returns the names of the members of the node's zone that read the
+// log, chosen by rendezvous hashing over the live ones.
+func (t *Table) Readers(count int) []string {
+	zone := t.Self().Zone
+	var candidates []*entry
+	for _, e := range t.entries {
+		if e.member.Zone == zone && e.member.Status == baobabtide.Alive {
+			candidates = append(candidates, e)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *entry) int {
+		return cmp.Compare(a.positions[0], b.positions[0])
+	})
+	names := make([]string, 0, count)
+	for _, e := range candidates[:min(count, len(candidates))] {
+		names = append(names, e.member.Name)
+	}
+	return names
+}
+
+// SnapshotWriter returns the name of the member that writes snapshots: the
+// first live one on the second ring.
+func (t *Table) SnapshotWriter() string {
+	var best *entry
+	for _, e := range t.entries {
+		if e.member.Status != baobabtide.Alive {
+			continue
+		}
+		if best == nil || e.positions[1] < best.positions[1] {
+			best = e
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.member.Name
+}
+
+// Live returns the number of members that are alive or suspect.
+func (t *Table) Live() int {
+	live := 0
+	for _, e := range t.entries {
+		if e.member.Status < baobabtide.Failed {
+			live++
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/btnode/edges.go
@@ -0,0 +1,355 @@
+package btnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btpeer"
+)
+
+const (
+	edgeQueue     = 256                    // messages that wait to be sent on one edge
+	dialTimeout   = time.Second            // of a gossip connection
+	helloTimeout  = 2 * time.Second        // time to the first message of the other end
+	extraLifetime = 10 * time.Second       // of an edge that is not to a neighbor
+	redialPause   = 500 * time.Millisecond // between attempts to open one edge
+	seedPeriod    = 30 * time.Second       // between visits to a seed once joined
+)
+
+var errEdgeClosed = errors.New("edge closed")
+
+// edge is a gossip connection in use. Its sender goroutine owns the stream's
+// sending side.
+type edge struct {
+	name     string // node at the other end
+	outgoing bool
+	opened   time.Time
+	queue    chan *btpeer.Gossip
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+
+	mu       sync.Mutex
+	heard    time.Time // last message of the other end
+	synced   time.Time // last exchange of digests
+	mismatch time.Time // since when the membership differs, zero if it does not
+}
+
+// send queues a message. An edge that can't keep up is closed; what it missed
+// is repaired over the next one.
+func (e *edge) send(m *btpeer.Gossip) {
+	select {
+	case e.queue <- m:
+	default:
+		e.cancel(fmt.Errorf("%w: queue is full", errEdgeClosed))
+	}
+}
+
+// edges is the set of gossip connections with its lock.
+type edges struct {
+	mu      sync.Mutex
+	set     map[*edge]struct{}
+	dialing map[string]time.Time // addresses that are being dialed, since when
+}
+
+func (s *edges) add(e *edge) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.set == nil {
+		s.set = make(map[*edge]struct{})
+	}
+	s.set[e] = struct{}{}
+}
+
+// remove takes an edge out and returns whether none is left to its node.
+func (s *edges) remove(e *edge) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.set, e)
+	for other := range s.set {
+		if other.name == e.name {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *edges) all() []*edge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*edge, 0, len(s.set))
+	for e := range s.set {
+		all = append(all, e)
+	}
+	return all
+}
+
+func (s *edges) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.set)
+}
+
+func (s *edges) connected(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := range s.set {
+		if e.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// beginDial returns false where the address is being dialed or was dialed a
+// moment ago.
+func (s *edges) beginDial(address string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dialing == nil {
+		s.dialing = make(map[string]time.Time)
+	}
+	if at, ok := s.dialing[address]; ok && now.Sub(at) < redialPause {
+		return false
+	}
+	s.dialing[address] = now
+	return true
+}
+
+func (s *edges) endDial(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.dialing, address)
+}
+
+func (s *edges) closeAll() {
+	for _, e := range s.all() {
+		e.cancel(errEdgeClosed)
+	}
+}
+
+// spreadMessage queues a message on all edges but one.
+func (n *Node) spreadMessage(m *btpeer.Gossip, except *edge) {
+	for _, e := range n.edges.all() {
+		if e != except {
+			e.send(m)
+		}
+	}
+}
+
+// tickEdges keeps an edge to each neighbor, sends heartbeats and replaces
+// silent edges.
+func (n *Node) tickEdges(now time.Time) {
+	n.members.mu.Lock()
+	neighbors := n.members.table.Neighbors()
+	rejoin, rejoining := n.members.table.Rejoin(now)
+	digest := n.members.table.Digest()
+	n.members.mu.Unlock()
+	for _, m := range neighbors {
+		if !n.edges.connected(m.Name) {
+			n.dial(m.Name, m.PeerAddress, now)
+		}
+	}
+	if rejoining {
+		n.dial(rejoin.Name, rejoin.PeerAddress, now)
+	}
+	n.visitSeed(now)
+	heartbeat := &btpeer.Gossip{Heartbeat: &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: digest}}
+	for _, e := range n.edges.all() {
+		n.tickEdge(e, neighbors, heartbeat, now)
+	}
+}
+
+func (n *Node) tickEdge(e *edge, neighbors []baobabtide.Member, heartbeat *btpeer.Gossip, now time.Time) {
+	e.mu.Lock()
+	silent := now.Sub(e.heard)
+	e.mu.Unlock()
+	if silent > n.settings.Peer.SilenceLimit/2 {
+		e.cancel(fmt.Errorf("%w: silent for %s", errEdgeClosed, silent))
+		return
+	}
+	wanted := slices.ContainsFunc(neighbors, func(m baobabtide.Member) bool { return m.Name == e.name })
+	if e.outgoing && !wanted && now.Sub(e.opened) > extraLifetime {
+		e.cancel(fmt.Errorf("%w: not a neighbor any more", errEdgeClosed))
+		return
+	}
+	if e.beatDue(now, n.settings.Peer.Heartbeat) {
+		e.send(heartbeat)
+	}
+}
+
+// beatDue spreads the heartbeats of an edge over the ticks.
+func (e *edge) beatDue(now time.Time, period time.Duration) bool {
+	since := now.Sub(e.opened)
+	return since/period != (since-tickPeriod)/period
+}
+
+// visitSeed opens an edge to a seed while the node knows nobody, and now and
+// then afterwards, so that two halves that forgot each other meet again.
+func (n *Node) visitSeed(now time.Time) {
+	seeds := n.settings.Peer.Seeds
+	if len(seeds) == 0 {
+		return
+	}
+	period := seedPeriod
+	if n.edges.count() == 0 {
+		period = tickPeriod
+	}
+	if (now.Sub(n.started)+n.jitter())/period == (now.Sub(n.started)+n.jitter()-tickPeriod)/period {
+		return
+	}
+	address := seeds[rand.IntN(len(seeds))]
+	if address != n.settings.Peer.Address() && !n.edges.connected(n.nameAt(address)) {
+		n.dial("", address, now)
+	}
+}
+
+// nameAt returns the name of the live member at an address, or a name that no
+// node has.
+func (n *Node) nameAt(address string) string {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	for _, m := range n.members.table.Members() {
+		if m.PeerAddress == address && m.Status < baobabtide.Failed {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// dial opens an edge in the background. A named node that can't be reached is
+// accused.
+func (n *Node) dial(name, address string, now time.Time) {
+	if !n.edges.beginDial(address, now) {
+		return
+	}
+	n.wg.Go(func() {
+		err := n.runOutgoing(name, address)
+		n.edges.endDial(address)
+		if err != nil && name != "" && n.ctx.Err() == nil {
+			n.accuse(name, err)
+		}
+	})
+}
+
+func (n *Node) accuse(name string, cause error) {
+	now := time.Now()
+	n.members.mu.Lock()
+	delta := n.members.table.Accuse(name, now)
+	n.members.mu.Unlock()
+	if !delta.Empty() {
+		n.log.Info().Str("event", "member.accused").Str("member", name).Err(cause).Send()
+	}
+	n.spread(delta, nil)
+}
+
+// runOutgoing opens an edge and serves it to its end. It returns an error
+// where the other end could not be reached.
+func (n *Node) runOutgoing(name, address string) error {
+	ctx, cancel := context.WithCancelCause(n.ctx)
+	defer cancel(errEdgeClosed)
+	timer := time.AfterFunc(dialTimeout, func() { cancel(context.DeadlineExceeded) })
+	conn, end, err := n.peers.Gossip(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer end()
+	if err := conn.Send(n.hello()); err != nil {
+		return fmt.Errorf("greet node at %s: %w", address, err)
+	}
+	first, err := conn.Recv()
+	if err != nil {
+		return fmt.Errorf("greet node at %s: %w", address, err)
+	}
+	timer.Stop()
+	if first.Hello == nil || first.Hello.Node == "" || name != "" && first.Hello.Node != name {
+		return fmt.Errorf("greet node at %s: it is not %q", address, name)
+	}
+	n.edges.endDial(address)
+	n.runEdge(&edge{name: first.Hello.Node, outgoing: true, ctx: ctx, cancel: cancel}, conn, first)
+	return nil
+}
+
+// hello returns the first message of an edge.
+func (n *Node) hello() *btpeer.Gossip {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	return &btpeer.Gossip{
+		Hello:     &btpeer.Hello{Node: n.place.Node},
+		Heartbeat: &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: n.members.table.Digest()},
+		Members:   []baobabtide.Member{n.members.table.Self()},
+	}
+}
+
+// Gossip implements btpeer.Node.
+func (n *Node) Gossip(conn *btpeer.GossipConn) error {
+	ctx, cancel := context.WithCancelCause(conn.Context())
+	defer cancel(errEdgeClosed)
+	stop := context.AfterFunc(n.ctx, func() { cancel(errEdgeClosed) })
+	defer stop()
+	if err := conn.Send(n.hello()); err != nil {
+		return fmt.Errorf("greet caller: %w", err)
+	}
+	first, err := conn.Recv()
+	if err != nil {
+		return fmt.Errorf("greet caller: %w", err)
+	}
+	if first.Hello == nil || first.Hello.Node == "" {
+		return errors.New("greet caller: no name in its first message")
+	}
+	n.runEdge(&edge{name: first.Hello.Node, ctx: ctx, cancel: cancel}, conn, first)
+	return nil
+}
+
+// runEdge serves an edge to its end.
+func (n *Node) runEdge(e *edge, conn *btpeer.GossipConn, first *btpeer.Gossip) {
+	now := time.Now()
+	e.opened, e.heard = now, now
+	e.queue = make(chan *btpeer.Gossip, edgeQueue)
+	n.edges.add(e)
+	n.members.mu.Lock()
+	n.members.table.Watch(e.name, now)
+	n.members.mu.Unlock()
+	n.sendReports(e)
+	go e.sendLoop(conn)
+	go n.receiveLoop(e, conn, first)
+	<-e.ctx.Done()
+	if n.edges.remove(e) {
+		n.members.mu.Lock()
+		n.members.table.Unwatch(e.name)
+		n.members.mu.Unlock()
+	}
+	n.log.Debug().Str("event", "edge.closed").Str("member", e.name).AnErr("cause", context.Cause(e.ctx)).Send()
+}
+
+func (e *edge) sendLoop(conn *btpeer.GossipConn) {
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case m := <-e.queue:
+			if err := conn.Send(m); err != nil {
+				e.cancel(err)
+				return
+			}
+		}
+	}
+}
+
+// receiveLoop hands the messages of an edge to the workers.
+func (n *Node) receiveLoop(e *edge, conn *btpeer.GossipConn, first *btpeer.Gossip) {
+	n.handleGossip(e, first)
+	for {
+		m, err := conn.Recv()
+		if err != nil {
+			e.cancel(err)
+			return
+		}
+		n.submit(func() { n.handleGossip(e, m) })
+	}
+}
--- /dev/null
+++ b/btnode/gossip.go
@@ -0,0 +1,212 @@
+package btnode
+
+import (
+	"errors"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btmember"
+	"github.com/baobabtide/baobabtide/btpeer"
+)
+
+const (
+	repairDelay  = 2 * time.Second // a difference in flight settles by itself in this time
+	repairPeriod = time.Second     // between exchanges of digests on one edge
+	pullTimeout  = 500 * time.Millisecond
+	joinedSize   = 2 // members a node knows once it has joined
+)
+
+// handleGossip takes in one message of an edge.
+func (n *Node) handleGossip(e *edge, m *btpeer.Gossip) {
+	now := time.Now()
+	e.mu.Lock()
+	e.heard = now
+	e.mu.Unlock()
+	n.mergeMembers(e, btmember.Delta{Members: m.Members, Statuses: m.Statuses}, now)
+	if m.Digests != nil {
+		n.answerDigests(e, m.Digests)
+	}
+	if m.Repair != nil {
+		n.takeRepair(e, m.Repair, now)
+	}
+	if m.Pull != nil {
+		n.answerPull(e, m.Pull.After)
+	}
+	if m.State != nil {
+		n.adoptState(e, m.State)
+	}
+	if len(m.Links) > 0 {
+		n.applyLinks(e, m.Links)
+	}
+	if m.Heartbeat != nil {
+		n.takeHeartbeat(e, m.Heartbeat, now)
+	}
+	if len(m.Reports) > 0 || len(m.Trips) > 0 {
+		n.takeReports(e, m)
+	}
+}
+
+// mergeMembers takes in a change of the membership and passes on what is new.
+func (n *Node) mergeMembers(e *edge, d btmember.Delta, now time.Time) {
+	n.members.mu.Lock()
+	n.members.table.Heard(e.name, now)
+	fresh := n.members.table.Merge(d, now)
+	n.members.mu.Unlock()
+	n.spread(fresh, e)
+}
+
+// spread sends a change of the membership to all neighbors but the one that it
+// came from, and has the route table rebuilt.
+func (n *Node) spread(d btmember.Delta, from *edge) {
+	if d.Empty() {
+		return
+	}
+	n.spreadMessage(&btpeer.Gossip{Members: d.Members, Statuses: d.Statuses}, from)
+	n.markDirty()
+}
+
+// takeHeartbeat compares what the sender knows with what this node knows.
+func (n *Node) takeHeartbeat(e *edge, h *btpeer.Heartbeat, now time.Time) {
+	if own := n.config.State().Offset; h.Offset > own {
+		n.pull(e, own, now)
+	}
+	n.members.mu.Lock()
+	same := n.members.table.Digest() == h.Digest
+	joined := n.members.table.Live() >= joinedSize
+	var digests []uint64
+	if !same {
+		digests = n.members.table.BucketDigests()
+	}
+	n.members.mu.Unlock()
+	if !e.repairDue(same, joined, now) {
+		return
+	}
+	e.send(&btpeer.Gossip{Digests: digests})
+}
+
+// repairDue tells whether a difference has lasted long enough to be worth an
+// exchange of digests. A node that has just joined does not wait.
+func (e *edge) repairDue(same, joined bool, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if same {
+		e.mismatch = time.Time{}
+		return false
+	}
+	if e.mismatch.IsZero() {
+		e.mismatch = now
+	}
+	fresh := e.synced.IsZero()
+	if (joined && !fresh && now.Sub(e.mismatch) < repairDelay) || now.Sub(e.synced) < repairPeriod {
+		return false
+	}
+	e.synced = now
+	return true
+}
+
+// answerDigests sends the records of the buckets that differ.
+func (n *Node) answerDigests(e *edge, digests []uint64) {
+	n.members.mu.Lock()
+	buckets := n.members.table.DifferingBuckets(digests)
+	members := n.members.table.BucketMembers(buckets)
+	n.members.mu.Unlock()
+	if len(buckets) > 0 {
+		e.send(&btpeer.Gossip{Repair: &btpeer.Repair{Buckets: buckets, Members: members}})
+	}
+}
+
+// takeRepair merges the records of some buckets and answers with those that
+// the other end lacks.
+func (n *Node) takeRepair(e *edge, r *btpeer.Repair, now time.Time) {
+	n.mergeMembers(e, btmember.Delta{Members: r.Members}, now)
+	if r.Reply {
+		return
+	}
+	known := make(map[string]baobabtide.Member, len(r.Members))
+	for _, m := range r.Members {
+		known[m.Name] = m
+	}
+	n.members.mu.Lock()
+	own := n.members.table.BucketMembers(r.Buckets)
+	n.members.mu.Unlock()
+	var missing []baobabtide.Member
+	for _, m := range own {
+		other, ok := known[m.Name]
+		if !ok || btmember.Newer(m, other) {
+			missing = append(missing, m)
+		}
+	}
+	if len(missing) > 0 {
+		e.send(&btpeer.Gossip{Repair: &btpeer.Repair{Buckets: r.Buckets, Members: missing, Reply: true}})
+	}
+}
+
+// pull asks for the configuration after an offset, unless an answer to an
+// earlier question is still due.
+func (n *Node) pull(e *edge, after baobabtide.Offset, now time.Time) {
+	last := n.pulled.Load()
+	if now.UnixNano()-last < int64(pullTimeout) || !n.pulled.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	e.send(&btpeer.Gossip{Pull: &btpeer.Pull{After: after}})
+}
+
+// answerPull sends the entries after an offset, or the whole state where they
+// are not kept any more.
+func (n *Node) answerPull(e *edge, after baobabtide.Offset) {
+	links, ok := n.config.Since(after)
+	if ok {
+		if len(links) > 0 {
+			e.send(&btpeer.Gossip{Links: links})
+		}
+		return
+	}
+	data, err := btconfig.EncodeState(n.config.State())
+	if err != nil {
+		n.log.Error().Str("event", "state.encode").Err(err).Send()
+		return
+	}
+	e.send(&btpeer.Gossip{State: data})
+}
+
+// adoptState replaces the configuration by a later one.
+func (n *Node) adoptState(e *edge, data []byte) {
+	state, err := btconfig.DecodeState(data)
+	if err != nil {
+		n.log.Warn().Str("event", "state.damaged").Str("member", e.name).Err(err).Send()
+		return
+	}
+	n.pulled.Store(0)
+	if n.config.Adopt(state) {
+		n.configChanged(e)
+	}
+}
+
+// applyLinks folds entries that a neighbor sent.
+func (n *Node) applyLinks(e *edge, links []btconfig.Link) {
+	n.pulled.Store(0)
+	changed := false
+	for _, link := range links {
+		applied, err := n.config.Apply(link)
+		changed = changed || applied
+		if errors.Is(err, btconfig.ErrGap) {
+			n.pull(e, n.config.State().Offset, time.Now())
+			break
+		}
+	}
+	if changed {
+		n.configChanged(e)
+	}
+}
+
+// configChanged tells the neighbors of a new configuration version and has the
+// route table rebuilt.
+func (n *Node) configChanged(from *edge) {
+	n.members.mu.Lock()
+	digest := n.members.table.Digest()
+	n.members.mu.Unlock()
+	heartbeat := &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: digest}
+	n.spreadMessage(&btpeer.Gossip{Heartbeat: heartbeat}, from)
+	n.markDirty()
+}
--- /dev/null
+++ b/btnode/info.go
@@ -0,0 +1,87 @@
+package btnode
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btpeer"
+)
+
+// Info implements btpeer.Node.
+func (n *Node) Info() btpeer.Info {
+	n.members.mu.Lock()
+	live := n.members.table.Live()
+	n.members.mu.Unlock()
+	in, out := n.bytes.Totals()
+	reads, appends := n.platform.Calls()
+	return btpeer.Info{
+		Node:        n.place.Node,
+		Zone:        n.place.Zone,
+		Offset:      n.inForce(),
+		Peers:       n.edges.count(),
+		Members:     live,
+		Reader:      n.reader.Load(),
+		LogUp:       n.logUp.Load(),
+		Draining:    n.draining.Load(),
+		InForceAt:   n.inForceAt.Load(),
+		ControlIn:   in,
+		ControlOut:  out,
+		Held:        n.held(),
+		ControlNano: processorNanos(),
+		Resident:    residentBytes(),
+		LogReads:    reads,
+		LogAppends:  appends,
+	}
+}
+
+// inForce returns the version of the route table in use.
+func (n *Node) inForce() baobabtide.Offset {
+	if table := n.routes.Load(); table != nil {
+		return table.Offset
+	}
+	return 0
+}
+
+// held returns the services whose assigned version has no known target.
+func (n *Node) held() []string {
+	table := n.routes.Load()
+	if table == nil {
+		return nil
+	}
+	var held []string
+	for _, line := range table.Lines() {
+		if line.Held != "" {
+			held = append(held, line.Customer+"/"+line.Service)
+		}
+	}
+	return held
+}
+
+// processorNanos returns the processor time of this process.
+func processorNanos() int64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return usage.Utime.Nano() + usage.Stime.Nano()
+}
+
+// residentBytes returns the resident memory of this process, 0 if unknown.
+func residentBytes() int64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
--- /dev/null
+++ b/btnode/metrics.go
@@ -0,0 +1,88 @@
+package btnode
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide/btconn"
+)
+
+// Paths of the metrics listener.
+const (
+	metricsPath = "/metrics"
+	healthPath  = "/health"
+	readyPath   = "/ready"
+)
+
+// metricsServer returns the server of metrics, health and readiness, and a
+// function that stops it.
+func (n *Node) metricsServer() (*fasthttp.Server, func()) {
+	set := n.metricsSet()
+	s := &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch string(ctx.Path()) {
+			case metricsPath:
+				ctx.SetContentType("text/plain; charset=utf-8")
+				set.WritePrometheus(ctx)
+				metrics.WriteProcessMetrics(ctx)
+			case healthPath:
+				ctx.SetBodyString("ok\n")
+			case readyPath:
+				n.serveReady(ctx)
+			default:
+				ctx.Error("no such page", fasthttp.StatusNotFound)
+			}
+		},
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                btconn.QuietLogger{},
+	}
+	return s, func() { _ = s.Shutdown() }
+}
+
+// serveReady says whether callers may be sent here: a configuration is in
+// force and the node is not stopping.
+func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
+	switch {
+	case n.draining.Load():
+		ctx.Error("draining\n", fasthttp.StatusServiceUnavailable)
+	case n.inForce() == 0:
+		ctx.Error("no configuration in force\n", fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBodyString("ready\n")
+	}
+}
+
+func (n *Node) metricsSet() *metrics.Set {
+	set := metrics.NewSet()
+	gauge := func(name string, value func() float64) { set.NewGauge(name, value) }
+	counters := &n.dispatch.Counters
+	gauge("baobabtide_config_offset", func() float64 { return float64(n.inForce()) })
+	gauge("baobabtide_members_live", func() float64 {
+		n.members.mu.Lock()
+		defer n.members.mu.Unlock()
+		return float64(n.members.table.Live())
+	})
+	gauge("baobabtide_gossip_edges", func() float64 { return float64(n.edges.count()) })
+	gauge("baobabtide_gossip_bytes_in_total", func() float64 { in, _ := n.bytes.Totals(); return float64(in) })
+	gauge("baobabtide_gossip_bytes_out_total", func() float64 { _, out := n.bytes.Totals(); return float64(out) })
+	gauge("baobabtide_log_reader", func() float64 { return boolean(n.reader.Load()) })
+	gauge("baobabtide_log_up", func() float64 { return boolean(n.logUp.Load()) })
+	gauge("baobabtide_log_reads_total", func() float64 { reads, _ := n.platform.Calls(); return float64(reads) })
+	gauge("baobabtide_log_appends_total", func() float64 { _, appends := n.platform.Calls(); return float64(appends) })
+	gauge("baobabtide_requests_active", func() float64 { return float64(n.local.Active()) })
+	gauge("baobabtide_requests_total", func() float64 { return float64(counters.Requests.Load()) })
+	gauge(`baobabtide_answers_total{verdict="ran"}`, func() float64 { return float64(counters.Answered.Load()) })
+	gauge(`baobabtide_answers_total{verdict="not-run"}`, func() float64 { return float64(counters.NotRun.Load()) })
+	gauge(`baobabtide_answers_total{verdict="may-have-run"}`, func() float64 { return float64(counters.MayHaveRun.Load()) })
+	gauge("baobabtide_retries_total", func() float64 { return float64(counters.Retries.Load()) })
+	gauge("baobabtide_settled_total", func() float64 { return float64(counters.Settled.Load()) })
+	return set
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/btnode/node.go
@@ -0,0 +1,336 @@
+// Package btnode puts the parts of a node together: it connects the packages
+// that decide with those that speak to peers.
+//
+// Workers of one pool handle what arrives, over tables that each have a lock.
+// Lock order: members before edges before rollouts; the configuration store
+// and the registry lock themselves and call nobody.
+package btnode
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btbackend"
+	"github.com/baobabtide/baobabtide/btcaller"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btdispatch"
+	"github.com/baobabtide/baobabtide/btlocal"
+	"github.com/baobabtide/baobabtide/btmember"
+	"github.com/baobabtide/baobabtide/btoperator"
+	"github.com/baobabtide/baobabtide/btpeer"
+	"github.com/baobabtide/baobabtide/btplatform"
+	"github.com/baobabtide/baobabtide/btroute"
+	"github.com/baobabtide/baobabtide/btsettings"
+	"github.com/baobabtide/baobabtide/bttls"
+)
+
+const (
+	workerCount   = 64
+	tickPeriod    = 250 * time.Millisecond
+	rebuildPeriod = 10 * time.Millisecond // route tables are built at most this often
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings    *btsettings.Settings
+	log         zerolog.Logger
+	place       btroute.Place
+	incarnation uint64
+	started     time.Time
+
+	workers  *ants.Pool
+	platform *btplatform.Client
+	peers    *btpeer.Client
+	bytes    btpeer.ByteCounter
+	registry btbackend.Registry
+	local    *btlocal.Admitter
+	dispatch *btdispatch.Dispatcher
+	tls      *bttls.Loader // nil for plaintext
+
+	config    btconfig.Store
+	routes    atomic.Pointer[btroute.Table]
+	inForceAt atomic.Int64 // Unix time in microseconds of the last change of configuration
+	pulled    atomic.Int64 // Unix time in nanoseconds of the last question for configuration, 0 once answered
+	dirty     chan struct{}
+	changed   broadcast // signaled when a configuration comes into force
+
+	members  members
+	edges    edges
+	rollouts rollouts
+
+	logUp      atomic.Bool
+	reader     atomic.Bool
+	draining   atomic.Bool
+	behind     atomic.Bool   // the log ends before the configuration in force
+	snapshotAt atomicOffset  // offset of the last snapshot that this node knows of
+	drained    chan struct{} // closed once the planned stop has ended
+	stopOnce   sync.Once
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// members is the membership with its lock.
+type members struct {
+	mu    sync.Mutex
+	table *btmember.Table
+}
+
+// New returns a node that does nothing before Run, and a function that frees
+// what it holds.
+func New(settings *btsettings.Settings, log zerolog.Logger) (*Node, func(), error) {
+	loader, err := bttls.NewLoader(settings.TLS)
+	if err != nil {
+		return nil, nil, err
+	}
+	workers, err := ants.NewPool(workerCount)
+	if err != nil {
+		return nil, nil, fmt.Errorf("start workers: %w", err)
+	}
+	now := time.Now()
+	n := &Node{
+		settings:    settings,
+		log:         log.With().Str("node", settings.Node.Name).Logger(),
+		place:       btroute.Place{Node: settings.Node.Name, Zone: settings.Node.Zone, Region: settings.Node.Region},
+		incarnation: uint64(now.UnixMilli()),
+		started:     now,
+		workers:     workers,
+		tls:         loader,
+		dirty:       make(chan struct{}, 1),
+		drained:     make(chan struct{}),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	closePlatform, closePeers := n.connect()
+	local, closeLocal := btlocal.New(&n.rollouts)
+	n.local = local
+	n.rollouts.node = n
+	n.members.table = btmember.New(n.self(), n.timing(), rand.New(rand.NewPCG(n.incarnation, uint64(now.Nanosecond()))))
+	n.dispatch = &btdispatch.Dispatcher{
+		Node:        n.place.Node,
+		Incarnation: n.incarnation,
+		Table:       n.routes.Load,
+		Peers:       n.peers,
+		Local:       local,
+	}
+	free := func() {
+		n.cancel()
+		closePeers()
+		closePlatform()
+		closeLocal()
+		workers.Release()
+	}
+	return n, free, nil
+}
+
+// connect makes the clients of the platform and of other nodes.
+func (n *Node) connect() (closePlatform, closePeers func()) {
+	n.platform, closePlatform = btplatform.NewClient(n.settings.Platform.Addresses, n.settings.Platform.Timeout)
+	var config *tls.Config
+	if n.tls != nil {
+		config = n.tls.Client()
+	}
+	n.peers, closePeers = btpeer.NewClient(config, &n.bytes, n.settings.Peer.Source())
+	return closePlatform, closePeers
+}
+
+func (n *Node) self() baobabtide.Member {
+	return baobabtide.Member{
+		Name:        n.settings.Node.Name,
+		Zone:        n.settings.Node.Zone,
+		Region:      n.settings.Node.Region,
+		PeerAddress: n.settings.Peer.Address(),
+		Incarnation: n.incarnation,
+		Sequence:    1,
+	}
+}
+
+func (n *Node) timing() btmember.Timing {
+	t := btmember.DefaultTiming()
+	t.Heartbeat = n.settings.Peer.Heartbeat
+	t.SilenceLimit = n.settings.Peer.SilenceLimit
+	return t
+}
+
+// Run serves until the context ends or a planned stop has finished. A planned
+// stop follows the end of the context.
+func (n *Node) Run(ctx context.Context) error {
+	stopServers, err := n.serve()
+	if err != nil {
+		return err
+	}
+	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop} {
+		n.wg.Go(loop)
+	}
+	n.log.Info().Str("event", "node.started").Str("zone", n.place.Zone).Uint64("incarnation", n.incarnation).Send()
+	select {
+	case <-ctx.Done():
+		n.Drain("signal")
+	case <-n.drained:
+	}
+	<-n.drained
+	stopServers()
+	n.leave()
+	n.cancel()
+	n.wg.Wait()
+	n.log.Info().Str("event", "node.stopped").Send()
+	return nil
+}
+
+// listener is one address that the node serves.
+type listener struct {
+	name    string
+	address string
+	serve   func(net.Listener) error
+	stop    func()
+}
+
+// serve opens all listeners and returns a function that stops them in order.
+func (n *Node) serve() (func(), error) {
+	listeners := n.listeners()
+	opened := make([]net.Listener, 0, len(listeners))
+	for _, l := range listeners {
+		socket, err := net.Listen("tcp", l.address)
+		if err != nil {
+			for _, o := range opened {
+				_ = o.Close()
+			}
+			return nil, fmt.Errorf("listen for %s: %w", l.name, err)
+		}
+		opened = append(opened, socket)
+	}
+	for i, l := range listeners {
+		go func() {
+			if err := l.serve(opened[i]); err != nil && n.ctx.Err() == nil {
+				n.log.Warn().Str("event", "listener.ended").Str("listener", l.name).Err(err).Send()
+			}
+		}()
+	}
+	return func() {
+		for _, l := range listeners {
+			l.stop()
+		}
+	}, nil
+}
+
+func (n *Node) listeners() []listener {
+	callers, stopCallers := btcaller.NewServer(n.dispatch, btcaller.Limits{
+		HeaderBytes:     n.settings.Caller.MaxHeaderBytes,
+		BodyBytes:       n.settings.Caller.MaxBodyBytes,
+		Connections:     n.settings.Caller.MaxConnections,
+		DefaultCustomer: n.settings.Caller.DefaultCustomer,
+	})
+	announce, stopAnnounce := btbackend.NewAnnounceServer(&n.registry)
+	operators, stopOperators := btoperator.NewServer(operators{n})
+	listeners := []listener{
+		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, stopCallers},
+		{"backend servers", n.settings.Backend.Listen, announce.Serve, stopAnnounce},
+		{"operators", n.settings.Operator.Listen, func(l net.Listener) error { return operators.Serve(l, n.serverTLS()) }, stopOperators},
+	}
+	if n.settings.Metrics.Listen != "" {
+		metrics, stopMetrics := n.metricsServer()
+		listeners = append(listeners, listener{"metrics", n.settings.Metrics.Listen, metrics.Serve, stopMetrics})
+	}
+	peers, stopPeers := btpeer.NewServer(n, n.serverTLS(), &n.bytes)
+	return append(listeners, listener{"peers", n.settings.Peer.Listen, peers.Serve, func() {
+		n.edges.closeAll()
+		stopPeers()
+	}})
+}
+
+// tickLoop runs what is due at regular times.
+func (n *Node) tickLoop() {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.registry.Expire(now)
+			n.tickMembers(now)
+			n.tickEdges(now)
+			n.tickRollouts(now)
+		}
+	}
+}
+
+// registryLoop announces the backend servers beside the node as they change.
+func (n *Node) registryLoop() {
+	for {
+		changed := n.registry.Changed()
+		n.announceTargets()
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (n *Node) announceTargets() {
+	n.local.Update(n.registry.Servers())
+	targets := n.registry.Targets()
+	if n.draining.Load() {
+		for i := range targets {
+			targets[i].State = baobabtide.TargetDraining
+		}
+	}
+	n.members.mu.Lock()
+	delta := n.members.table.Announce(targets, time.Now())
+	n.members.mu.Unlock()
+	n.spread(delta, nil)
+}
+
+// tickMembers runs failure detection.
+func (n *Node) tickMembers(now time.Time) {
+	n.members.mu.Lock()
+	delta := n.members.table.Tick(now)
+	readers := n.members.table.Readers(n.settings.Platform.ReadersPerZone)
+	n.members.mu.Unlock()
+	n.reader.Store(containsName(readers, n.place.Node) && n.mayRead(now))
+	for _, s := range delta.Statuses {
+		n.log.Info().Str("event", "member.status").Str("member", s.Name).Stringer("status", s.Status).Send()
+	}
+	n.spread(delta, nil)
+}
+
+const joinGrace = 2 * time.Second // a node without peers reads the log itself after this time
+
+// mayRead keeps a herd of starting nodes, which don't know each other yet,
+// from reading the log all at once.
+func (n *Node) mayRead(now time.Time) bool {
+	return len(n.settings.Peer.Seeds) == 0 || n.edges.count() > 0 || now.Sub(n.started) > joinGrace+n.jitter()
+}
+
+// jitter returns a duration up to joinGrace that differs between nodes.
+func (n *Node) jitter() time.Duration {
+	return time.Duration(n.incarnation*2654435761%1000) * joinGrace / 1000
+}
+
+func containsName(names []string, name string) bool {
+	for _, other := range names {
+		if other == name {
+			return true
+		}
+	}
+	return false
+}
+
+// submit runs a job on a worker. Where all are busy it waits for one.
+func (n *Node) submit(job func()) {
+	if err := n.workers.Submit(job); err != nil && !errors.Is(err, ants.ErrPoolClosed) {
+		n.log.Error().Str("event", "worker.refused").Err(err).Send()
+	}
+}
--- /dev/null
+++ b/btnode/operator.go
@@ -0,0 +1,252 @@
+package btnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btoperator"
+	"github.com/baobabtide/baobabtide/btpeer"
+	"github.com/baobabtide/baobabtide/btroute"
+)
+
+const (
+	publishTimeout = 10 * time.Second
+	infoTimeout    = 2 * time.Second
+)
+
+// operators is the node as operators see it.
+type operators struct {
+	*Node
+}
+
+var _ btoperator.Node = operators{}
+
+// Publish implements btoperator.Node.
+func (n *Node) Publish(ctx context.Context, record *baobabtide.Record) (*btoperator.PublishResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	if entry, ok := n.config.State().Audit.Find(record.ID); ok {
+		return &btoperator.PublishResult{Entry: entry}, nil
+	}
+	data, err := btcodec.EncodeJSON(record)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	_, err = n.platform.Append(ctx, baobabtide.ConfigStream, data)
+	if errors.Is(err, baobabtide.ErrUnavailable) {
+		return nil, &btoperator.Error{Code: btoperator.CodeUnavailable, Err: err}
+	}
+	entry, waitErr := n.awaitRecord(ctx, record.ID)
+	if waitErr != nil {
+		return nil, &btoperator.Error{Code: btoperator.CodeUncertain, Err: errors.Join(waitErr, err)}
+	}
+	n.log.Info().Str("event", "record.published").Str("kind", entry.Kind).Str("subject", entry.Subject).
+		Str("actor", entry.Actor).Uint64("offset", uint64(entry.Offset)).Bool("accepted", entry.Accepted).Send()
+	return &btoperator.PublishResult{Entry: entry}, nil
+}
+
+// awaitRecord waits until a record was folded here.
+func (n *Node) awaitRecord(ctx context.Context, id string) (baobabtide.AuditEntry, error) {
+	for {
+		changed := n.changed.wait()
+		if entry, ok := n.config.State().Audit.Find(id); ok {
+			return entry, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return baobabtide.AuditEntry{}, fmt.Errorf("record %q was not seen in the log: %w", id, ctx.Err())
+		}
+	}
+}
+
+// Contracts implements btoperator.Node.
+func (n *Node) Contracts(context.Context) (*btoperator.Contracts, error) {
+	result := &btoperator.Contracts{}
+	for _, c := range n.config.State().Contracts {
+		result.Contracts = append(result.Contracts, btoperator.Contract{Revision: c.Revision, Contract: c.Contract})
+	}
+	slices.SortFunc(result.Contracts, func(a, b btoperator.Contract) int {
+		return strings.Compare(a.Contract.Customer, b.Contract.Customer)
+	})
+	return result, nil
+}
+
+// Versions implements btoperator.Node.
+func (n *Node) Versions(context.Context) (*btoperator.Versions, error) {
+	result := &btoperator.Versions{}
+	for name, s := range n.config.State().Services {
+		result.Services = append(result.Services, btoperator.ServiceVersions{Service: name, Revision: s.Revision, Versions: s.Versions})
+	}
+	slices.SortFunc(result.Services, func(a, b btoperator.ServiceVersions) int {
+		return strings.Compare(a.Service, b.Service)
+	})
+	return result, nil
+}
+
+// Audit implements btoperator.Node.
+func (n *Node) Audit(context.Context) (*btoperator.Audit, error) {
+	return &btoperator.Audit{Entries: n.config.State().Audit.Entries()}, nil
+}
+
+// Status implements btoperator.Node.
+func (n *Node) Status(ctx context.Context) (*btoperator.Status, error) {
+	state := n.config.State()
+	status := &btoperator.Status{
+		Node:        n.place.Node,
+		Offset:      n.inForce(),
+		LogUp:       n.logUp.Load(),
+		Assignments: n.assignments(state),
+		Nodes:       n.nodes(ctx),
+	}
+	return status, nil
+}
+
+// assignments describes all assignments, ordered by customer and service.
+func (n *Node) assignments(state *btconfig.State) []btoperator.AssignmentStatus {
+	table := n.routes.Load()
+	if table == nil {
+		return nil
+	}
+	statuses := make([]btoperator.AssignmentStatus, 0, len(state.Assignments))
+	for _, a := range state.Assignments {
+		if line := table.Line(a.Customer, a.Service); line != nil {
+			statuses = append(statuses, n.assignment(&a, line))
+		}
+	}
+	slices.SortFunc(statuses, func(a, b btoperator.AssignmentStatus) int {
+		return strings.Compare(btconfig.AssignmentKey(a.Customer, a.Service), btconfig.AssignmentKey(b.Customer, b.Service))
+	})
+	return statuses
+}
+
+func (n *Node) assignment(a *baobabtide.Assignment, line *btroute.Line) btoperator.AssignmentStatus {
+	s := btoperator.AssignmentStatus{Customer: a.Customer, Service: a.Service, Held: line.Held}
+	share := 0.0
+	if line.Rollout != nil {
+		share = line.Share()
+	}
+	s.Shares = append(s.Shares, btoperator.VersionShare{Version: line.Current.Name, Share: 1 - share, Targets: line.Current.Pool.Size()})
+	if line.Rollout != nil {
+		s.Shares = append(s.Shares, btoperator.VersionShare{Version: line.Next.Name, Share: share, Targets: line.Next.Pool.Size()})
+	}
+	if a.Rollout == nil {
+		return s
+	}
+	s.Rollout = a.Rollout.Offset
+	s.Started = a.Rollout.Started
+	s.Deadline = a.Rollout.Deadline()
+	s.Result = a.Rollout.Result
+	s.Reason = a.Rollout.Reason
+	s.Evidence = a.Rollout.Evidence
+	if a.Running() {
+		decision := n.rollouts.decision(a.Rollout)
+		s.Phase = string(decision.Phase)
+		s.Reason = decision.Reason
+		s.Evidence = n.rollouts.evidence(a.Rollout)
+	}
+	return s
+}
+
+// nodes asks all live nodes about themselves.
+func (n *Node) nodes(ctx context.Context) []btoperator.NodeStatus {
+	n.members.mu.Lock()
+	members := n.members.table.Members()
+	n.members.mu.Unlock()
+	statuses := make([]btoperator.NodeStatus, len(members))
+	ctx, cancel := context.WithTimeout(ctx, infoTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range members {
+		wg.Add(1)
+		n.submit(func() {
+			defer wg.Done()
+			statuses[i] = n.nodeStatus(ctx, &members[i])
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+func (n *Node) nodeStatus(ctx context.Context, m *baobabtide.Member) btoperator.NodeStatus {
+	s := btoperator.NodeStatus{Name: m.Name, Zone: m.Zone, Status: m.Status, Targets: m.Targets}
+	info, err := n.askInfo(ctx, m)
+	if err != nil {
+		return s
+	}
+	s.Reachable = true
+	s.Offset = info.Offset
+	s.InForceSince = time.UnixMicro(info.InForceAt).UTC()
+	s.Peers = info.Peers
+	s.Members = info.Members
+	s.Reader = info.Reader
+	s.LogUp = info.LogUp
+	s.Draining = info.Draining
+	s.Held = info.Held
+	s.Cost = btoperator.NodeCost{
+		ControlBytesIn:  info.ControlIn,
+		ControlBytesOut: info.ControlOut,
+		ProcessorTime:   time.Duration(info.ControlNano),
+		ResidentBytes:   info.Resident,
+		LogReads:        info.LogReads,
+		LogAppends:      info.LogAppends,
+	}
+	return s
+}
+
+func (n *Node) askInfo(ctx context.Context, m *baobabtide.Member) (*btpeer.Info, error) {
+	if m.Name == n.place.Node {
+		info := n.Info()
+		return &info, nil
+	}
+	if m.Status >= baobabtide.Failed {
+		return nil, errEdgeClosed
+	}
+	return n.peers.Info(ctx, m.PeerAddress)
+}
+
+// Drain implements btoperator.Node.
+func (n operators) Drain(ctx context.Context, req *btoperator.DrainRequest) (*btoperator.DrainResult, error) {
+	n.members.mu.Lock()
+	m, ok := n.members.table.Get(req.Node)
+	n.members.mu.Unlock()
+	if !ok {
+		return nil, &btoperator.Error{Code: btoperator.CodeNotFound, Err: fmt.Errorf("node %q is not known", req.Node)}
+	}
+	result := &btoperator.DrainResult{Node: req.Node}
+	result.Recorded = n.recordDrain(ctx, req)
+	if m.Name == n.place.Node {
+		result.InFlight = n.Node.Drain(req.Reason)
+		return result, nil
+	}
+	resp, err := n.peers.Drain(ctx, m.PeerAddress, req.Reason)
+	if err != nil {
+		return nil, &btoperator.Error{Code: btoperator.CodeUnavailable, Err: err}
+	}
+	result.InFlight = resp.InFlight
+	return result, nil
+}
+
+// recordDrain notes a planned stop in the audit trail. The stop goes on while
+// the log is down.
+func (n *Node) recordDrain(ctx context.Context, req *btoperator.DrainRequest) bool {
+	record := &baobabtide.Record{
+		ID:    fmt.Sprintf("drain.%d", time.Now().UnixNano()),
+		Actor: req.Actor,
+		Drain: &baobabtide.DrainRecord{Node: req.Node, Reason: req.Reason},
+	}
+	data, err := btcodec.EncodeJSON(record)
+	if err != nil {
+		return false
+	}
+	_, err = n.platform.Append(ctx, baobabtide.ConfigStream, data)
+	return err == nil
+}
--- /dev/null
+++ b/btnode/reader.go
@@ -0,0 +1,201 @@
+package btnode
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconfig"
+)
+
+const (
+	readerCheck    = 250 * time.Millisecond // how often a node that does not read the log looks whether it should
+	minReadBackoff = 100 * time.Millisecond
+	maxReadBackoff = 2 * time.Second
+	behindPause    = time.Second
+	snapshotCheck  = 5 * time.Second
+	snapshotJitter = 0.5
+)
+
+var errLogBehind = errors.New("the log ends before the configuration in force")
+
+// readLoop reads the log while this node is a reader of its zone.
+func (n *Node) readLoop() {
+	backoff := minReadBackoff
+	for n.ctx.Err() == nil {
+		if !n.reader.Load() {
+			n.sleep(readerCheck)
+			continue
+		}
+		err := n.readOnce()
+		if err == nil {
+			backoff = minReadBackoff
+			n.setLogUp(true, nil)
+			continue
+		}
+		if errors.Is(err, errLogBehind) {
+			n.setLogUp(true, nil)
+			n.sleep(behindPause)
+			continue
+		}
+		n.setLogUp(false, err)
+		n.sleep(time.Duration(rand.Float64() * float64(backoff)))
+		backoff = min(2*backoff, maxReadBackoff)
+	}
+}
+
+func (n *Node) sleep(d time.Duration) {
+	select {
+	case <-n.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// setLogUp notes whether the log answers and logs the change.
+func (n *Node) setLogUp(up bool, cause error) {
+	if n.logUp.Swap(up) == up {
+		return
+	}
+	if up {
+		n.log.Info().Str("event", "log.up").Send()
+	} else {
+		n.log.Warn().Str("event", "log.down").Err(cause).Send()
+	}
+}
+
+// readOnce reads and folds the records after the configuration in force.
+func (n *Node) readOnce() error {
+	state := n.config.State()
+	page, err := n.platform.Read(n.ctx, baobabtide.ConfigStream, state.Offset+1, n.settings.Platform.ReadWait)
+	if errors.Is(err, baobabtide.ErrRetention) {
+		return n.restore()
+	}
+	if err != nil {
+		return err
+	}
+	if page.Next <= state.Offset {
+		if n.behind.CompareAndSwap(false, true) {
+			n.log.Error().Str("event", "log.behind").Uint64("next", uint64(page.Next)).Uint64("offset", uint64(state.Offset)).Send()
+		}
+		return errLogBehind
+	}
+	n.behind.Store(false)
+	n.foldPage(state, page)
+	return nil
+}
+
+// foldPage folds records that follow a state. Another reader's news may have
+// come first; then the rest of the page is read again.
+func (n *Node) foldPage(state *btconfig.State, page baobabtide.Page) {
+	prev := state.Offset
+	changed := false
+	for _, entry := range page.Entries {
+		applied, err := n.config.Apply(btconfig.Link{Prev: prev, Entry: entry})
+		if err != nil {
+			break
+		}
+		changed = changed || applied
+		prev = entry.Offset
+	}
+	if changed {
+		n.configChanged(nil)
+	}
+}
+
+// restore adopts the newest whole snapshot, because the log has dropped the
+// records that this node lacks.
+func (n *Node) restore() error {
+	chunks, err := n.readSnapshots()
+	if err != nil {
+		return err
+	}
+	state := btconfig.JoinSnapshots(chunks)
+	if state == nil || !n.config.Adopt(state) {
+		return fmt.Errorf("restore from snapshot: %w", errNoSnapshot)
+	}
+	n.log.Info().Str("event", "snapshot.adopted").Uint64("offset", uint64(state.Offset)).Send()
+	n.configChanged(nil)
+	return nil
+}
+
+var errNoSnapshot = errors.New("no whole snapshot is later than the configuration in force")
+
+// readSnapshots returns the chunks that the snapshot stream holds.
+func (n *Node) readSnapshots() ([]btconfig.Chunk, error) {
+	var chunks []btconfig.Chunk
+	from := baobabtide.Offset(0)
+	for {
+		page, err := n.platform.Read(n.ctx, baobabtide.SnapshotStream, from, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range page.Entries {
+			var c btconfig.Chunk
+			if err := btcodec.DecodeCBOR(entry.Data, &c); err != nil {
+				n.log.Warn().Str("event", "snapshot.damaged").Uint64("offset", uint64(entry.Offset)).Err(err).Send()
+				continue
+			}
+			chunks = append(chunks, c)
+		}
+		if len(page.Entries) == 0 || page.Entries[len(page.Entries)-1].Offset+1 >= page.Next {
+			return chunks, nil
+		}
+		from = page.Entries[len(page.Entries)-1].Offset + 1
+	}
+}
+
+// snapshotLoop writes a snapshot whenever enough records have come since the
+// last one, while this node is the one that does so.
+func (n *Node) snapshotLoop() {
+	for n.ctx.Err() == nil {
+		n.sleep(time.Duration(float64(snapshotCheck) * (1 + snapshotJitter*(rand.Float64()-1))))
+		n.members.mu.Lock()
+		writer := n.members.table.SnapshotWriter() == n.place.Node
+		n.members.mu.Unlock()
+		if !writer || n.ctx.Err() != nil {
+			continue
+		}
+		if err := n.snapshotIfDue(); err != nil {
+			n.log.Warn().Str("event", "snapshot.failed").Err(err).Send()
+		}
+	}
+}
+
+func (n *Node) snapshotIfDue() error {
+	every := baobabtide.Offset(n.settings.Platform.SnapshotEvery)
+	state := n.config.State()
+	if state.Offset < n.snapshotAt.Load()+every {
+		return nil
+	}
+	chunks, err := n.readSnapshots()
+	if err != nil {
+		return err
+	}
+	if newest := btconfig.JoinSnapshots(chunks); newest != nil && state.Offset < newest.Offset+every {
+		n.snapshotAt.Store(newest.Offset)
+		return nil
+	}
+	return n.writeSnapshot(state)
+}
+
+func (n *Node) writeSnapshot(state *btconfig.State) error {
+	chunks, err := btconfig.SplitSnapshot(state, n.place.Node)
+	if err != nil {
+		return err
+	}
+	for i := range chunks {
+		data, err := btcodec.EncodeCBOR(&chunks[i])
+		if err != nil {
+			return fmt.Errorf("encode snapshot: %w", err)
+		}
+		if _, err := n.platform.Append(n.ctx, baobabtide.SnapshotStream, data); err != nil {
+			return err
+		}
+	}
+	n.snapshotAt.Store(state.Offset)
+	n.log.Info().Str("event", "snapshot.written").Uint64("offset", uint64(state.Offset)).Int("chunks", len(chunks)).Send()
+	return nil
+}
--- /dev/null
+++ b/btnode/rollouts.go
@@ -0,0 +1,279 @@
+package btnode
+
+import (
+	"sync"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btpeer"
+	"github.com/baobabtide/baobabtide/btrollout"
+	"github.com/baobabtide/baobabtide/btroute"
+)
+
+const (
+	reportPeriod   = 500 * time.Millisecond // between reports of one rollout
+	proposePeriod  = 3 * time.Second        // between proposals of one outcome
+	proposeStagger = 500 * time.Millisecond // delay of each further reader of a zone
+)
+
+// rollouts is what the node knows of rollouts, with its lock.
+type rollouts struct {
+	node *Node
+
+	mu       sync.Mutex
+	book     btrollout.Book
+	counters btrollout.Counters
+	progress map[btrollout.ID]*progress
+}
+
+// progress is what this node does about one rollout.
+type progress struct {
+	cleared  time.Time // when the evidence first cleared the version here
+	decision btrollout.Decision
+	reported time.Time
+	proposed time.Time
+}
+
+// Observe implements btlocal.Observer.
+func (r *rollouts) Observe(req *baobabtide.Request, took time.Duration, failed bool) {
+	if req.Rollout == 0 {
+		return
+	}
+	id := btrollout.ID{Offset: req.Rollout, Customer: req.Customer, Service: req.Service}
+	a, ok := r.node.config.State().Assignments[btconfig.AssignmentKey(req.Customer, req.Service)]
+	if !ok || !a.Running() || a.Rollout.Offset != req.Rollout {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.Observe(id, &a.Rollout.Terms, req.Route, req.Version == a.Rollout.To, took, failed)
+}
+
+// current returns the progress of a rollout. The caller holds the lock.
+func (r *rollouts) current(id btrollout.ID) *progress {
+	if r.progress == nil {
+		r.progress = make(map[btrollout.ID]*progress)
+	}
+	p := r.progress[id]
+	if p == nil {
+		p = &progress{}
+		r.progress[id] = p
+	}
+	return p
+}
+
+// decide brings the decision on a rollout up to date and returns it with a
+// trip that this node raises, if any.
+func (r *rollouts) decide(rollout *baobabtide.Rollout, now time.Time) (btrollout.Decision, *btrollout.Trip) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := btrollout.IDOf(rollout)
+	p := r.current(id)
+	evidence := r.book.Evidence(id)
+	trip, tripped := r.book.Trip(id)
+	var raised *btrollout.Trip
+	if !tripped {
+		judgment, reason := btrollout.Judge(&rollout.Terms, evidence)
+		switch {
+		case judgment == btrollout.Bad:
+			trip = btrollout.Trip{Rollout: id, Node: r.node.place.Node, Reason: reason, Evidence: evidence}
+			r.book.Raise(trip)
+			tripped, raised = true, &trip
+		case judgment == btrollout.Good && p.cleared.IsZero():
+			p.cleared = now
+		}
+	}
+	p.decision = btrollout.Decide(rollout, evidence, tripped, p.cleared, now)
+	if tripped {
+		p.decision.Reason = trip.Reason
+	}
+	return p.decision, raised
+}
+
+// setShares gives a table the shares that are in force and returns the
+// decisions and the trips that this node raises.
+func (r *rollouts) setShares(running []baobabtide.Rollout, table *btroute.Table, now time.Time) ([]btrollout.Decision, []btrollout.Trip) {
+	decisions := make([]btrollout.Decision, len(running))
+	var raised []btrollout.Trip
+	for i := range running {
+		decision, trip := r.decide(&running[i], now)
+		decisions[i] = decision
+		if trip != nil {
+			raised = append(raised, *trip)
+		}
+		if table == nil {
+			continue
+		}
+		if line := table.Line(running[i].Customer, running[i].Service); line != nil {
+			line.SetShare(decision.Share)
+		}
+	}
+	return decisions, raised
+}
+
+// tickRollouts reports what this node has counted, decides on the shares and
+// proposes outcomes.
+func (n *Node) tickRollouts(now time.Time) {
+	state := n.config.State()
+	running := state.Running()
+	n.rollouts.forget(state, running)
+	for i := range running {
+		n.report(&running[i], now)
+	}
+	decisions, raised := n.rollouts.setShares(running, n.routes.Load(), now)
+	n.raise(raised)
+	for i := range running {
+		if decisions[i].Result != "" {
+			n.propose(&running[i], decisions[i], now)
+		}
+	}
+}
+
+// forget drops what is known of rollouts that have ended.
+func (r *rollouts) forget(state *btconfig.State, running []baobabtide.Rollout) {
+	keep := make(map[btrollout.ID]bool, len(running))
+	for i := range running {
+		keep[btrollout.IDOf(&running[i])] = true
+	}
+	kept := func(id btrollout.ID) bool { return keep[id] || id.Offset > state.Offset }
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.Forget(kept)
+	r.counters.Forget(kept)
+	for id := range r.progress {
+		if !kept(id) {
+			delete(r.progress, id)
+		}
+	}
+}
+
+// report spreads what this node has counted of a rollout since the last time.
+func (n *Node) report(rollout *baobabtide.Rollout, now time.Time) {
+	id := btrollout.IDOf(rollout)
+	r := &n.rollouts
+	r.mu.Lock()
+	p := r.current(id)
+	if now.Sub(p.reported) < reportPeriod {
+		r.mu.Unlock()
+		return
+	}
+	p.reported = now
+	report := btrollout.Report{Rollout: id, Node: n.place.Node, Incarnation: n.incarnation, Routes: r.counters.Routes(id)}
+	fresh := len(report.Routes) > 0 && r.book.Merge(report)
+	r.mu.Unlock()
+	if fresh {
+		n.spreadMessage(&btpeer.Gossip{Reports: []btrollout.Report{report}}, nil)
+	}
+}
+
+// raise spreads trips.
+func (n *Node) raise(trips []btrollout.Trip) {
+	if len(trips) == 0 {
+		return
+	}
+	for _, t := range trips {
+		n.log.Warn().Str("event", "rollout.tripped").Uint64("rollout", uint64(t.Rollout.Offset)).
+			Str("customer", t.Rollout.Customer).Str("service", t.Rollout.Service).Str("reason", t.Reason).Send()
+	}
+	n.spreadMessage(&btpeer.Gossip{Trips: trips}, nil)
+}
+
+// takeReports takes in what other nodes counted and raised, and passes on what
+// is new.
+func (n *Node) takeReports(e *edge, m *btpeer.Gossip) {
+	r := &n.rollouts
+	var fresh btpeer.Gossip
+	r.mu.Lock()
+	for _, report := range m.Reports {
+		if r.book.Merge(report) {
+			fresh.Reports = append(fresh.Reports, report)
+		}
+	}
+	for _, t := range m.Trips {
+		if r.book.Raise(t) {
+			fresh.Trips = append(fresh.Trips, t)
+		}
+	}
+	r.mu.Unlock()
+	if len(fresh.Reports) > 0 || len(fresh.Trips) > 0 {
+		n.spreadMessage(&fresh, e)
+	}
+	if len(fresh.Trips) > 0 {
+		n.tickRollouts(time.Now())
+	}
+}
+
+// sendReports tells a new neighbor what is known of the running rollouts.
+func (n *Node) sendReports(e *edge) {
+	r := &n.rollouts
+	r.mu.Lock()
+	reports, trips := r.book.Reports(func(btrollout.ID) bool { return true })
+	r.mu.Unlock()
+	if len(reports) > 0 || len(trips) > 0 {
+		e.send(&btpeer.Gossip{Reports: reports, Trips: trips})
+	}
+}
+
+// propose appends the outcome of a rollout to the log. Readers of the log do
+// so one after the other until one record is folded; the first one counts.
+func (n *Node) propose(rollout *baobabtide.Rollout, decision btrollout.Decision, now time.Time) {
+	if !n.reader.Load() || !n.proposalDue(rollout, now) {
+		return
+	}
+	record := &baobabtide.Record{
+		ID:    btrollout.OutcomeID(rollout, n.place.Node, now),
+		Actor: "node/" + n.place.Node,
+		Outcome: &baobabtide.OutcomeRecord{
+			Rollout:  rollout.Offset,
+			Customer: rollout.Customer,
+			Service:  rollout.Service,
+			Result:   decision.Result,
+			Reason:   decision.Reason,
+			Evidence: n.rollouts.evidence(rollout),
+		},
+	}
+	n.submit(func() {
+		data, err := btcodec.EncodeJSON(record)
+		if err != nil {
+			n.log.Error().Str("event", "outcome.encode").Err(err).Send()
+			return
+		}
+		if _, err := n.platform.Append(n.ctx, baobabtide.ConfigStream, data); err != nil {
+			n.log.Warn().Str("event", "outcome.append").Uint64("rollout", uint64(rollout.Offset)).Err(err).Send()
+		}
+	})
+}
+
+func (r *rollouts) evidence(rollout *baobabtide.Rollout) []baobabtide.RouteEvidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Evidence(btrollout.IDOf(rollout))
+}
+
+// proposalDue staggers the proposals of the readers.
+func (n *Node) proposalDue(rollout *baobabtide.Rollout, now time.Time) bool {
+	r := &n.rollouts
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.current(btrollout.IDOf(rollout))
+	if p.proposed.IsZero() {
+		p.proposed = now.Add(time.Duration(float64(proposeStagger)*n.rank()) - proposePeriod)
+	}
+	if now.Sub(p.proposed) < proposePeriod {
+		return false
+	}
+	p.proposed = now
+	return true
+}
+
+// rank returns a number from 0 to below 4 that differs between nodes.
+func (n *Node) rank() float64 { return 4 * float64(n.jitter()) / float64(joinGrace) }
+
+// decision returns the latest decision on a rollout.
+func (r *rollouts) decision(rollout *baobabtide.Rollout) btrollout.Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current(btrollout.IDOf(rollout)).decision
+}
--- /dev/null
+++ b/btnode/routes.go
@@ -0,0 +1,66 @@
+package btnode
+
+import (
+	"time"
+
+	"github.com/baobabtide/baobabtide/btadmit"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btroute"
+)
+
+// markDirty has the route table rebuilt soon.
+func (n *Node) markDirty() {
+	select {
+	case n.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// rebuildLoop builds the route table after changes of the configuration or the
+// membership.
+func (n *Node) rebuildLoop() {
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-n.dirty:
+		}
+		n.rebuild()
+		n.sleep(rebuildPeriod)
+	}
+}
+
+// rebuild swaps in a table for the configuration and the members of now.
+func (n *Node) rebuild() {
+	state := n.config.State()
+	n.members.mu.Lock()
+	members := n.members.table.Members()
+	n.members.mu.Unlock()
+	old := n.routes.Load()
+	table := btroute.Build(state, members, n.place, old)
+	now := time.Now()
+	_, raised := n.rollouts.setShares(state.Running(), table, now)
+	n.raise(raised)
+	n.local.Limiter.Set(rateLimits(state))
+	n.routes.Store(table)
+	if old != nil && old.Offset == table.Offset {
+		return
+	}
+	n.inForceAt.Store(now.UnixMicro())
+	n.log.Info().Str("event", "config.in-force").Uint64("offset", uint64(table.Offset)).Send()
+	n.changed.signal()
+}
+
+// rateLimits returns the limits of all contracts.
+func rateLimits(state *btconfig.State) map[btadmit.RateKey]float64 {
+	limits := make(map[btadmit.RateKey]float64)
+	for customer, c := range state.Contracts {
+		for i := range c.Contract.Services {
+			terms := &c.Contract.Services[i]
+			if terms.RequestsPerSecond > 0 {
+				limits[btadmit.RateKey{Customer: customer, Service: terms.Service}] = terms.RequestsPerSecond
+			}
+		}
+	}
+	return limits
+}
--- /dev/null
+++ b/btoperator/client.go
@@ -0,0 +1,125 @@
+package btoperator
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+)
+
+const (
+	clientTimeout = callTimeout + 2*time.Second
+	dialTimeout   = 2 * time.Second
+)
+
+// Client calls the operators' interface of one node. It implements Node.
+type Client struct {
+	Address string // host:port
+
+	scheme string
+	http   fasthttp.Client
+}
+
+var _ Node = (*Client)(nil)
+
+// NewClient returns a client. A nil config means plaintext.
+func NewClient(address string, config *tls.Config) *Client {
+	c := &Client{Address: address, scheme: "http"}
+	if config != nil {
+		c.scheme = "https"
+	}
+	c.http = fasthttp.Client{
+		Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, dialTimeout) },
+		TLSConfig:                 config,
+		MaxIdemponentCallAttempts: 1,
+	}
+	return c
+}
+
+// Publish implements Node.
+func (c *Client) Publish(ctx context.Context, record *baobabtide.Record) (*PublishResult, error) {
+	return post[PublishResult](ctx, c, pathPublish, record)
+}
+
+// Drain implements Node.
+func (c *Client) Drain(ctx context.Context, req *DrainRequest) (*DrainResult, error) {
+	return post[DrainResult](ctx, c, pathDrain, req)
+}
+
+// Status implements Node.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return get[Status](ctx, c, pathStatus)
+}
+
+// Contracts implements Node.
+func (c *Client) Contracts(ctx context.Context) (*Contracts, error) {
+	return get[Contracts](ctx, c, pathContracts)
+}
+
+// Versions implements Node.
+func (c *Client) Versions(ctx context.Context) (*Versions, error) {
+	return get[Versions](ctx, c, pathVersions)
+}
+
+// Audit implements Node.
+func (c *Client) Audit(ctx context.Context) (*Audit, error) {
+	return get[Audit](ctx, c, pathAudit)
+}
+
+func post[Out any](ctx context.Context, c *Client, path string, in any) (*Out, error) {
+	data, err := btcodec.EncodeJSON(in)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyRaw(data)
+	return call[Out](ctx, c, req, path)
+}
+
+func get[Out any](ctx context.Context, c *Client, path string) (*Out, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	return call[Out](ctx, c, req, path)
+}
+
+func call[Out any](ctx context.Context, c *Client, req *fasthttp.Request, path string) (*Out, error) {
+	req.SetRequestURI(c.scheme + "://" + c.Address + path)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	timeout := clientTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+		return nil, transportError(c.Address, err)
+	}
+	if resp.StatusCode() == fasthttp.StatusOK {
+		out, err := btcodec.DecodeJSON[Out](resp.Body())
+		if err != nil {
+			return nil, fmt.Errorf("answer of node at %s: %w", c.Address, err)
+		}
+		return out, nil
+	}
+	body, err := btcodec.DecodeJSON[ErrorBody](resp.Body())
+	if err != nil {
+		return nil, fmt.Errorf("node at %s answered status %d", c.Address, resp.StatusCode())
+	}
+	return nil, &Error{Code: body.Code, Err: errors.New(body.Message)}
+}
+
+func transportError(address string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &Error{Code: CodeUnavailable, Err: fmt.Errorf("reach node at %s: %w", address, err)}
+	}
+	return &Error{Code: CodeUncertain, Err: fmt.Errorf("call node at %s: %w", address, err)}
+}
--- /dev/null
+++ b/btpeer/client.go
@@ -0,0 +1,332 @@
+package btpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+const (
+	idleTimeout    = time.Minute
+	dialTimeout    = time.Second
+	settleTimeout  = time.Second
+	firstBodyPart  = 32 << 10 // bytes of body that travel with the head
+	reconnectDelay = 100 * time.Millisecond
+	reconnectMax   = 2 * time.Second
+)
+
+// Client calls other nodes. It keeps one connection per address for requests.
+type Client struct {
+	credentials credentials.TransportCredentials
+	bytes       *ByteCounter
+	source      net.IP
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClient returns a client and a function that closes its connections. A nil
+// config means plaintext. Connections leave from the source address, or from
+// any where it is nil.
+func NewClient(config *tls.Config, bytes *ByteCounter, source net.IP) (*Client, func()) {
+	c := &Client{
+		source:      source,
+		credentials: insecure.NewCredentials(),
+		bytes:       bytes,
+		conns:       make(map[string]*grpc.ClientConn),
+	}
+	if config != nil {
+		c.credentials = credentials.NewTLS(config)
+	}
+	return c, c.close
+}
+
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// dial returns a connection that is opened with its first call.
+func (c *Client) dial(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(c.credentials),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(codec{}), grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithReadBufferSize(bufferSize),
+		grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+		grpc.WithContextDialer(c.dialTCP),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithStatsHandler(c.bytes),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, Jitter: 0.5, MaxDelay: reconnectMax},
+			MinConnectTimeout: dialTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("dial node at %s: %w", address, err)
+	}
+	return conn, nil
+}
+
+func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{}
+	if c.source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: c.source}
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// conn returns the shared connection to an address.
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := c.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// Replace drops the shared connection to an address. Calls on it go on for a
+// grace period; new calls open a new one.
+func (c *Client) Replace(address string, grace time.Duration) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	delete(c.conns, address)
+	c.mu.Unlock()
+	if ok {
+		time.AfterFunc(grace, func() { _ = conn.Close() })
+	}
+}
+
+// GossipConn is a gossip connection that this node has opened.
+type GossipConn = Stream[Gossip, Gossip]
+
+// Gossip opens a gossip connection of its own and returns a function that
+// closes it.
+func (c *Client) Gossip(ctx context.Context, address string) (*GossipConn, func(), error) {
+	conn, err := c.dial(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	end := func() {
+		cancel()
+		_ = conn.Close()
+	}
+	raw, err := conn.NewStream(ctx, &serviceDesc.Streams[0], gossipMethod)
+	if err != nil {
+		end()
+		return nil, nil, fmt.Errorf("open gossip with %s: %w", address, err)
+	}
+	return &GossipConn{raw: raw}, end, nil
+}
+
+// call makes a unary call on a connection.
+func call[In, Out any](ctx context.Context, conn *grpc.ClientConn, method string, in *In) (*Out, error) {
+	out := new(Out)
+	if err := conn.Invoke(ctx, method, in, out); err != nil {
+		return nil, fmt.Errorf("call %s: %w", method, err)
+	}
+	return out, nil
+}
+
+// Info asks a node about itself.
+func (c *Client) Info(ctx context.Context, address string) (*Info, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return call[InfoRequest, Info](ctx, conn, infoMethod, &InfoRequest{})
+}
+
+// Drain tells a node to stop in a planned way.
+func (c *Client) Drain(ctx context.Context, address, reason string) (*DrainResponse, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return call[DrainRequest, DrainResponse](ctx, conn, drainMethod, &DrainRequest{Reason: reason})
+}
+
+// Settle implements baobabtide.Forwarder. It uses a new connection because the
+// one that lost the answer may be silent.
+func (c *Client) Settle(ctx context.Context, target baobabtide.TargetRef, attempt string) (baobabtide.Verdict, error) {
+	conn, err := c.dial(target.Address)
+	if err != nil {
+		return baobabtide.MayHaveRun, err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	resp, err := call[SettleRequest, SettleResponse](ctx, conn, settleMethod, &SettleRequest{Attempt: attempt})
+	if err != nil {
+		return baobabtide.MayHaveRun, err
+	}
+	return resp.Verdict, nil
+}
+
+// Forward implements baobabtide.Forwarder.
+func (c *Client) Forward(ctx context.Context, target baobabtide.TargetRef, req *baobabtide.Request) (*baobabtide.Response, error) {
+	conn, err := c.conn(target.Address)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	raw, err := conn.NewStream(ctx, &serviceDesc.Streams[1], forwardMethod)
+	if err != nil {
+		cancel()
+		return nil, notSent(err)
+	}
+	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw}
+	first, err := firstFrame(target, req)
+	if err != nil {
+		cancel()
+		return nil, baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
+	}
+	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
+		cancel()
+		return nil, lost(err)
+	}
+	if first.Last {
+		_ = raw.CloseSend()
+	} else {
+		go sendBody(stream, raw, req.Body, cancel)
+	}
+	resp, err := receiveResponse(stream, cancel)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	resp.Node = target.Node
+	return resp, nil
+}
+
+// notSent reports a request of which nothing has left this node.
+func notSent(err error) *baobabtide.RequestError {
+	return baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
+}
+
+// lost reports a request that was sent and got no answer.
+func lost(err error) *baobabtide.RequestError {
+	re := &baobabtide.RequestError{Reason: baobabtide.ReasonLost, Err: err}
+	switch status.Code(err) {
+	case codes.DeadlineExceeded:
+		re.Reason = baobabtide.ReasonDeadline
+	case codes.Canceled:
+		re.Reason = baobabtide.ReasonCanceled
+	}
+	return re
+}
+
+// firstFrame returns the head with the first part of the body.
+func firstFrame(target baobabtide.TargetRef, req *baobabtide.Request) (*RequestFrame, error) {
+	frame := &RequestFrame{Head: &RequestHead{
+		Attempt:           req.Attempt,
+		Target:            target.Name,
+		TargetIncarnation: target.Incarnation,
+		Customer:          req.Customer,
+		Service:           req.Service,
+		Version:           req.Version,
+		Route:             req.Route,
+		Key:               req.Key,
+		Idempotent:        req.Idempotent,
+		Priority:          req.Priority,
+		Rollout:           req.Rollout,
+		Method:            req.Method,
+		Path:              req.Target,
+		Header:            req.Header,
+		BodyLength:        req.BodyLength,
+		TimeoutMicros:     time.Until(req.Deadline).Microseconds(),
+		Depth:             req.Depth,
+		Retried:           req.Retried,
+	}, Last: true}
+	if req.Body == nil {
+		return frame, nil
+	}
+	part := make([]byte, firstBodyPart)
+	n, err := readPart(req.Body, part)
+	frame.Body = part[:n]
+	frame.Last = errors.Is(err, io.EOF)
+	if err != nil && !frame.Last {
+		return nil, fmt.Errorf("read caller's body: %w", err)
+	}
+	return frame, nil
+}
+
+// sendBody sends what follows the first part. A body that breaks off cancels
+// the call, so that it never passes for whole.
+func sendBody(stream *Stream[ResponseFrame, RequestFrame], raw grpc.ClientStream, body io.Reader, cancel func()) {
+	part := make([]byte, maxBodyPart)
+	for {
+		n, err := readPart(body, part)
+		last := errors.Is(err, io.EOF)
+		if err != nil && !last {
+			cancel()
+			return
+		}
+		if err := stream.Send(&RequestFrame{Body: part[:n], Last: last}); err != nil {
+			return
+		}
+		if last {
+			_ = raw.CloseSend()
+			return
+		}
+	}
+}
+
+func receiveResponse(stream *Stream[ResponseFrame, RequestFrame], cancel func()) (*baobabtide.Response, error) {
+	frame, err := stream.Recv()
+	if err != nil {
+		return nil, lost(noEOF(err))
+	}
+	if r := frame.Refusal; r != nil {
+		re := &baobabtide.RequestError{
+			Verdict:    r.Verdict,
+			Reason:     r.Reason,
+			RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond,
+		}
+		if r.Message != "" {
+			re.Err = errors.New(r.Message)
+		}
+		return nil, re
+	}
+	if frame.Head == nil {
+		return nil, lost(errors.New("first frame of an answer has no head"))
+	}
+	return &baobabtide.Response{
+		Status:  frame.Head.Status,
+		Header:  frame.Head.Header,
+		Body:    &responseBody{conn: stream, part: frame.Body, last: frame.Last, end: cancel},
+		Length:  frame.Head.Length,
+		Version: frame.Head.Version,
+		Load:    frame.Head.Load,
+	}, nil
+}
--- /dev/null
+++ b/btpeer/server.go
@@ -0,0 +1,157 @@
+package btpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+const (
+	bufferSize        = 8 << 10 // bytes of each read and write buffer of a connection
+	keepaliveTime     = 10 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	minKeepaliveTime  = 5 * time.Second
+	stopTimeout       = 2 * time.Second
+	maxServerStreams  = 1 << 14
+	maxHeaderListSize = 64 << 10
+)
+
+// Node answers the calls of other nodes.
+type Node interface {
+	baobabtide.Admitter
+	// Gossip serves a connection that another node has opened until it ends.
+	Gossip(conn *Stream[Gossip, Gossip]) error
+	// Info describes the node.
+	Info() Info
+	// Drain stops the node in a planned way and returns the number of requests
+	// that are still running.
+	Drain(reason string) int
+}
+
+// Server answers the calls of other nodes.
+type Server struct {
+	grpc  *grpc.Server
+	node  Node
+	bytes *ByteCounter
+}
+
+// NewServer returns a server and a function that stops it. A nil config means
+// plaintext.
+func NewServer(node Node, config *tls.Config, bytes *ByteCounter) (*Server, func()) {
+	options := []grpc.ServerOption{
+		grpc.ForceServerCodecV2(codec{}),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxConcurrentStreams(maxServerStreams),
+		grpc.MaxHeaderListSize(maxHeaderListSize),
+		grpc.ReadBufferSize(bufferSize),
+		grpc.WriteBufferSize(bufferSize),
+		grpc.SharedWriteBuffer(true),
+		grpc.StatsHandler(bytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
+	}
+	if config != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(config)))
+	}
+	s := &Server{grpc: grpc.NewServer(options...), node: node, bytes: bytes}
+	s.grpc.RegisterService(&serviceDesc, s)
+	return s, s.stop
+}
+
+// Serve accepts connections until the server is stopped.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.grpc.Serve(l); err != nil {
+		return fmt.Errorf("serve peers on %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// stop lets calls finish for a short time and ends the others.
+func (s *Server) stop() {
+	done := make(chan struct{})
+	go func() {
+		s.grpc.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(stopTimeout):
+		s.grpc.Stop()
+	}
+}
+
+func (s *Server) gossip(conn *Stream[Gossip, Gossip]) error { return s.node.Gossip(conn) }
+
+func (s *Server) settle(_ context.Context, req *SettleRequest) (*SettleResponse, error) {
+	return &SettleResponse{Verdict: s.node.SettleLocal(req.Attempt)}, nil
+}
+
+func (s *Server) info(context.Context, *InfoRequest) (*Info, error) {
+	info := s.node.Info()
+	return &info, nil
+}
+
+func (s *Server) drain(_ context.Context, req *DrainRequest) (*DrainResponse, error) {
+	return &DrainResponse{InFlight: s.node.Drain(req.Reason)}, nil
+}
+
+// forward serves one request that another node sends here.
+func (s *Server) forward(conn *Stream[RequestFrame, ResponseFrame]) error {
+	first, err := conn.Recv()
+	if err != nil {
+		return fmt.Errorf("receive request: %w", err)
+	}
+	if first.Head == nil {
+		return fmt.Errorf("first frame of a request has no head")
+	}
+	deadline := time.Now().Add(time.Duration(first.Head.TimeoutMicros) * time.Microsecond)
+	ctx, cancel := context.WithDeadline(conn.Context(), deadline)
+	defer cancel()
+	req := first.Head.request(deadline)
+	if !first.Last || len(first.Body) > 0 {
+		req.Body = &requestBody{conn: conn, part: first.Body, last: first.Last}
+	}
+	resp, err := s.node.Admit(ctx, first.Head.Target, first.Head.TargetIncarnation, req)
+	if err != nil {
+		return conn.Send(&ResponseFrame{Refusal: refusalOf(err), Last: true})
+	}
+	defer resp.Body.Close()
+	return sendResponse(conn, resp)
+}
+
+func refusalOf(err error) *Refusal {
+	re := baobabtide.AsRequestError(err)
+	refusal := &Refusal{Verdict: re.Verdict, Reason: re.Reason, RetryAfterMicros: re.RetryAfter.Microseconds()}
+	if re.Err != nil {
+		refusal.Message = re.Err.Error()
+	}
+	return refusal
+}
+
+func (h *RequestHead) request(deadline time.Time) *baobabtide.Request {
+	return &baobabtide.Request{
+		Attempt:    h.Attempt,
+		Customer:   h.Customer,
+		Service:    h.Service,
+		Version:    h.Version,
+		Route:      h.Route,
+		Key:        h.Key,
+		Idempotent: h.Idempotent,
+		Priority:   h.Priority,
+		Rollout:    h.Rollout,
+		Method:     h.Method,
+		Target:     h.Path,
+		Header:     h.Header,
+		BodyLength: h.BodyLength,
+		Deadline:   deadline,
+		Depth:      h.Depth,
+		Retried:    h.Retried,
+	}
+}
--- /dev/null
+++ b/btpeer/service.go
@@ -0,0 +1,92 @@
+package btpeer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+)
+
+const (
+	serviceName   = "baobabtide.Peer"
+	gossipMethod  = "/" + serviceName + "/Gossip"
+	forwardMethod = "/" + serviceName + "/Forward"
+	settleMethod  = "/" + serviceName + "/Settle"
+	infoMethod    = "/" + serviceName + "/Info"
+	drainMethod   = "/" + serviceName + "/Drain"
+)
+
+// handler is what the node does with calls of other nodes.
+type handler interface {
+	gossip(s *Stream[Gossip, Gossip]) error
+	forward(s *Stream[RequestFrame, ResponseFrame]) error
+	settle(ctx context.Context, req *SettleRequest) (*SettleResponse, error)
+	info(ctx context.Context, req *InfoRequest) (*Info, error)
+	drain(ctx context.Context, req *DrainRequest) (*DrainResponse, error)
+}
+
+var serviceDesc = grpc.ServiceDesc{
+	ServiceName: serviceName,
+	HandlerType: (*handler)(nil),
+	Methods: []grpc.MethodDesc{
+		unary("Settle", handler.settle),
+		unary("Info", handler.info),
+		unary("Drain", handler.drain),
+	},
+	Streams: []grpc.StreamDesc{
+		stream("Gossip", handler.gossip),
+		stream("Forward", handler.forward),
+	},
+}
+
+// unary describes a method with one request and one response.
+func unary[In, Out any](name string, call func(handler, context.Context, *In) (*Out, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			in := new(In)
+			if err := decode(in); err != nil {
+				return nil, err
+			}
+			return call(srv.(handler), ctx, in)
+		},
+	}
+}
+
+// stream describes a method with streams in both directions.
+func stream[In, Out any](name string, call func(handler, *Stream[In, Out]) error) grpc.StreamDesc {
+	return grpc.StreamDesc{
+		StreamName:    name,
+		ServerStreams: true,
+		ClientStreams: true,
+		Handler: func(srv any, s grpc.ServerStream) error {
+			return call(srv.(handler), &Stream[In, Out]{raw: s})
+		},
+	}
+}
+
+// rawStream is the part that client and server streams share.
+type rawStream interface {
+	Context() context.Context
+	SendMsg(m any) error
+	RecvMsg(m any) error
+}
+
+// Stream receives messages of one type and sends those of another.
+type Stream[In, Out any] struct {
+	raw rawStream
+}
+
+// Context returns the stream's context.
+func (s *Stream[In, Out]) Context() context.Context { return s.raw.Context() }
+
+// Send sends one message.
+func (s *Stream[In, Out]) Send(m *Out) error { return s.raw.SendMsg(m) }
+
+// Recv receives one message.
+func (s *Stream[In, Out]) Recv() (*In, error) {
+	m := new(In)
+	if err := s.raw.RecvMsg(m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
--- /dev/null
+++ b/btplatform/client.go
@@ -0,0 +1,140 @@
+package btplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+)
+
+const (
+	maxPageSize    = 16 << 20 // bytes of one answer
+	dialTimeout    = time.Second
+	idleConnection = 30 * time.Second
+)
+
+// Client is a baobabtide.Log over HTTP. It tries the addresses in turn.
+type Client struct {
+	Addresses []string      // host:port
+	Timeout   time.Duration // of one call, on top of a read's wait
+
+	http    fasthttp.Client
+	current atomic.Uint32 // index of the address in use
+	reads   atomic.Int64
+	appends atomic.Int64
+}
+
+// NewClient returns a client and a function that closes its connections.
+func NewClient(addresses []string, timeout time.Duration) (*Client, func()) {
+	c := &Client{Addresses: addresses, Timeout: timeout}
+	c.http = fasthttp.Client{
+		Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, dialTimeout) },
+		MaxIdleConnDuration:       idleConnection,
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxPageSize,
+		NoDefaultUserAgentHeader:  true,
+	}
+	return c, c.http.CloseIdleConnections
+}
+
+// Calls returns how many reads and appends were sent.
+func (c *Client) Calls() (reads, appends int64) { return c.reads.Load(), c.appends.Load() }
+
+// Append implements baobabtide.Log.
+func (c *Client) Append(ctx context.Context, stream baobabtide.Stream, data []byte) (baobabtide.Entry, error) {
+	c.appends.Add(1)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyRaw(data)
+	body, err := c.call(ctx, req, stream, "", c.Timeout)
+	if err != nil {
+		return baobabtide.Entry{}, fmt.Errorf("append to stream %q: %w", stream, err)
+	}
+	entry, err := btcodec.DecodeJSON[baobabtide.Entry](body)
+	if err != nil {
+		return baobabtide.Entry{}, fmt.Errorf("append to stream %q: %w: %w", stream, baobabtide.ErrUncertain, err)
+	}
+	return *entry, nil
+}
+
+// Read implements baobabtide.Log.
+func (c *Client) Read(ctx context.Context, stream baobabtide.Stream, from baobabtide.Offset, wait time.Duration) (baobabtide.Page, error) {
+	c.reads.Add(1)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	query := "?" + FromParam + "=" + strconv.FormatUint(uint64(from), 10) + "&" + WaitParam + "=" + wait.String()
+	body, err := c.call(ctx, req, stream, query, c.Timeout+wait)
+	if err != nil {
+		if errors.Is(err, baobabtide.ErrUncertain) {
+			err = fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, err)
+		}
+		return baobabtide.Page{}, fmt.Errorf("read stream %q from %d: %w", stream, from, err)
+	}
+	page, err := btcodec.DecodeJSON[baobabtide.Page](body)
+	if err != nil {
+		return baobabtide.Page{}, fmt.Errorf("read stream %q from %d: %w", stream, from, err)
+	}
+	return *page, nil
+}
+
+// call sends a request and returns the body of a successful answer.
+func (c *Client) call(ctx context.Context, req *fasthttp.Request, stream baobabtide.Stream, query string, timeout time.Duration) ([]byte, error) {
+	if len(c.Addresses) == 0 {
+		return nil, fmt.Errorf("%w: no address", baobabtide.ErrUnavailable)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, err)
+	}
+	index := c.current.Load()
+	address := c.Addresses[int(index)%len(c.Addresses)]
+	req.SetRequestURI("http://" + address + StreamsPath + string(stream) + RecordsSuffix + query)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := c.http.DoTimeout(req, resp, c.remaining(ctx, timeout)); err != nil {
+		c.current.CompareAndSwap(index, index+1)
+		return nil, transportError(err)
+	}
+	return body(resp)
+}
+
+func (c *Client) remaining(ctx context.Context, timeout time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(timeout, time.Until(deadline))
+	}
+	return timeout
+}
+
+// transportError tells calls that were never sent from those that may have had
+// an effect.
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, err)
+	}
+	if errors.Is(err, fasthttp.ErrDialTimeout) {
+		return fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", baobabtide.ErrUncertain, err)
+}
+
+func body(resp *fasthttp.Response) ([]byte, error) {
+	switch status := resp.StatusCode(); status {
+	case fasthttp.StatusOK:
+		return append([]byte(nil), resp.Body()...), nil
+	case fasthttp.StatusGone:
+		return nil, baobabtide.ErrRetention
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return nil, fmt.Errorf("%w: status %d", baobabtide.ErrUnavailable, status)
+	default:
+		return nil, fmt.Errorf("%w: status %d: %s", baobabtide.ErrUncertain, status, resp.Body())
+	}
+}
--- /dev/null
+++ b/btsettings/caller.go
@@ -0,0 +1,35 @@
+package btsettings
+
+import "fmt"
+
+const (
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
+	maxBodyBytes   = 16 << 30
+)
+
+// Caller bounds the requests of callers.
+type Caller struct {
+	Listen          string // host:port
+	MaxHeaderBytes  int
+	MaxBodyBytes    int
+	MaxConnections  int
+	DefaultCustomer string // customer of requests that name none, empty to refuse them
+}
+
+// Check reports the first field that breaks a rule.
+func (c *Caller) Check() error {
+	if err := checkAddress("Listen", c.Listen); err != nil {
+		return err
+	}
+	if c.MaxHeaderBytes < minHeaderBytes || c.MaxHeaderBytes > maxHeaderBytes {
+		return fmt.Errorf("MaxHeaderBytes: %d, %d to %d are allowed", c.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	}
+	if c.MaxBodyBytes < 1 || c.MaxBodyBytes > maxBodyBytes {
+		return fmt.Errorf("MaxBodyBytes: %d, 1 to %d are allowed", c.MaxBodyBytes, maxBodyBytes)
+	}
+	if c.MaxConnections < 1 {
+		return fmt.Errorf("MaxConnections: %d is less than 1", c.MaxConnections)
+	}
+	return nil
+}
--- /dev/null
+++ b/btsettings/defaults.go
@@ -0,0 +1,26 @@
+package btsettings
+
+import "time"
+
+// Default returns the settings that a file starts from. Node.Name, Node.Zone
+// and the addresses have no defaults.
+func Default() *Settings {
+	return &Settings{
+		Caller: Caller{
+			MaxHeaderBytes: 16 << 10,
+			MaxBodyBytes:   64 << 20,
+			MaxConnections: 8192,
+		},
+		Peer: Peer{
+			Heartbeat:    time.Second,
+			SilenceLimit: 3 * time.Second,
+		},
+		Platform: Platform{
+			Timeout:        2 * time.Second,
+			ReadWait:       10 * time.Second,
+			ReadersPerZone: 2,
+			SnapshotEvery:  256,
+		},
+		Log: Log{Level: "info"},
+	}
+}
--- /dev/null
+++ b/btsettings/platform.go
@@ -0,0 +1,46 @@
+package btsettings
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	maxReaders       = 8
+	maxReadWait      = time.Minute
+	minSnapshotEvery = 8
+)
+
+// Platform says how to reach the platform's log.
+type Platform struct {
+	Addresses      []string      // host:port, tried in turn
+	Timeout        time.Duration // of one call
+	ReadWait       time.Duration // a read waits this long for new records
+	ReadersPerZone int           // nodes of a zone that read the log
+	SnapshotEvery  int           // records between snapshots
+}
+
+// Check reports the first field that breaks a rule.
+func (p *Platform) Check() error {
+	if len(p.Addresses) == 0 {
+		return fmt.Errorf("Addresses: empty")
+	}
+	for i, address := range p.Addresses {
+		if err := checkAddress(fmt.Sprintf("Addresses[%d]", i), address); err != nil {
+			return err
+		}
+	}
+	if p.Timeout <= 0 {
+		return fmt.Errorf("Timeout: %s is not positive", p.Timeout)
+	}
+	if p.ReadWait <= 0 || p.ReadWait > maxReadWait {
+		return fmt.Errorf("ReadWait: %s, more than 0s up to %s are allowed", p.ReadWait, maxReadWait)
+	}
+	if p.ReadersPerZone < 1 || p.ReadersPerZone > maxReaders {
+		return fmt.Errorf("ReadersPerZone: %d, 1 to %d are allowed", p.ReadersPerZone, maxReaders)
+	}
+	if p.SnapshotEvery < minSnapshotEvery {
+		return fmt.Errorf("SnapshotEvery: %d is less than %d", p.SnapshotEvery, minSnapshotEvery)
+	}
+	return nil
+}
--- /dev/null
+++ b/contract.go
@@ -0,0 +1,245 @@
+package baobabtide
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Contract holds every limit that applies to one customer.
+type Contract struct {
+	Customer string
+	Services []ServiceTerms
+}
+
+// ServiceTerms are a customer's limits for one service.
+type ServiceTerms struct {
+	Service           string
+	Versions          []string `json:",omitempty"` // versions that may carry the traffic, empty for every version
+	RequestsPerSecond float64  `json:",omitempty"` // per admitting node, 0 for no limit
+	Routes            []RouteTerms
+	Rollout           RolloutTerms
+	Drain             DrainTerms
+}
+
+// RouteTerms describe one kind of request.
+type RouteTerms struct {
+	Name       string
+	Methods    []string `json:",omitempty"` // empty for every method
+	PathPrefix string   // unique within the contract, the longest match wins
+	Idempotent bool
+	Priority   int           `json:",omitempty"` // higher goes first under overload
+	Timeout    time.Duration // time a request may take from end to end
+}
+
+// Policy on a rollout that ran out of time without enough evidence.
+const (
+	UndecidedComplete = "Complete"
+	UndecidedRevert   = "Revert"
+)
+
+// RolloutTerms bound the move to a new version.
+type RolloutTerms struct {
+	CompleteWithin  time.Duration // from the acceptance of the release
+	MaxBadShare     float64       // largest share of traffic before enough evidence
+	MaxBadRequests  int           // largest number of requests per route before enough evidence
+	FailureMargin   float64       // rise of the failure rate over the old version that makes a version bad
+	SlowFactor      float64       // latency against the old version's 95th percentile that counts as a failure
+	FalseRevertRate float64       // accepted probability of taking back a good version
+	MissedBadRate   float64       // accepted probability of completing a bad version
+	Watch           time.Duration // time after completion in which a bad version is still taken back
+	WhenUndecided   string        // UndecidedComplete or UndecidedRevert
+}
+
+// DrainTerms bound how a leaving backend server loses its work.
+type DrainTerms struct {
+	Notice time.Duration // new work ends this long after the announcement at the latest
+	Finish time.Duration // time left to requests that have begun
+}
+
+// Bounds on a contract.
+const (
+	maxServices  = 512
+	maxRoutes    = 64
+	maxVersions  = 64
+	maxTimeout   = 10 * time.Minute
+	maxRollout   = 7 * 24 * time.Hour
+	maxPriority  = 9
+	minFinish    = 100 * time.Millisecond
+	maxNotice    = time.Minute
+	maxErrorRate = 0.5
+)
+
+// Check reports the first field that breaks a rule.
+func (c *Contract) Check() error {
+	if err := checkName("Customer", c.Customer); err != nil {
+		return err
+	}
+	if len(c.Services) == 0 || len(c.Services) > maxServices {
+		return fmt.Errorf("Services: %d entries, 1 to %d are allowed", len(c.Services), maxServices)
+	}
+	services := make(map[string]bool, len(c.Services))
+	prefixes := make(map[string]string)
+	for i := range c.Services {
+		s := &c.Services[i]
+		if err := s.Check(); err != nil {
+			return fmt.Errorf("Services[%d].%w", i, err)
+		}
+		if services[s.Service] {
+			return fmt.Errorf("Services[%d].Service: %q stands twice", i, s.Service)
+		}
+		services[s.Service] = true
+		if err := checkPrefixes(s, prefixes); err != nil {
+			return fmt.Errorf("Services[%d].%w", i, err)
+		}
+	}
+	return nil
+}
+
+// checkPrefixes reports a route whose requests another route claims.
+func checkPrefixes(s *ServiceTerms, seen map[string]string) error {
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		methods := r.Methods
+		if len(methods) == 0 {
+			methods = []string{"*"}
+		}
+		for _, m := range methods {
+			key := m + " " + r.PathPrefix
+			if other, ok := seen[key]; ok {
+				return fmt.Errorf("Routes[%d].PathPrefix: %q is taken by route %q", i, key, other)
+			}
+			seen[key] = r.Name
+		}
+	}
+	return nil
+}
+
+// Check reports the first field that breaks a rule.
+func (s *ServiceTerms) Check() error {
+	if err := checkName("Service", s.Service); err != nil {
+		return err
+	}
+	if len(s.Versions) > maxVersions {
+		return fmt.Errorf("Versions: %d entries exceed %d", len(s.Versions), maxVersions)
+	}
+	for i, v := range s.Versions {
+		if err := checkName(fmt.Sprintf("Versions[%d]", i), v); err != nil {
+			return err
+		}
+	}
+	if s.RequestsPerSecond < 0 {
+		return fmt.Errorf("RequestsPerSecond: %g is negative", s.RequestsPerSecond)
+	}
+	if len(s.Routes) == 0 || len(s.Routes) > maxRoutes {
+		return fmt.Errorf("Routes: %d entries, 1 to %d are allowed", len(s.Routes), maxRoutes)
+	}
+	names := make(map[string]bool, len(s.Routes))
+	for i := range s.Routes {
+		if err := s.Routes[i].Check(); err != nil {
+			return fmt.Errorf("Routes[%d].%w", i, err)
+		}
+		if names[s.Routes[i].Name] {
+			return fmt.Errorf("Routes[%d].Name: %q stands twice", i, s.Routes[i].Name)
+		}
+		names[s.Routes[i].Name] = true
+	}
+	if err := s.Rollout.Check(); err != nil {
+		return fmt.Errorf("Rollout.%w", err)
+	}
+	if err := s.Drain.Check(); err != nil {
+		return fmt.Errorf("Drain.%w", err)
+	}
+	return nil
+}
+
+// Allows tells whether a version may carry the customer's traffic.
+func (s *ServiceTerms) Allows(version string) bool {
+	if len(s.Versions) == 0 {
+		return true
+	}
+	for _, v := range s.Versions {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+// Check reports the first field that breaks a rule.
+func (r *RouteTerms) Check() error {
+	if err := checkName("Name", r.Name); err != nil {
+		return err
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		return fmt.Errorf("PathPrefix: %q does not start with /", r.PathPrefix)
+	}
+	for i, m := range r.Methods {
+		if m == "" || strings.ToUpper(m) != m {
+			return fmt.Errorf("Methods[%d]: %q is not an HTTP method", i, m)
+		}
+	}
+	if r.Priority < 0 || r.Priority > maxPriority {
+		return fmt.Errorf("Priority: %d, 0 to %d are allowed", r.Priority, maxPriority)
+	}
+	if r.Timeout <= 0 || r.Timeout > maxTimeout {
+		return fmt.Errorf("Timeout: %s, more than 0s up to %s are allowed", r.Timeout, maxTimeout)
+	}
+	return nil
+}
+
+// Check reports the first field that breaks a rule.
+func (r *RolloutTerms) Check() error {
+	if r.CompleteWithin <= 0 || r.CompleteWithin > maxRollout {
+		return fmt.Errorf("CompleteWithin: %s, more than 0s up to %s are allowed", r.CompleteWithin, maxRollout)
+	}
+	if r.MaxBadShare <= 0 || r.MaxBadShare > 1 {
+		return fmt.Errorf("MaxBadShare: %g, more than 0 up to 1 are allowed", r.MaxBadShare)
+	}
+	if r.MaxBadRequests < 1 {
+		return fmt.Errorf("MaxBadRequests: %d is less than 1", r.MaxBadRequests)
+	}
+	if r.FailureMargin <= 0 || r.FailureMargin > 1 {
+		return fmt.Errorf("FailureMargin: %g, more than 0 up to 1 are allowed", r.FailureMargin)
+	}
+	if r.SlowFactor <= 1 {
+		return fmt.Errorf("SlowFactor: %g is not more than 1", r.SlowFactor)
+	}
+	if r.FalseRevertRate <= 0 || r.FalseRevertRate >= maxErrorRate {
+		return fmt.Errorf("FalseRevertRate: %g, between 0 and %g are allowed", r.FalseRevertRate, maxErrorRate)
+	}
+	if r.MissedBadRate <= 0 || r.MissedBadRate >= maxErrorRate {
+		return fmt.Errorf("MissedBadRate: %g, between 0 and %g are allowed", r.MissedBadRate, maxErrorRate)
+	}
+	if r.Watch < 0 || r.Watch > maxRollout {
+		return fmt.Errorf("Watch: %s, 0s to %s are allowed", r.Watch, maxRollout)
+	}
+	if r.WhenUndecided != UndecidedComplete && r.WhenUndecided != UndecidedRevert {
+		return fmt.Errorf("WhenUndecided: %q is neither %q nor %q", r.WhenUndecided, UndecidedComplete, UndecidedRevert)
+	}
+	return nil
+}
+
+// Check reports the first field that breaks a rule.
+func (d *DrainTerms) Check() error {
+	if d.Notice < 0 || d.Notice > maxNotice {
+		return fmt.Errorf("Notice: %s, 0s to %s are allowed", d.Notice, maxNotice)
+	}
+	if d.Finish < minFinish || d.Finish > maxTimeout {
+		return fmt.Errorf("Finish: %s, %s to %s are allowed", d.Finish, minFinish, maxTimeout)
+	}
+	return nil
+}
+
+// checkName reports a name that is empty, too long or not printable ASCII.
+func checkName(field, name string) error {
+	if name == "" || len(name) > maxNameLength {
+		return fmt.Errorf("%s: %q, 1 to %d bytes are allowed", field, name, maxNameLength)
+	}
+	for _, c := range name {
+		if c <= ' ' || c > '~' || c == '"' || c == '/' {
+			return fmt.Errorf("%s: %q holds the character %q", field, name, c)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/doc.go
@@ -0,0 +1,8 @@
+// Package baobabtide distributes configuration to the nodes of a service mesh
+// and carries requests between callers and backend servers.
+//
+// The root package holds the domain types and the interfaces between packages.
+// Packages named after a peer (btcaller, btbackend, btplatform, btoperator,
+// btpeer) do I/O; the others (btconfig, btmember, btroute, btadmit, btretry,
+// btledger, btrollout) decide and take the time as an argument.
+package baobabtide
