baobabtide-load: demo drives both deployments through the operator's command

Ruled out: waiting on any outcome of the service's assignment; the first run took the outcome of the first version for that of the release. Change: the status names the latest rollout's target and end; the demo waits for the release's own outcome. Before: 'jobdesk v2: Completed, first version'.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	cd $* && go build -o ../bin/$* .
 
 demo: build
-	bin/baobabtide-load demo
+	bin/baobabtide-load demo experiments/thin-quarry-point.json experiments/thin-keteltoets.json
 
 test:
 	@for m in $(MODULES); do (cd $$m && go vet ./... && go test -race ./...) || exit 1; done
--- a/baobabtide-load/btexperiment/run.go
+++ b/baobabtide-load/btexperiment/run.go
@@ -80,21 +80,9 @@
 
 // setUp waits for the nodes and publishes the contract and the first versions.
 func (r *Runner) setUp(ctx context.Context) error {
-	all := len(r.deployment.Nodes)
-	started := time.Now()
-	_, err := r.observer.Await(ctx, "every node knows every other", startupTime, func(s *btoperator.Status) bool {
-		known := 0
-		for _, n := range s.Nodes {
-			if n.Reachable && n.Members == all {
-				known++
-			}
-		}
-		return known == all
-	})
-	if err != nil {
+	if err := r.awaitMembers(ctx); err != nil {
 		return err
 	}
-	r.progress("%d nodes know each other after %s", all, time.Since(started).Round(time.Millisecond))
 	offset, err := r.publish(ctx, &baobabtide.Record{Contract: &r.Experiment.Contract})
 	if err != nil {
 		return err
@@ -118,6 +106,26 @@
 	return nil
 }
 
+// awaitMembers waits until all nodes know each other.
+func (r *Runner) awaitMembers(ctx context.Context) error {
+	all := len(r.deployment.Nodes)
+	started := time.Now()
+	_, err := r.observer.Await(ctx, "every node knows every other", startupTime, func(s *btoperator.Status) bool {
+		known := 0
+		for _, n := range s.Nodes {
+			if n.Reachable && n.Members == all {
+				known++
+			}
+		}
+		return known == all
+	})
+	if err != nil {
+		return err
+	}
+	r.progress("%d nodes know each other after %s", all, time.Since(started).Round(time.Millisecond))
+	return nil
+}
+
 // publish publishes a record through any running node and returns its offset.
 func (r *Runner) publish(ctx context.Context, record *baobabtide.Record) (baobabtide.Offset, error) {
 	record.ID = rand.Text()
@@ -250,6 +258,16 @@
 }
 
 func (r *Runner) release(ctx context.Context, release Release) error {
+	return r.releaseThrough(ctx, release, func() error {
+		record := &baobabtide.Record{Release: &baobabtide.Release{Service: release.Service, Version: release.Version}}
+		_, err := r.publish(ctx, record)
+		return err
+	})
+}
+
+// releaseThrough starts backend servers of a version, has it published and
+// waits for the outcome.
+func (r *Runner) releaseThrough(ctx context.Context, release Release, publish func() error) error {
 	if err := r.deployment.StartVersion(release.Service, release.Version, release.Behavior); err != nil {
 		return err
 	}
@@ -257,23 +275,22 @@
 		return err
 	}
 	before := r.served(release)
-	rollout, err := r.publish(ctx, &baobabtide.Record{Release: &baobabtide.Release{Service: release.Service, Version: release.Version}})
-	if err != nil {
+	if err := publish(); err != nil {
 		return err
 	}
 	r.progress("%s %s is published", release.Service, release.Version)
 	outcome := releaseOutcome{release: release}
 	timeout := r.completeWithin(release.Service) + releaseTimeout
-	_, err = r.observer.Await(ctx, "outcome", timeout, func(s *btoperator.Status) bool {
+	_, err := r.observer.Await(ctx, "outcome", timeout, func(s *btoperator.Status) bool {
 		a := findAssignment(s, release.Service)
-		if a == nil || a.Rollout != rollout || a.Result == "" {
+		if a == nil || a.Result == "" || a.Target != release.Version {
 			return false
 		}
 		outcome.result = a.Result
+		outcome.inTime = a.Ended.Before(a.Deadline)
 		r.progress("%s %s: %s, %s", release.Service, release.Version, a.Result, a.Reason)
 		return true
 	})
-	outcome.inTime = err == nil && time.Since(r.deadline(ctx, release.Service)) <= 0
 	outcome.share = share(before, r.served(release))
 	r.mu.Lock()
 	r.outcomes = append(r.outcomes, outcome)
@@ -290,18 +307,6 @@
 	return 0
 }
 
-// deadline returns the deadline of a service's latest rollout.
-func (r *Runner) deadline(ctx context.Context, service string) time.Time {
-	status, err := r.observer.Status(ctx)
-	if err != nil {
-		return time.Time{}
-	}
-	if a := findAssignment(status, service); a != nil {
-		return a.Deadline
-	}
-	return time.Time{}
-}
-
 func findAssignment(s *btoperator.Status, service string) *btoperator.AssignmentStatus {
 	for i := range s.Assignments {
 		if s.Assignments[i].Service == service {
--- a/baobabtide-load/run.go
+++ b/baobabtide-load/run.go
@@ -46,14 +46,22 @@
 	return filepath.Dir(path), nil
 }
 
-func run(c *cobra.Command, path string, options *runOptions) error {
+func loadExperiment(path string) (*btexperiment.Experiment, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return fmt.Errorf("read experiment: %w", err)
+		return nil, fmt.Errorf("read experiment: %w", err)
 	}
 	experiment, err := btcodec.DecodeJSON[btexperiment.Experiment](data)
 	if err != nil {
-		return fmt.Errorf("experiment %s: %w", path, err)
+		return nil, fmt.Errorf("experiment %s: %w", path, err)
+	}
+	return experiment, nil
+}
+
+func run(c *cobra.Command, path string, options *runOptions) error {
+	experiment, err := loadExperiment(path)
+	if err != nil {
+		return err
 	}
 	bin, err := binFolder()
 	if err != nil {
--- a/btnode/operator.go
+++ b/btnode/operator.go
@@ -144,6 +144,8 @@
 	s.Rollout = a.Rollout.Offset
 	s.Started = a.Rollout.Started
 	s.Deadline = a.Rollout.Deadline()
+	s.Target = a.Rollout.To
+	s.Ended = a.Rollout.Ended
 	s.Result = a.Rollout.Result
 	s.Reason = a.Rollout.Reason
 	s.Evidence = a.Rollout.Evidence
--- a/btoperator/api.go
+++ b/btoperator/api.go
@@ -83,6 +83,8 @@
 	Customer string
 	Service  string
 	Shares   []VersionShare
+	Target   string                     `json:",omitempty"` // version of the latest rollout
+	Ended    time.Time                  `json:",omitzero"`  // of the latest rollout, by the log's clock
 	Phase    string                     `json:",omitempty"` // of the running rollout
 	Started  time.Time                  `json:",omitzero"`
 	Deadline time.Time                  `json:",omitzero"`
