--- a/baobabtide-load/btexperiment/experiment.go
+++ b/baobabtide-load/btexperiment/experiment.go
@@ -75,22 +75,22 @@
 // Check reports the first field that breaks a rule.
 func (e *Experiment) Check() error {
 	if e.Experiment == "" {
-		return fmt.Errorf("Experiment: empty")
+		return baobabtide.Fieldf("Experiment", "empty")
 	}
 	if err := e.Contract.Check(); err != nil {
-		return fmt.Errorf("Contract.%w", err)
+		return baobabtide.Within("Contract", err)
 	}
 	if e.Duration <= 0 {
-		return fmt.Errorf("Duration: %s is not positive", e.Duration)
+		return baobabtide.Fieldf("Duration", "%s is not positive", e.Duration)
 	}
 	for i := range e.Load {
 		if err := e.Load[i].Check(); err != nil {
-			return fmt.Errorf("Load[%d].%w", i, err)
+			return baobabtide.WithinIndex("Load", i, err)
 		}
 	}
 	for i := range e.Faults {
 		if err := e.checkFault(&e.Faults[i]); err != nil {
-			return fmt.Errorf("Faults[%d].%w", i, err)
+			return baobabtide.WithinIndex("Faults", i, err)
 		}
 	}
 	return nil
@@ -102,11 +102,11 @@
 		return nil
 	case CutZone, FreezeZone:
 		if !e.Deployment.Relay {
-			return fmt.Errorf("Kind: %s needs Deployment.Relay", f.Kind)
+			return baobabtide.Fieldf("Kind", "%s needs Deployment.Relay", f.Kind)
 		}
 		return nil
 	default:
-		return fmt.Errorf("Kind: %q is unknown", f.Kind)
+		return baobabtide.Fieldf("Kind", "%q is unknown", f.Kind)
 	}
 }
 
--- a/baobabtide-load/btworkload/route.go
+++ b/baobabtide-load/btworkload/route.go
@@ -3,8 +3,9 @@
 package btworkload
 
 import (
-	"fmt"
 	"time"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 // Route is one kind of request that callers send.
@@ -24,16 +25,16 @@
 // Check reports the first field that breaks a rule.
 func (r *Route) Check() error {
 	if r.Route == "" || r.Service == "" || r.Method == "" || r.Path == "" {
-		return fmt.Errorf("Route, Service, Method, Path: one is empty")
+		return baobabtide.Fieldf("Route, Service, Method, Path", "one is empty")
 	}
 	if r.RequestsPerSecond <= 0 {
-		return fmt.Errorf("RequestsPerSecond: %g is not positive", r.RequestsPerSecond)
+		return baobabtide.Fieldf("RequestsPerSecond", "%g is not positive", r.RequestsPerSecond)
 	}
 	if r.Timeout <= 0 {
-		return fmt.Errorf("Timeout: %s is not positive", r.Timeout)
+		return baobabtide.Fieldf("Timeout", "%s is not positive", r.Timeout)
 	}
 	if r.DirectShare < 0 || r.DirectShare >= 1 {
-		return fmt.Errorf("DirectShare: %g, 0 to below 1 are allowed", r.DirectShare)
+		return baobabtide.Fieldf("DirectShare", "%g, 0 to below 1 are allowed", r.DirectShare)
 	}
 	return nil
 }
--- a/baobabtide-standin/btlogstandin/log.go
+++ b/baobabtide-standin/btlogstandin/log.go
@@ -27,10 +27,10 @@
 // Check reports the first field that breaks a rule.
 func (f *Faults) Check() error {
 	if f.Delay < 0 || f.Delay > time.Minute {
-		return fmt.Errorf("Delay: %s, 0s to 1m are allowed", f.Delay)
+		return baobabtide.Fieldf("Delay", "%s, 0s to 1m are allowed", f.Delay)
 	}
 	if f.LoseAnswers < 0 || f.Truncate < 0 {
-		return fmt.Errorf("LoseAnswers, Truncate: negative")
+		return baobabtide.Fieldf("LoseAnswers, Truncate", "negative")
 	}
 	return nil
 }
--- a/baobabtide-standin/btrelay/relay.go
+++ b/baobabtide-standin/btrelay/relay.go
@@ -3,12 +3,15 @@
 package btrelay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 // Link is one address that the relay listens on.
@@ -49,7 +52,7 @@
 		switch rule.Mode {
 		case Cut, Freeze, Stall, Delay:
 		default:
-			return fmt.Errorf("Rules[%d].Mode: %q is unknown", i, rule.Mode)
+			return baobabtide.Fieldf(fmt.Sprintf("Rules[%d].Mode", i), "%q is unknown", rule.Mode)
 		}
 	}
 	return nil
@@ -198,7 +201,7 @@
 				break
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			r.wait(p)
 			if c, ok := dst.(*net.TCPConn); ok {
 				_ = c.CloseWrite()
--- a/baobabtidectl/global.go
+++ b/baobabtidectl/global.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btflag"
 	"github.com/baobabtide/baobabtide/btoperator"
@@ -41,7 +42,7 @@
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
 		if g.Output != outputText && g.Output != outputJSON {
-			return &btcodec.FieldError{Path: "--output", Rule: fmt.Sprintf("%q is neither %q nor %q", g.Output, outputText, outputJSON)}
+			return &baobabtide.FieldError{Path: "--output", Rule: fmt.Sprintf("%q is neither %q nor %q", g.Output, outputText, outputJSON)}
 		}
 		return nil
 	}
--- a/baobabtidectl/main.go
+++ b/baobabtidectl/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btoperator"
 )
 
@@ -62,7 +62,7 @@
 func (e *infeasibleError) Error() string { return fmt.Sprintf("%d limits can't be met", e.findings) }
 
 func exitCode(err error) int {
-	var field *btcodec.FieldError
+	var field *baobabtide.FieldError
 	var rejected *rejectedError
 	var infeasible *infeasibleError
 	var api *btoperator.Error
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -3,7 +3,6 @@
 package btbackend
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -42,10 +41,10 @@
 		return err
 	}
 	if a.Address == "" {
-		return fmt.Errorf("Address: empty")
+		return baobabtide.Fieldf("Address", "empty")
 	}
 	if a.Lease < minLease || a.Lease > maxLease {
-		return fmt.Errorf("Lease: %s, %s to %s are allowed", a.Lease, minLease, maxLease)
+		return baobabtide.Fieldf("Lease", "%s, %s to %s are allowed", a.Lease, minLease, maxLease)
 	}
 	return nil
 }
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -106,7 +107,8 @@
 // handleMalformed answers what can't be read as a request.
 func handleMalformed(ctx *fasthttp.RequestCtx, err error) {
 	refusal := baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
-	if _, tooSmall := err.(*fasthttp.ErrSmallBuffer); tooSmall {
+	var tooSmall *fasthttp.ErrSmallBuffer
+	if errors.As(err, &tooSmall) {
 		refusal.Reason = baobabtide.ReasonTooLarge
 	}
 	writeRefusal(ctx, refusal)
--- a/btcodec/json.go
+++ b/btcodec/json.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 // Checker is a type that checks itself after it was decoded.
@@ -45,22 +47,8 @@
 	json.WithMarshalers(durationMarshaler),
 )
 
-// FieldError names the field of a JSON text that breaks a rule.
-type FieldError struct {
-	Path string // JSON path with dots, such as Services[0].Rollout.Watch
-	Rule string
-}
-
-// Error implements error.
-func (e *FieldError) Error() string {
-	if e.Path == "" {
-		return e.Rule
-	}
-	return e.Path + ": " + e.Rule
-}
-
 // DecodeJSON decodes one JSON text. Unknown and duplicate fields, trailing data
-// and values that fail the type's Check are errors of type *FieldError.
+// and values that fail the type's Check are errors of type *baobabtide.FieldError.
 func DecodeJSON[T any](data []byte) (*T, error) {
 	v := new(T)
 	if err := DecodeJSONInto(data, v); err != nil {
@@ -78,19 +66,10 @@
 }
 
 func check(v any) error {
-	c, ok := v.(Checker)
-	if !ok {
-		return nil
-	}
-	err := c.Check()
-	if err == nil {
-		return nil
-	}
-	path, rule, found := strings.Cut(err.Error(), ": ")
-	if !found {
-		return &FieldError{Rule: err.Error()}
+	if c, ok := v.(Checker); ok {
+		return c.Check()
 	}
-	return &FieldError{Path: path, Rule: rule}
+	return nil
 }
 
 // EncodeJSON returns the compact, deterministic encoding of v.
@@ -107,17 +86,17 @@
 func fieldError(err error) error {
 	var semantic *json.SemanticError
 	if errors.As(err, &semantic) {
-		return &FieldError{Path: dotted(semantic.JSONPointer), Rule: semanticRule(semantic)}
+		return &baobabtide.FieldError{Path: dotted(semantic.JSONPointer), Rule: semanticRule(semantic)}
 	}
 	var syntactic *jsontext.SyntacticError
 	if errors.As(err, &syntactic) {
 		rule := fmt.Sprintf("%v at byte %d", syntactic.Err, syntactic.ByteOffset)
-		return &FieldError{Path: dotted(syntactic.JSONPointer), Rule: rule}
+		return &baobabtide.FieldError{Path: dotted(syntactic.JSONPointer), Rule: rule}
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-		return &FieldError{Rule: "the text ends too early"}
+		return &baobabtide.FieldError{Rule: "the text ends too early"}
 	}
-	return &FieldError{Rule: err.Error()}
+	return &baobabtide.FieldError{Rule: err.Error()}
 }
 
 func semanticRule(err *json.SemanticError) string {
--- a/btconfig/snapshot.go
+++ b/btconfig/snapshot.go
@@ -33,10 +33,10 @@
 // Check reports the first field that breaks a rule.
 func (c *Chunk) Check() error {
 	if c.Count < 1 || c.Count > maxSnapshotChunks {
-		return fmt.Errorf("Count: %d, 1 to %d are allowed", c.Count, maxSnapshotChunks)
+		return baobabtide.Fieldf("Count", "%d, 1 to %d are allowed", c.Count, maxSnapshotChunks)
 	}
 	if c.Index < 0 || c.Index >= c.Count {
-		return fmt.Errorf("Index: %d, 0 to %d are allowed", c.Index, c.Count-1)
+		return baobabtide.Fieldf("Index", "%d, 0 to %d are allowed", c.Index, c.Count-1)
 	}
 	return nil
 }
--- a/btmember/detect.go
+++ b/btmember/detect.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabtide/baobabtide"
 )
 
@@ -197,3 +199,28 @@
 	}
 	return live
 }
+
+// LiveAddresses returns the peer addresses of the live members, the node's own
+// among them.
+func (t *Table) LiveAddresses() map[string]bool {
+	addresses := make(map[string]bool, len(t.entries))
+	for _, e := range t.entries {
+		if e.member.Status < baobabtide.Failed {
+			addresses[e.member.PeerAddress] = true
+		}
+	}
+	return addresses
+}
+
+// Rank returns how many live members come before this node in the rendezvous
+// order for a key, so that one of them acts first and the next ones step in.
+func (t *Table) Rank(key string) int {
+	own := xxhash.Sum64String(key + "/" + t.self)
+	rank := 0
+	for name, e := range t.entries {
+		if e.member.Status == baobabtide.Alive && xxhash.Sum64String(key+"/"+name) < own {
+			rank++
+		}
+	}
+	return rank
+}
--- a/btmember/merge.go
+++ b/btmember/merge.go
@@ -4,7 +4,6 @@
 package btmember
 
 import (
-	"fmt"
 	"slices"
 
 	"github.com/baobabtide/baobabtide"
@@ -24,13 +23,13 @@
 // Check reports the first field that breaks a rule.
 func (u *StatusUpdate) Check() error {
 	if u.Name == "" {
-		return fmt.Errorf("Name: empty")
+		return baobabtide.Fieldf("Name", "empty")
 	}
 	if u.Status > baobabtide.Left {
-		return fmt.Errorf("Status: %d is unknown", u.Status)
+		return baobabtide.Fieldf("Status", "%d is unknown", u.Status)
 	}
 	if len(u.Accusers) > maxAccusers {
-		return fmt.Errorf("Accusers: %d exceed %d", len(u.Accusers), maxAccusers)
+		return baobabtide.Fieldf("Accusers", "%d exceed %d", len(u.Accusers), maxAccusers)
 	}
 	return nil
 }
--- /dev/null
+++ b/btmember/seeds.go
@@ -0,0 +1,53 @@
+package btmember
+
+import "time"
+
+const (
+	joinPhase       = 10 * time.Second       // after the start, while seeds may still be starting too
+	joinInterval    = 500 * time.Millisecond // between visits in the join phase
+	reuniteInterval = 10 * time.Second       // between visits afterwards
+)
+
+// Seeds says which seed to visit next. A seed that is not a live member is
+// visited again and again, because the nodes that know it may be an island that
+// has never met this one.
+type Seeds struct {
+	Addresses []string
+	Started   time.Time
+
+	next  int       // index of the seed to visit
+	last  time.Time // of the last visit
+	stray time.Duration
+}
+
+// NewSeeds returns the seeds of a node. The jitter, below one, spreads the
+// visits of different nodes.
+func NewSeeds(addresses []string, started time.Time, jitter float64) *Seeds {
+	return &Seeds{
+		Addresses: addresses,
+		Started:   started,
+		next:      int(jitter * float64(len(addresses))),
+		stray:     time.Duration(jitter * float64(joinInterval)),
+	}
+}
+
+// Due returns a seed to visit now. The function tells whether the address is
+// the node's own or that of a live member.
+func (s *Seeds) Due(now time.Time, known func(address string) bool) (string, bool) {
+	interval := reuniteInterval
+	if now.Sub(s.Started) < joinPhase {
+		interval = joinInterval
+	}
+	if !s.last.IsZero() && now.Sub(s.last) < interval+s.stray {
+		return "", false
+	}
+	for range s.Addresses {
+		address := s.Addresses[s.next%len(s.Addresses)]
+		s.next++
+		if !known(address) {
+			s.last = now
+			return address, true
+		}
+	}
+	return "", false
+}
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +18,6 @@
 	helloTimeout  = 2 * time.Second        // time to the first message of the other end
 	extraLifetime = 10 * time.Second       // of an edge that is not to a neighbor
 	redialPause   = 500 * time.Millisecond // between attempts to open one edge
-	seedPeriod    = 30 * time.Second       // between visits to a seed once joined
 )
 
 var errEdgeClosed = errors.New("edge closed")
@@ -189,37 +187,15 @@
 	return since/period != (since-tickPeriod)/period
 }
 
-// visitSeed opens an edge to a seed while the node knows nobody, and now and
-// then afterwards, so that two halves that forgot each other meet again.
+// visitSeed opens an edge to a seed that is not a live member.
 func (n *Node) visitSeed(now time.Time) {
-	seeds := n.settings.Peer.Seeds
-	if len(seeds) == 0 {
-		return
-	}
-	period := seedPeriod
-	if n.edges.count() == 0 {
-		period = tickPeriod
-	}
-	if (now.Sub(n.started)+n.jitter())/period == (now.Sub(n.started)+n.jitter()-tickPeriod)/period {
-		return
-	}
-	address := seeds[rand.IntN(len(seeds))]
-	if address != n.settings.Peer.Address() && !n.edges.connected(n.nameAt(address)) {
-		n.dial("", address, now)
-	}
-}
-
-// nameAt returns the name of the live member at an address, or a name that no
-// node has.
-func (n *Node) nameAt(address string) string {
 	n.members.mu.Lock()
-	defer n.members.mu.Unlock()
-	for _, m := range n.members.table.Members() {
-		if m.PeerAddress == address && m.Status < baobabtide.Failed {
-			return m.Name
-		}
+	live := n.members.table.LiveAddresses()
+	n.members.mu.Unlock()
+	address, due := n.seeds.Due(now, func(address string) bool { return live[address] })
+	if due {
+		n.dial("", address, now)
 	}
-	return ""
 }
 
 // dial opens an edge in the background. A named node that can't be reached is
--- a/btnode/info.go
+++ b/btnode/info.go
@@ -15,8 +15,8 @@
 	n.members.mu.Lock()
 	live := n.members.table.Live()
 	n.members.mu.Unlock()
-	in, out := n.bytes.Totals()
-	reads, appends := n.platform.Calls()
+	bytes := n.bytes.Totals()
+	calls := n.platform.Calls()
 	return btpeer.Info{
 		Node:        n.place.Node,
 		Zone:        n.place.Zone,
@@ -27,13 +27,13 @@
 		LogUp:       n.logUp.Load(),
 		Draining:    n.draining.Load(),
 		InForceAt:   n.inForceAt.Load(),
-		ControlIn:   in,
-		ControlOut:  out,
+		ControlIn:   bytes.In,
+		ControlOut:  bytes.Out,
 		Held:        n.held(),
 		ControlNano: processorNanos(),
 		Resident:    residentBytes(),
-		LogReads:    reads,
-		LogAppends:  appends,
+		LogReads:    calls.Reads,
+		LogAppends:  calls.Appends,
 	}
 }
 
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 
@@ -66,6 +67,7 @@
 	changed   broadcast // signaled when a configuration comes into force
 
 	members  members
+	seeds    *btmember.Seeds // used by the tick loop only
 	edges    edges
 	rollouts rollouts
 
@@ -112,10 +114,11 @@
 		drained:     make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	closePlatform, closePeers := n.connect()
+	disconnect := n.connect()
 	local, closeLocal := btlocal.New(&n.rollouts)
 	n.local = local
 	n.rollouts.node = n
+	n.seeds = btmember.NewSeeds(settings.Peer.Seeds, now, n.spreadFactor())
 	n.members.table = btmember.New(n.self(), n.timing(), rand.New(rand.NewPCG(n.incarnation, uint64(now.Nanosecond()))))
 	n.dispatch = &btdispatch.Dispatcher{
 		Node:        n.place.Node,
@@ -126,23 +129,27 @@
 	}
 	free := func() {
 		n.cancel()
-		closePeers()
-		closePlatform()
+		disconnect()
 		closeLocal()
 		workers.Release()
 	}
 	return n, free, nil
 }
 
-// connect makes the clients of the platform and of other nodes.
-func (n *Node) connect() (closePlatform, closePeers func()) {
-	n.platform, closePlatform = btplatform.NewClient(n.settings.Platform.Addresses, n.settings.Platform.Timeout)
+// connect makes the clients of the platform and of other nodes, and returns a
+// function that closes their connections.
+func (n *Node) connect() func() {
+	platform, closePlatform := btplatform.NewClient(n.settings.Platform.Addresses, n.settings.Platform.Timeout)
 	var config *tls.Config
 	if n.tls != nil {
 		config = n.tls.Client()
 	}
-	n.peers, closePeers = btpeer.NewClient(config, &n.bytes, n.settings.Peer.Source())
-	return closePlatform, closePeers
+	peers, closePeers := btpeer.NewClient(config, &n.bytes, n.settings.Peer.Source())
+	n.platform, n.peers = platform, peers
+	return func() {
+		closePeers()
+		closePlatform()
+	}
 }
 
 func (n *Node) self() baobabtide.Member {
@@ -314,9 +321,14 @@
 	return len(n.settings.Peer.Seeds) == 0 || n.edges.count() > 0 || now.Sub(n.started) > joinGrace+n.jitter()
 }
 
+// spreadFactor returns a number from 0 to below 1 that differs between nodes.
+func (n *Node) spreadFactor() float64 {
+	return float64(xxhash.Sum64String(n.place.Node)>>11) / (1 << 53)
+}
+
 // jitter returns a duration up to joinGrace that differs between nodes.
 func (n *Node) jitter() time.Duration {
-	return time.Duration(n.incarnation*2654435761%1000) * joinGrace / 1000
+	return time.Duration(n.spreadFactor() * float64(joinGrace))
 }
 
 func containsName(names []string, name string) bool {
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -15,7 +15,10 @@
 const (
 	reportPeriod   = 500 * time.Millisecond // between reports of one rollout
 	proposePeriod  = 3 * time.Second        // between proposals of one outcome
-	proposeStagger = 500 * time.Millisecond // delay of each further reader of a zone
+	proposeStagger = time.Second            // delay of each further proposer
+
+	proposeStaggerPart = 50 // the delay takes 1/50 of a rollout's time at most
+	maxProposers       = 8
 )
 
 // rollouts is what the node knows of rollouts, with its lock.
@@ -216,10 +219,10 @@
 	}
 }
 
-// propose appends the outcome of a rollout to the log. Readers of the log do
-// so one after the other until one record is folded; the first one counts.
+// propose appends the outcome of a rollout to the log. Nodes do so one after the
+// other until one record is folded; the first one counts.
 func (n *Node) propose(rollout *baobabtide.Rollout, decision btrollout.Decision, now time.Time) {
-	if !n.reader.Load() || !n.proposalDue(rollout, now) {
+	if !n.proposalDue(rollout, now) {
 		return
 	}
 	record := &baobabtide.Record{
@@ -252,14 +255,21 @@
 	return r.book.Evidence(btrollout.IDOf(rollout))
 }
 
-// proposalDue staggers the proposals of the readers.
+// proposalDue staggers the proposals of the nodes.
 func (n *Node) proposalDue(rollout *baobabtide.Rollout, now time.Time) bool {
+	n.members.mu.Lock()
+	rank := n.members.table.Rank(btconfig.AssignmentKey(rollout.Customer, rollout.Service))
+	n.members.mu.Unlock()
+	if rank >= maxProposers {
+		return false
+	}
 	r := &n.rollouts
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.current(btrollout.IDOf(rollout))
 	if p.proposed.IsZero() {
-		p.proposed = now.Add(time.Duration(float64(proposeStagger)*n.rank()) - proposePeriod)
+		stagger := min(proposeStagger, rollout.Terms.CompleteWithin/proposeStaggerPart)
+		p.proposed = now.Add(time.Duration(rank)*stagger - proposePeriod)
 	}
 	if now.Sub(p.proposed) < proposePeriod {
 		return false
@@ -268,9 +278,6 @@
 	return true
 }
 
-// rank returns a number from 0 to below 4 that differs between nodes.
-func (n *Node) rank() float64 { return 4 * float64(n.jitter()) / float64(joinGrace) }
-
 // decision returns the latest decision on a rollout.
 func (r *rollouts) decision(rollout *baobabtide.Rollout) btrollout.Decision {
 	r.mu.Lock()
--- a/btoperator/api.go
+++ b/btoperator/api.go
@@ -140,7 +140,7 @@
 // Check reports the first field that breaks a rule.
 func (r *DrainRequest) Check() error {
 	if r.Node == "" {
-		return fmt.Errorf("Node: empty")
+		return baobabtide.Fieldf("Node", "empty")
 	}
 	return nil
 }
--- a/btoperator/server.go
+++ b/btoperator/server.go
@@ -20,9 +20,6 @@
 	idleTimeout = time.Minute
 )
 
-// none is the request of calls without one.
-type none struct{}
-
 // Server answers operators.
 type Server struct {
 	http *fasthttp.Server
--- a/btpeer/bytes.go
+++ b/btpeer/bytes.go
@@ -15,8 +15,13 @@
 	in, out atomic.Int64
 }
 
-// Totals returns the bytes received and sent.
-func (c *ByteCounter) Totals() (in, out int64) { return c.in.Load(), c.out.Load() }
+// ByteTotals are bytes received and sent.
+type ByteTotals struct {
+	In, Out int64
+}
+
+// Totals returns what was counted.
+func (c *ByteCounter) Totals() ByteTotals { return ByteTotals{In: c.in.Load(), Out: c.out.Load()} }
 
 type gossipTag struct{}
 
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -72,7 +72,6 @@
 		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(codec{}), grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -3,8 +3,6 @@
 package btpeer
 
 import (
-	"fmt"
-
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btmember"
@@ -61,30 +59,30 @@
 // Check reports the first field that breaks a rule.
 func (g *Gossip) Check() error {
 	if len(g.Members) > maxMembers {
-		return fmt.Errorf("Members: %d exceed %d", len(g.Members), maxMembers)
+		return baobabtide.Fieldf("Members", "%d exceed %d", len(g.Members), maxMembers)
 	}
 	for i := range g.Members {
 		if err := g.Members[i].Check(); err != nil {
-			return fmt.Errorf("Members[%d].%w", i, err)
+			return baobabtide.WithinIndex("Members", i, err)
 		}
 	}
 	for i := range g.Statuses {
 		if err := g.Statuses[i].Check(); err != nil {
-			return fmt.Errorf("Statuses[%d].%w", i, err)
+			return baobabtide.WithinIndex("Statuses", i, err)
 		}
 	}
 	if g.Repair != nil {
 		for i := range g.Repair.Members {
 			if err := g.Repair.Members[i].Check(); err != nil {
-				return fmt.Errorf("Repair.Members[%d].%w", i, err)
+				return baobabtide.WithinIndex("Repair.Members", i, err)
 			}
 		}
 	}
 	if len(g.Links) > maxLinks {
-		return fmt.Errorf("Links: %d exceed %d", len(g.Links), maxLinks)
+		return baobabtide.Fieldf("Links", "%d exceed %d", len(g.Links), maxLinks)
 	}
 	if len(g.Reports) > maxReports || len(g.Trips) > maxReports {
-		return fmt.Errorf("Reports, Trips: %d and %d exceed %d", len(g.Reports), len(g.Trips), maxReports)
+		return baobabtide.Fieldf("Reports, Trips", "%d and %d exceed %d", len(g.Reports), len(g.Trips), maxReports)
 	}
 	return nil
 }
@@ -122,10 +120,10 @@
 // Check reports the first field that breaks a rule.
 func (h *RequestHead) Check() error {
 	if h.Attempt == "" {
-		return fmt.Errorf("Attempt: empty")
+		return baobabtide.Fieldf("Attempt", "empty")
 	}
 	if h.Method == "" || h.Path == "" {
-		return fmt.Errorf("Method, Path: empty")
+		return baobabtide.Fieldf("Method, Path", "empty")
 	}
 	return nil
 }
@@ -133,13 +131,13 @@
 // Check reports the first field that breaks a rule.
 func (f *RequestFrame) Check() error {
 	if len(f.Body) > maxBodyPart {
-		return fmt.Errorf("Body: %d bytes exceed %d", len(f.Body), maxBodyPart)
+		return baobabtide.Fieldf("Body", "%d bytes exceed %d", len(f.Body), maxBodyPart)
 	}
 	if f.Head == nil {
 		return nil
 	}
 	if err := f.Head.Check(); err != nil {
-		return fmt.Errorf("Head.%w", err)
+		return baobabtide.Within("Head", err)
 	}
 	return nil
 }
@@ -174,10 +172,10 @@
 // Check reports the first field that breaks a rule.
 func (f *ResponseFrame) Check() error {
 	if f.Refusal != nil && f.Refusal.Verdict > baobabtide.Ran {
-		return fmt.Errorf("Refusal.Verdict: %d is unknown", f.Refusal.Verdict)
+		return baobabtide.Fieldf("Refusal.Verdict", "%d is unknown", f.Refusal.Verdict)
 	}
 	if f.Head != nil && (f.Head.Status < 100 || f.Head.Status > 999) {
-		return fmt.Errorf("Head.Status: %d is no HTTP status", f.Head.Status)
+		return baobabtide.Fieldf("Head.Status", "%d is no HTTP status", f.Head.Status)
 	}
 	return nil
 }
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -53,7 +53,6 @@
 		grpc.MaxHeaderListSize(maxHeaderListSize),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
-		grpc.SharedWriteBuffer(true),
 		grpc.StatsHandler(bytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveTime, PermitWithoutStream: true}),
 	}
@@ -89,17 +88,17 @@
 
 func (s *Server) gossip(conn *Stream[Gossip, Gossip]) error { return s.node.Gossip(conn) }
 
-func (s *Server) settle(_ context.Context, req *SettleRequest) (*SettleResponse, error) {
-	return &SettleResponse{Verdict: s.node.SettleLocal(req.Attempt)}, nil
+func (s *Server) settle(req *SettleRequest) *SettleResponse {
+	return &SettleResponse{Verdict: s.node.SettleLocal(req.Attempt)}
 }
 
-func (s *Server) info(context.Context, *InfoRequest) (*Info, error) {
+func (s *Server) info(*InfoRequest) *Info {
 	info := s.node.Info()
-	return &info, nil
+	return &info
 }
 
-func (s *Server) drain(_ context.Context, req *DrainRequest) (*DrainResponse, error) {
-	return &DrainResponse{InFlight: s.node.Drain(req.Reason)}, nil
+func (s *Server) drain(req *DrainRequest) *DrainResponse {
+	return &DrainResponse{InFlight: s.node.Drain(req.Reason)}
 }
 
 // forward serves one request that another node sends here.
--- a/btpeer/service.go
+++ b/btpeer/service.go
@@ -19,9 +19,9 @@
 type handler interface {
 	gossip(s *Stream[Gossip, Gossip]) error
 	forward(s *Stream[RequestFrame, ResponseFrame]) error
-	settle(ctx context.Context, req *SettleRequest) (*SettleResponse, error)
-	info(ctx context.Context, req *InfoRequest) (*Info, error)
-	drain(ctx context.Context, req *DrainRequest) (*DrainResponse, error)
+	settle(req *SettleRequest) *SettleResponse
+	info(req *InfoRequest) *Info
+	drain(req *DrainRequest) *DrainResponse
 }
 
 var serviceDesc = grpc.ServiceDesc{
@@ -39,15 +39,15 @@
 }
 
 // unary describes a method with one request and one response.
-func unary[In, Out any](name string, call func(handler, context.Context, *In) (*Out, error)) grpc.MethodDesc {
+func unary[In, Out any](name string, call func(handler, *In) *Out) grpc.MethodDesc {
 	return grpc.MethodDesc{
 		MethodName: name,
-		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		Handler: func(srv any, _ context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
 			in := new(In)
 			if err := decode(in); err != nil {
 				return nil, err
 			}
-			return call(srv.(handler), ctx, in)
+			return call(srv.(handler), in), nil
 		},
 	}
 }
--- a/btplatform/client.go
+++ b/btplatform/client.go
@@ -45,8 +45,15 @@
 	return c, c.http.CloseIdleConnections
 }
 
-// Calls returns how many reads and appends were sent.
-func (c *Client) Calls() (reads, appends int64) { return c.reads.Load(), c.appends.Load() }
+// CallCounts are calls that were sent to the log.
+type CallCounts struct {
+	Reads, Appends int64
+}
+
+// Calls returns how many calls were sent.
+func (c *Client) Calls() CallCounts {
+	return CallCounts{Reads: c.reads.Load(), Appends: c.appends.Load()}
+}
 
 // Append implements baobabtide.Log.
 func (c *Client) Append(ctx context.Context, stream baobabtide.Stream, data []byte) (baobabtide.Entry, error) {
--- a/btsettings/caller.go
+++ b/btsettings/caller.go
@@ -1,6 +1,6 @@
 package btsettings
 
-import "fmt"
+import "github.com/baobabtide/baobabtide"
 
 const (
 	minHeaderBytes = 1 << 10
@@ -23,13 +23,13 @@
 		return err
 	}
 	if c.MaxHeaderBytes < minHeaderBytes || c.MaxHeaderBytes > maxHeaderBytes {
-		return fmt.Errorf("MaxHeaderBytes: %d, %d to %d are allowed", c.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+		return baobabtide.Fieldf("MaxHeaderBytes", "%d, %d to %d are allowed", c.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	}
 	if c.MaxBodyBytes < 1 || c.MaxBodyBytes > maxBodyBytes {
-		return fmt.Errorf("MaxBodyBytes: %d, 1 to %d are allowed", c.MaxBodyBytes, maxBodyBytes)
+		return baobabtide.Fieldf("MaxBodyBytes", "%d, 1 to %d are allowed", c.MaxBodyBytes, maxBodyBytes)
 	}
 	if c.MaxConnections < 1 {
-		return fmt.Errorf("MaxConnections: %d is less than 1", c.MaxConnections)
+		return baobabtide.Fieldf("MaxConnections", "%d is less than 1", c.MaxConnections)
 	}
 	return nil
 }
--- a/btsettings/log.go
+++ b/btsettings/log.go
@@ -1,9 +1,9 @@
 package btsettings
 
 import (
-	"fmt"
-
 	"github.com/rs/zerolog"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 // Log says what is logged.
@@ -14,7 +14,7 @@
 // Check reports the first field that breaks a rule.
 func (l *Log) Check() error {
 	if _, err := zerolog.ParseLevel(l.Level); err != nil || l.Level == "" {
-		return fmt.Errorf("Level: %q is none of debug, info, warn, error", l.Level)
+		return baobabtide.Fieldf("Level", "%q is none of debug, info, warn, error", l.Level)
 	}
 	return nil
 }
--- a/btsettings/node.go
+++ b/btsettings/node.go
@@ -1,6 +1,6 @@
 package btsettings
 
-import "fmt"
+import "github.com/baobabtide/baobabtide"
 
 // Node says who the node is and where it stands.
 type Node struct {
@@ -12,10 +12,10 @@
 // Check reports the first field that breaks a rule.
 func (n *Node) Check() error {
 	if n.Name == "" {
-		return fmt.Errorf("Name: empty")
+		return baobabtide.Fieldf("Name", "empty")
 	}
 	if n.Zone == "" {
-		return fmt.Errorf("Zone: empty")
+		return baobabtide.Fieldf("Zone", "empty")
 	}
 	return nil
 }
--- a/btsettings/peer.go
+++ b/btsettings/peer.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 const (
@@ -32,7 +34,7 @@
 		return err
 	}
 	if len(p.Seeds) > maxSeedsCount {
-		return fmt.Errorf("Seeds: %d exceed %d", len(p.Seeds), maxSeedsCount)
+		return baobabtide.Fieldf("Seeds", "%d exceed %d", len(p.Seeds), maxSeedsCount)
 	}
 	for i, seed := range p.Seeds {
 		if err := checkAddress(fmt.Sprintf("Seeds[%d]", i), seed); err != nil {
@@ -40,10 +42,10 @@
 		}
 	}
 	if p.Heartbeat < minHeartbeat || p.Heartbeat > maxHeartbeat {
-		return fmt.Errorf("Heartbeat: %s, %s to %s are allowed", p.Heartbeat, minHeartbeat, maxHeartbeat)
+		return baobabtide.Fieldf("Heartbeat", "%s, %s to %s are allowed", p.Heartbeat, minHeartbeat, maxHeartbeat)
 	}
 	if p.SilenceLimit < minBeatsLost*p.Heartbeat || p.SilenceLimit > maxSilence {
-		return fmt.Errorf("SilenceLimit: %s, %s to %s are allowed", p.SilenceLimit, minBeatsLost*p.Heartbeat, maxSilence)
+		return baobabtide.Fieldf("SilenceLimit", "%s, %s to %s are allowed", p.SilenceLimit, minBeatsLost*p.Heartbeat, maxSilence)
 	}
 	return nil
 }
--- a/btsettings/platform.go
+++ b/btsettings/platform.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 const (
@@ -23,7 +25,7 @@
 // Check reports the first field that breaks a rule.
 func (p *Platform) Check() error {
 	if len(p.Addresses) == 0 {
-		return fmt.Errorf("Addresses: empty")
+		return baobabtide.Fieldf("Addresses", "empty")
 	}
 	for i, address := range p.Addresses {
 		if err := checkAddress(fmt.Sprintf("Addresses[%d]", i), address); err != nil {
@@ -31,16 +33,16 @@
 		}
 	}
 	if p.Timeout <= 0 {
-		return fmt.Errorf("Timeout: %s is not positive", p.Timeout)
+		return baobabtide.Fieldf("Timeout", "%s is not positive", p.Timeout)
 	}
 	if p.ReadWait <= 0 || p.ReadWait > maxReadWait {
-		return fmt.Errorf("ReadWait: %s, more than 0s up to %s are allowed", p.ReadWait, maxReadWait)
+		return baobabtide.Fieldf("ReadWait", "%s, more than 0s up to %s are allowed", p.ReadWait, maxReadWait)
 	}
 	if p.ReadersPerZone < 1 || p.ReadersPerZone > maxReaders {
-		return fmt.Errorf("ReadersPerZone: %d, 1 to %d are allowed", p.ReadersPerZone, maxReaders)
+		return baobabtide.Fieldf("ReadersPerZone", "%d, 1 to %d are allowed", p.ReadersPerZone, maxReaders)
 	}
 	if p.SnapshotEvery < minSnapshotEvery {
-		return fmt.Errorf("SnapshotEvery: %d is less than %d", p.SnapshotEvery, minSnapshotEvery)
+		return baobabtide.Fieldf("SnapshotEvery", "%d is less than %d", p.SnapshotEvery, minSnapshotEvery)
 	}
 	return nil
 }
--- a/btsettings/settings.go
+++ b/btsettings/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
 )
 
@@ -40,7 +41,7 @@
 		{"Log", s.Log.Check},
 	} {
 		if err := section.check(); err != nil {
-			return fmt.Errorf("%s.%w", section.name, err)
+			return baobabtide.Within(section.name, err)
 		}
 	}
 	return nil
@@ -72,7 +73,7 @@
 // checkAddress reports a host:port that can't be used.
 func checkAddress(field, address string) error {
 	if _, _, err := net.SplitHostPort(address); err != nil {
-		return fmt.Errorf("%s: %q is not host:port", field, address)
+		return baobabtide.Fieldf(field, "%q is not host:port", address)
 	}
 	return nil
 }
--- a/btsettings/tls.go
+++ b/btsettings/tls.go
@@ -1,6 +1,6 @@
 package btsettings
 
-import "fmt"
+import "github.com/baobabtide/baobabtide"
 
 // TLS says how nodes and operators prove who they are. Certificates are read
 // again when their files change.
@@ -16,7 +16,7 @@
 func (t *TLS) Check() error {
 	if t.Plaintext {
 		if t.CertFile != "" || t.KeyFile != "" || t.CAFile != "" || t.Callers {
-			return fmt.Errorf("Plaintext: excludes CertFile, KeyFile, CAFile and Callers")
+			return baobabtide.Fieldf("Plaintext", "excludes CertFile, KeyFile, CAFile and Callers")
 		}
 		return nil
 	}
@@ -26,7 +26,7 @@
 		{"CAFile", t.CAFile},
 	} {
 		if file.path == "" {
-			return fmt.Errorf("%s: empty, or set Plaintext", file.name)
+			return baobabtide.Fieldf(file.name, "empty, or set Plaintext")
 		}
 	}
 	return nil
--- a/contract.go
+++ b/contract.go
@@ -76,21 +76,21 @@
 		return err
 	}
 	if len(c.Services) == 0 || len(c.Services) > maxServices {
-		return fmt.Errorf("Services: %d entries, 1 to %d are allowed", len(c.Services), maxServices)
+		return Fieldf("Services", "%d entries, 1 to %d are allowed", len(c.Services), maxServices)
 	}
 	services := make(map[string]bool, len(c.Services))
 	prefixes := make(map[string]string)
 	for i := range c.Services {
 		s := &c.Services[i]
 		if err := s.Check(); err != nil {
-			return fmt.Errorf("Services[%d].%w", i, err)
+			return WithinIndex("Services", i, err)
 		}
 		if services[s.Service] {
-			return fmt.Errorf("Services[%d].Service: %q stands twice", i, s.Service)
+			return Fieldf(fmt.Sprintf("Services[%d].Service", i), "%q stands twice", s.Service)
 		}
 		services[s.Service] = true
 		if err := checkPrefixes(s, prefixes); err != nil {
-			return fmt.Errorf("Services[%d].%w", i, err)
+			return WithinIndex("Services", i, err)
 		}
 	}
 	return nil
@@ -107,7 +107,7 @@
 		for _, m := range methods {
 			key := m + " " + r.PathPrefix
 			if other, ok := seen[key]; ok {
-				return fmt.Errorf("Routes[%d].PathPrefix: %q is taken by route %q", i, key, other)
+				return Fieldf(fmt.Sprintf("Routes[%d].PathPrefix", i), "%q is taken by route %q", key, other)
 			}
 			seen[key] = r.Name
 		}
@@ -121,7 +121,7 @@
 		return err
 	}
 	if len(s.Versions) > maxVersions {
-		return fmt.Errorf("Versions: %d entries exceed %d", len(s.Versions), maxVersions)
+		return Fieldf("Versions", "%d entries exceed %d", len(s.Versions), maxVersions)
 	}
 	for i, v := range s.Versions {
 		if err := checkName(fmt.Sprintf("Versions[%d]", i), v); err != nil {
@@ -129,26 +129,26 @@
 		}
 	}
 	if s.RequestsPerSecond < 0 {
-		return fmt.Errorf("RequestsPerSecond: %g is negative", s.RequestsPerSecond)
+		return Fieldf("RequestsPerSecond", "%g is negative", s.RequestsPerSecond)
 	}
 	if len(s.Routes) == 0 || len(s.Routes) > maxRoutes {
-		return fmt.Errorf("Routes: %d entries, 1 to %d are allowed", len(s.Routes), maxRoutes)
+		return Fieldf("Routes", "%d entries, 1 to %d are allowed", len(s.Routes), maxRoutes)
 	}
 	names := make(map[string]bool, len(s.Routes))
 	for i := range s.Routes {
 		if err := s.Routes[i].Check(); err != nil {
-			return fmt.Errorf("Routes[%d].%w", i, err)
+			return WithinIndex("Routes", i, err)
 		}
 		if names[s.Routes[i].Name] {
-			return fmt.Errorf("Routes[%d].Name: %q stands twice", i, s.Routes[i].Name)
+			return Fieldf(fmt.Sprintf("Routes[%d].Name", i), "%q stands twice", s.Routes[i].Name)
 		}
 		names[s.Routes[i].Name] = true
 	}
 	if err := s.Rollout.Check(); err != nil {
-		return fmt.Errorf("Rollout.%w", err)
+		return Within("Rollout", err)
 	}
 	if err := s.Drain.Check(); err != nil {
-		return fmt.Errorf("Drain.%w", err)
+		return Within("Drain", err)
 	}
 	return nil
 }
@@ -172,18 +172,18 @@
 		return err
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") {
-		return fmt.Errorf("PathPrefix: %q does not start with /", r.PathPrefix)
+		return Fieldf("PathPrefix", "%q does not start with /", r.PathPrefix)
 	}
 	for i, m := range r.Methods {
 		if m == "" || strings.ToUpper(m) != m {
-			return fmt.Errorf("Methods[%d]: %q is not an HTTP method", i, m)
+			return Fieldf(fmt.Sprintf("Methods[%d]", i), "%q is not an HTTP method", m)
 		}
 	}
 	if r.Priority < 0 || r.Priority > maxPriority {
-		return fmt.Errorf("Priority: %d, 0 to %d are allowed", r.Priority, maxPriority)
+		return Fieldf("Priority", "%d, 0 to %d are allowed", r.Priority, maxPriority)
 	}
 	if r.Timeout <= 0 || r.Timeout > maxTimeout {
-		return fmt.Errorf("Timeout: %s, more than 0s up to %s are allowed", r.Timeout, maxTimeout)
+		return Fieldf("Timeout", "%s, more than 0s up to %s are allowed", r.Timeout, maxTimeout)
 	}
 	return nil
 }
@@ -191,31 +191,36 @@
 // Check reports the first field that breaks a rule.
 func (r *RolloutTerms) Check() error {
 	if r.CompleteWithin <= 0 || r.CompleteWithin > maxRollout {
-		return fmt.Errorf("CompleteWithin: %s, more than 0s up to %s are allowed", r.CompleteWithin, maxRollout)
+		return Fieldf("CompleteWithin", "%s, more than 0s up to %s are allowed", r.CompleteWithin, maxRollout)
 	}
 	if r.MaxBadShare <= 0 || r.MaxBadShare > 1 {
-		return fmt.Errorf("MaxBadShare: %g, more than 0 up to 1 are allowed", r.MaxBadShare)
+		return Fieldf("MaxBadShare", "%g, more than 0 up to 1 are allowed", r.MaxBadShare)
 	}
 	if r.MaxBadRequests < 1 {
-		return fmt.Errorf("MaxBadRequests: %d is less than 1", r.MaxBadRequests)
+		return Fieldf("MaxBadRequests", "%d is less than 1", r.MaxBadRequests)
 	}
 	if r.FailureMargin <= 0 || r.FailureMargin > 1 {
-		return fmt.Errorf("FailureMargin: %g, more than 0 up to 1 are allowed", r.FailureMargin)
+		return Fieldf("FailureMargin", "%g, more than 0 up to 1 are allowed", r.FailureMargin)
 	}
+	if r.WhenUndecided != UndecidedComplete && r.WhenUndecided != UndecidedRevert {
+		return Fieldf("WhenUndecided", "%q is neither %q nor %q", r.WhenUndecided, UndecidedComplete, UndecidedRevert)
+	}
+	return r.checkTest()
+}
+
+// checkTest reports the first field of the sequential test that breaks a rule.
+func (r *RolloutTerms) checkTest() error {
 	if r.SlowFactor <= 1 {
-		return fmt.Errorf("SlowFactor: %g is not more than 1", r.SlowFactor)
+		return Fieldf("SlowFactor", "%g is not more than 1", r.SlowFactor)
 	}
 	if r.FalseRevertRate <= 0 || r.FalseRevertRate >= maxErrorRate {
-		return fmt.Errorf("FalseRevertRate: %g, between 0 and %g are allowed", r.FalseRevertRate, maxErrorRate)
+		return Fieldf("FalseRevertRate", "%g, between 0 and %g are allowed", r.FalseRevertRate, maxErrorRate)
 	}
 	if r.MissedBadRate <= 0 || r.MissedBadRate >= maxErrorRate {
-		return fmt.Errorf("MissedBadRate: %g, between 0 and %g are allowed", r.MissedBadRate, maxErrorRate)
+		return Fieldf("MissedBadRate", "%g, between 0 and %g are allowed", r.MissedBadRate, maxErrorRate)
 	}
 	if r.Watch < 0 || r.Watch > maxRollout {
-		return fmt.Errorf("Watch: %s, 0s to %s are allowed", r.Watch, maxRollout)
-	}
-	if r.WhenUndecided != UndecidedComplete && r.WhenUndecided != UndecidedRevert {
-		return fmt.Errorf("WhenUndecided: %q is neither %q nor %q", r.WhenUndecided, UndecidedComplete, UndecidedRevert)
+		return Fieldf("Watch", "%s, 0s to %s are allowed", r.Watch, maxRollout)
 	}
 	return nil
 }
@@ -223,10 +228,10 @@
 // Check reports the first field that breaks a rule.
 func (d *DrainTerms) Check() error {
 	if d.Notice < 0 || d.Notice > maxNotice {
-		return fmt.Errorf("Notice: %s, 0s to %s are allowed", d.Notice, maxNotice)
+		return Fieldf("Notice", "%s, 0s to %s are allowed", d.Notice, maxNotice)
 	}
 	if d.Finish < minFinish || d.Finish > maxTimeout {
-		return fmt.Errorf("Finish: %s, %s to %s are allowed", d.Finish, minFinish, maxTimeout)
+		return Fieldf("Finish", "%s, %s to %s are allowed", d.Finish, minFinish, maxTimeout)
 	}
 	return nil
 }
@@ -234,11 +239,11 @@
 // checkName reports a name that is empty, too long or not printable ASCII.
 func checkName(field, name string) error {
 	if name == "" || len(name) > maxNameLength {
-		return fmt.Errorf("%s: %q, 1 to %d bytes are allowed", field, name, maxNameLength)
+		return Fieldf(field, "%q, 1 to %d bytes are allowed", name, maxNameLength)
 	}
 	for _, c := range name {
 		if c <= ' ' || c > '~' || c == '"' || c == '/' {
-			return fmt.Errorf("%s: %q holds the character %q", field, name, c)
+			return Fieldf(field, "%q holds the character %q", name, c)
 		}
 	}
 	return nil
--- a/member.go
+++ b/member.go
@@ -1,7 +1,5 @@
 package baobabtide
 
-import "fmt"
-
 // Status is what a node's fellow members hold of it. Higher values override
 // lower ones within an incarnation.
 type Status uint8
@@ -75,26 +73,26 @@
 // Check reports the first field that breaks a rule.
 func (m *Member) Check() error {
 	if m.Name == "" || len(m.Name) > maxNameLength {
-		return fmt.Errorf("Name %q: 1 to %d bytes", m.Name, maxNameLength)
+		return Fieldf("Name", "%q, 1 to %d bytes", m.Name, maxNameLength)
 	}
 	if m.Zone == "" || len(m.Zone) > maxNameLength {
-		return fmt.Errorf("Zone %q: 1 to %d bytes", m.Zone, maxNameLength)
+		return Fieldf("Zone", "%q, 1 to %d bytes", m.Zone, maxNameLength)
 	}
 	if len(m.PeerAddress) > maxAddressLength {
-		return fmt.Errorf("PeerAddress: %d bytes exceed %d", len(m.PeerAddress), maxAddressLength)
+		return Fieldf("PeerAddress", "%d bytes exceed %d", len(m.PeerAddress), maxAddressLength)
 	}
 	if m.Status > Left {
-		return fmt.Errorf("Status %d: unknown", m.Status)
+		return Fieldf("Status", "%d, unknown", m.Status)
 	}
 	if len(m.Targets) > maxTargets {
-		return fmt.Errorf("Targets: %d exceed %d", len(m.Targets), maxTargets)
+		return Fieldf("Targets", "%d exceed %d", len(m.Targets), maxTargets)
 	}
 	if len(m.Accusers) > maxAccusers {
-		return fmt.Errorf("Accusers: %d exceed %d", len(m.Accusers), maxAccusers)
+		return Fieldf("Accusers", "%d exceed %d", len(m.Accusers), maxAccusers)
 	}
 	for i := range m.Targets {
 		if err := m.Targets[i].Check(); err != nil {
-			return fmt.Errorf("Targets[%d].%w", i, err)
+			return WithinIndex("Targets", i, err)
 		}
 	}
 	return nil
@@ -103,22 +101,22 @@
 // Check reports the first field that breaks a rule.
 func (t *Target) Check() error {
 	if t.Name == "" || len(t.Name) > maxNameLength {
-		return fmt.Errorf("Name %q: 1 to %d bytes", t.Name, maxNameLength)
+		return Fieldf("Name", "%q, 1 to %d bytes", t.Name, maxNameLength)
 	}
 	if t.Service == "" || len(t.Service) > maxNameLength {
-		return fmt.Errorf("Service %q: 1 to %d bytes", t.Service, maxNameLength)
+		return Fieldf("Service", "%q, 1 to %d bytes", t.Service, maxNameLength)
 	}
 	if t.Version == "" || len(t.Version) > maxNameLength {
-		return fmt.Errorf("Version %q: 1 to %d bytes", t.Version, maxNameLength)
+		return Fieldf("Version", "%q, 1 to %d bytes", t.Version, maxNameLength)
 	}
 	if t.State > TargetDraining {
-		return fmt.Errorf("State %d: unknown", t.State)
+		return Fieldf("State", "%d, unknown", t.State)
 	}
 	if t.Slots < 1 || t.Slots > maxSlots {
-		return fmt.Errorf("Slots %d: 1 to %d", t.Slots, maxSlots)
+		return Fieldf("Slots", "%d, 1 to %d", t.Slots, maxSlots)
 	}
 	if t.Connections < 0 || t.Connections > maxSlots {
-		return fmt.Errorf("Connections %d: 0 to %d", t.Connections, maxSlots)
+		return Fieldf("Connections", "%d, 0 to %d", t.Connections, maxSlots)
 	}
 	return nil
 }
--- a/record.go
+++ b/record.go
@@ -106,10 +106,10 @@
 // Check reports the first field that breaks a rule.
 func (r *Record) Check() error {
 	if r.ID == "" || len(r.ID) > maxRecordIDLength {
-		return fmt.Errorf("ID: %q, 1 to %d bytes are allowed", r.ID, maxRecordIDLength)
+		return Fieldf("ID", "%q, 1 to %d bytes are allowed", r.ID, maxRecordIDLength)
 	}
 	if r.Actor == "" || len(r.Actor) > maxNameLength {
-		return fmt.Errorf("Actor: %q, 1 to %d bytes are allowed", r.Actor, maxNameLength)
+		return Fieldf("Actor", "%q, 1 to %d bytes are allowed", r.Actor, maxNameLength)
 	}
 	return r.checkBody()
 }
@@ -135,7 +135,7 @@
 		}
 	}
 	if bodies != 1 {
-		return fmt.Errorf("Contract, Release, Outcome, Drain: %d are set, 1 is needed", bodies)
+		return Fieldf("Contract, Release, Outcome, Drain", "%d are set, 1 is needed", bodies)
 	}
 	return nil
 }
@@ -149,7 +149,7 @@
 		return err
 	}
 	if len(r.Customers) > maxCustomers {
-		return fmt.Errorf("Customers: %d exceed %d", len(r.Customers), maxCustomers)
+		return Fieldf("Customers", "%d exceed %d", len(r.Customers), maxCustomers)
 	}
 	for i, c := range r.Customers {
 		if err := checkName(fmt.Sprintf("Customers[%d]", i), c); err != nil {
@@ -162,7 +162,7 @@
 // Check reports the first field that breaks a rule.
 func (o *OutcomeRecord) Check() error {
 	if o.Rollout == 0 {
-		return fmt.Errorf("Rollout: 0 is no offset")
+		return Fieldf("Rollout", "0 is no offset")
 	}
 	if err := checkName("Customer", o.Customer); err != nil {
 		return err
@@ -171,13 +171,13 @@
 		return err
 	}
 	if o.Result != Completed && o.Result != Reverted {
-		return fmt.Errorf("Result: %q is neither %q nor %q", o.Result, Completed, Reverted)
+		return Fieldf("Result", "%q is neither %q nor %q", o.Result, Completed, Reverted)
 	}
 	if len(o.Reason) > maxReasonLength {
-		return fmt.Errorf("Reason: %d bytes exceed %d", len(o.Reason), maxReasonLength)
+		return Fieldf("Reason", "%d bytes exceed %d", len(o.Reason), maxReasonLength)
 	}
 	if len(o.Evidence) > maxRoutes {
-		return fmt.Errorf("Evidence: %d routes exceed %d", len(o.Evidence), maxRoutes)
+		return Fieldf("Evidence", "%d routes exceed %d", len(o.Evidence), maxRoutes)
 	}
 	return nil
 }
@@ -185,7 +185,7 @@
 // Check reports the first field that breaks a rule.
 func (d *DrainRecord) Check() error {
 	if len(d.Reason) > maxReasonLength {
-		return fmt.Errorf("Reason: %d bytes exceed %d", len(d.Reason), maxReasonLength)
+		return Fieldf("Reason", "%d bytes exceed %d", len(d.Reason), maxReasonLength)
 	}
 	return checkName("Node", d.Node)
 }
