btadmit: let the limit recover after shedding

Cause: the limit grew only when the requests in flight reached its fractional value, which a whole number never does; after a backend server shed five requests the limit of 10 stayed at 3. Change: the whole part of the limit counts; a slot that is free costs no allocation.

--- a/baobabtide-load/main.go
+++ b/baobabtide-load/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -42,7 +43,8 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "baobabtide-load:", err)
-	if _, broken := err.(*brokenError); broken {
+	var broken *brokenError
+	if errors.As(err, &broken) {
 		os.Exit(exitBroken)
 	}
 	os.Exit(exitFailed)
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -59,12 +59,13 @@
 	return &Queue{slots: slots, limit: float64(slots), service: initialService, running: make(map[string]int)}
 }
 
-var granted = closedChannel()
+// granted is the waiter of all tickets that get a slot at once.
+var granted = grantedWaiter()
 
-func closedChannel() chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
+func grantedWaiter() *Waiter {
+	w := &Waiter{ready: make(chan struct{})}
+	close(w.ready)
+	return w
 }
 
 // Offer asks for a slot. It returns a waiter, whose Ready is closed already
@@ -80,7 +81,7 @@
 	}
 	if q.free() && len(q.waiting) == 0 {
 		q.grant(t.Customer)
-		return &Waiter{ticket: t, ready: granted}, nil
+		return granted, nil
 	}
 	w := &Waiter{ticket: t, arrived: now, ready: make(chan struct{})}
 	if wait := q.wait(q.ahead(t)); now.Add(wait * deadlineQueuePart).After(t.Deadline) {
@@ -163,7 +164,7 @@
 		delete(q.running, customer)
 	}
 	q.service += (took - q.service) / serviceWeight
-	if float64(q.inFlight+1) >= q.limit {
+	if q.inFlight+1 >= int(q.limit) {
 		q.limit = min(float64(q.slots), q.limit+1/q.limit)
 	}
 	q.admit(now)
--- a/btcodec/json.go
+++ b/btcodec/json.go
@@ -89,7 +89,7 @@
 		return &baobabtide.FieldError{Path: dotted(semantic.JSONPointer), Rule: semanticRule(semantic)}
 	}
 	var syntactic *jsontext.SyntacticError
-	if errors.As(err, &syntactic) {
+	if errors.As(err, &syntactic) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		rule := fmt.Sprintf("%v at byte %d", syntactic.Err, syntactic.ByteOffset)
 		return &baobabtide.FieldError{Path: dotted(syntactic.JSONPointer), Rule: rule}
 	}
--- /dev/null
+++ b/btmember/table_test.go
@@ -0,0 +1,305 @@
+package btmember
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(10_000, 0)
+
+func member(name, zone string) baobabtide.Member {
+	return baobabtide.Member{Name: name, Zone: zone, PeerAddress: name + ":1", Incarnation: 1, Sequence: 1}
+}
+
+func newTable(name string) *Table {
+	return New(member(name, "z"), Timing{}, rand.New(rand.NewPCG(1, 2)))
+}
+
+// genMember draws records of one member. What is announced is a function of
+// incarnation and sequence, as it is for a real node.
+func genMember(name string) *rapid.Generator[baobabtide.Member] {
+	return rapid.Custom(func(t *rapid.T) baobabtide.Member {
+		m := member(name, "z")
+		m.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+		m.Sequence = rapid.Uint64Range(1, 3).Draw(t, "sequence")
+		m.PeerAddress = fmt.Sprintf("%d:%d", m.Incarnation, m.Sequence)
+		m.Status = baobabtide.Status(rapid.IntRange(0, 3).Draw(t, "status"))
+		if m.Status == baobabtide.Suspect {
+			m.Accusers = []string{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "accuser")}
+		}
+		return m
+	})
+}
+
+func TestJoinIsALattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := genMember("m").Draw(t, "a"), genMember("m").Draw(t, "b"), genMember("m").Draw(t, "c")
+		if diff := cmp.Diff(Join(a, b), Join(b, a)); diff != "" {
+			t.Errorf("not commutative:\n%s", diff)
+		}
+		if diff := cmp.Diff(Join(Join(a, b), c), Join(a, Join(b, c))); diff != "" {
+			t.Errorf("not associative:\n%s", diff)
+		}
+		if diff := cmp.Diff(a, Join(a, a)); diff != "" {
+			t.Errorf("not idempotent:\n%s", diff)
+		}
+		joined := Join(a, b)
+		if diff := cmp.Diff(joined, Join(joined, a)); diff != "" {
+			t.Errorf("not monotone:\n%s", diff)
+		}
+	})
+}
+
+// Two tables that took in the same records in any order agree, and so do
+// their digests.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []baobabtide.Member
+		for i := range rapid.IntRange(1, 12).Draw(t, "count") {
+			records = append(records, genMember(fmt.Sprintf("m%d", i%4)).Draw(t, "record"))
+		}
+		a, b := newTable("self"), newTable("self")
+		for _, m := range records {
+			m.Status %= baobabtide.Failed // a forgotten member is never added as failed
+			a.Merge(Delta{Members: []baobabtide.Member{m}}, epoch)
+		}
+		for _, i := range rapid.Permutation(records).Draw(t, "order") {
+			i.Status %= baobabtide.Failed
+			b.Merge(Delta{Members: []baobabtide.Member{i}}, epoch)
+		}
+		if diff := cmp.Diff(a.Members(), b.Members()); diff != "" {
+			t.Errorf("members:\n%s", diff)
+		}
+		if a.Digest() != b.Digest() {
+			t.Error("digests differ")
+		}
+		if got := a.DifferingBuckets(b.BucketDigests()); len(got) != 0 {
+			t.Errorf("buckets %v differ", got)
+		}
+	})
+}
+
+// tick runs the table's clock for a time and calls back before each tick.
+func tick(t *Table, from time.Time, span time.Duration, before func(now time.Time)) Delta {
+	var all Delta
+	for at := time.Duration(0); at <= span; at += 250 * time.Millisecond {
+		now := from.Add(at)
+		if before != nil {
+			before(now)
+		}
+		all.Append(t.Tick(now))
+	}
+	return all
+}
+
+func status(t *Table, name string) baobabtide.Status {
+	m, _ := t.Get(name)
+	return m.Status
+}
+
+func TestFailureDetection(t *testing.T) {
+	other := member("other", "z")
+	accusation := func(accuser string) Delta {
+		return Delta{Statuses: []StatusUpdate{{Name: "other", Incarnation: 1, Status: baobabtide.Suspect, Accusers: []string{accuser}}}}
+	}
+	tests := map[string]struct {
+		span   time.Duration
+		before func(tb *Table, now time.Time)
+		want   baobabtide.Status
+	}{
+		"heartbeats":                         {20 * time.Second, func(tb *Table, now time.Time) { tb.Heard("other", now) }, baobabtide.Alive},
+		"short silence":                      {3 * time.Second, nil, baobabtide.Alive},
+		"silence is suspected":               {4 * time.Second, nil, baobabtide.Suspect},
+		"silence becomes failure within 7 s": {7 * time.Second, nil, baobabtide.Failed},
+		"two accusers confirm within 1 s": {time.Second, func(tb *Table, now time.Time) {
+			tb.Merge(accusation("a"), now)
+			tb.Merge(accusation("b"), now)
+		}, baobabtide.Failed},
+		"one accuser needs longer": {time.Second, func(tb *Table, now time.Time) { tb.Merge(accusation("a"), now) }, baobabtide.Suspect},
+		"refuted in time": {20 * time.Second, func(tb *Table, now time.Time) {
+			tb.Heard("other", now)
+			if now.Equal(epoch) {
+				tb.Merge(accusation("a"), now)
+			}
+			refuted := other
+			refuted.Incarnation = 2
+			tb.Merge(Delta{Members: []baobabtide.Member{refuted}}, now)
+		}, baobabtide.Alive},
+		"accusation of an earlier incarnation": {20 * time.Second, func(tb *Table, now time.Time) {
+			tb.Heard("other", now)
+			returned := other
+			returned.Incarnation = 2
+			tb.Merge(Delta{Members: []baobabtide.Member{returned}}, now)
+			tb.Merge(accusation("a"), now)
+		}, baobabtide.Alive},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := newTable("self")
+			tb.Merge(Delta{Members: []baobabtide.Member{other}}, epoch)
+			tb.Watch("other", epoch)
+			tick(tb, epoch, tt.span, func(now time.Time) {
+				if tt.before != nil {
+					tt.before(tb, now)
+				}
+			})
+			if diff := cmp.Diff(tt.want, status(tb, "other")); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A node that was paused finds all its neighbors silent. It must not accuse
+// them before they had a chance to be heard.
+func TestPausedNodeDoesNotAccuse(t *testing.T) {
+	tb := newTable("self")
+	tb.Merge(Delta{Members: []baobabtide.Member{member("other", "z")}}, epoch)
+	tb.Watch("other", epoch)
+	tb.Tick(epoch)
+	woken := epoch.Add(time.Minute)
+	if delta := tb.Tick(woken); !delta.Empty() {
+		t.Errorf("accusations at once after a pause: %+v", delta)
+	}
+	tick(tb, woken, 20*time.Second, func(now time.Time) { tb.Heard("other", now) })
+	if diff := cmp.Diff(baobabtide.Alive, status(tb, "other")); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
+
+func TestAccusedNodeRefutes(t *testing.T) {
+	tb := newTable("self")
+	for _, s := range []baobabtide.Status{baobabtide.Suspect, baobabtide.Failed} {
+		before := tb.Self()
+		fresh := tb.Merge(Delta{Statuses: []StatusUpdate{{Name: "self", Incarnation: before.Incarnation, Status: s}}}, epoch)
+		after := tb.Self()
+		if after.Status != baobabtide.Alive || after.Incarnation <= before.Incarnation || len(fresh.Members) != 1 {
+			t.Errorf("accused as %s: %+v, spread %+v", s, after, fresh)
+		}
+	}
+}
+
+// A process that starts while others remember a later incarnation, because its
+// clock went back, takes a higher one.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	tb := newTable("self")
+	remembered := member("self", "z")
+	remembered.Incarnation = 50
+	tb.Merge(Delta{Members: []baobabtide.Member{remembered}}, epoch)
+	if got := tb.Self().Incarnation; got <= 50 {
+		t.Errorf("incarnation %d is not above 50", got)
+	}
+}
+
+func TestForgottenMemberStaysForgotten(t *testing.T) {
+	tb := newTable("self")
+	gone := member("gone", "z")
+	tb.Merge(Delta{Members: []baobabtide.Member{gone}}, epoch)
+	gone.Status = baobabtide.Left
+	tb.Merge(Delta{Members: []baobabtide.Member{gone}}, epoch)
+	tb.Tick(epoch)
+	tb.lastTick = epoch.Add(2 * time.Hour)
+	tb.Tick(epoch.Add(2 * time.Hour))
+	tb.Merge(Delta{Members: []baobabtide.Member{gone}}, epoch.Add(2*time.Hour))
+	if _, ok := tb.Get("gone"); ok {
+		t.Error("a member that had left came back")
+	}
+}
+
+// fleet returns a table of each of a number of nodes that all know each other.
+func fleet(count, zones int) []*Table {
+	var all Delta
+	for i := range count {
+		all.Members = append(all.Members, member(fmt.Sprintf("n%04d", i), fmt.Sprintf("z%d", i%zones)))
+	}
+	tables := make([]*Table, count)
+	for i := range tables {
+		tables[i] = New(all.Members[i], Timing{}, rand.New(rand.NewPCG(1, uint64(i))))
+		tables[i].Merge(all, epoch)
+	}
+	return tables
+}
+
+// Each node opens at most Rings connections, however large the fleet is, and
+// the connections reach everyone in a few steps.
+func TestNeighborsSpanTheFleet(t *testing.T) {
+	const maxSteps = 8 // log2 of 200
+	tables := fleet(200, 7)
+	edges := make(map[string][]string)
+	for _, tb := range tables {
+		neighbors := tb.Neighbors()
+		if len(neighbors) > Rings {
+			t.Fatalf("%d neighbors", len(neighbors))
+		}
+		for _, m := range neighbors {
+			edges[tb.self] = append(edges[tb.self], m.Name)
+			edges[m.Name] = append(edges[m.Name], tb.self)
+		}
+	}
+	reached := map[string]bool{tables[0].self: true}
+	frontier := []string{tables[0].self}
+	steps := 0
+	for ; len(frontier) > 0 && len(reached) < len(tables); steps++ {
+		var next []string
+		for _, name := range frontier {
+			for _, other := range edges[name] {
+				if !reached[other] {
+					reached[other] = true
+					next = append(next, other)
+				}
+			}
+		}
+		frontier = next
+	}
+	if len(reached) != len(tables) || steps > maxSteps {
+		t.Errorf("%d of %d nodes reached in %d steps", len(reached), len(tables), steps)
+	}
+}
+
+// The number of readers of the log does not grow with the fleet.
+func TestReadersPerZone(t *testing.T) {
+	const perZone = 2
+	for _, count := range []int{14, 70, 350} {
+		readers := make(map[string]bool)
+		for _, tb := range fleet(count, 7) {
+			for _, name := range tb.Readers(perZone) {
+				readers[name] = true
+			}
+		}
+		if diff := cmp.Diff(7*perZone, len(readers)); diff != "" {
+			t.Errorf("readers of %d nodes (-want +got):\n%s", count, diff)
+		}
+	}
+}
+
+func BenchmarkMerge2000(b *testing.B) {
+	tables := fleet(2, 2)
+	var all Delta
+	for i := range 2000 {
+		all.Members = append(all.Members, member(fmt.Sprintf("n%04d", i), fmt.Sprintf("z%d", i%7)))
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		for j := range all.Members {
+			all.Members[j].Sequence = uint64(i + 2)
+		}
+		tables[0].Merge(all, epoch)
+	}
+}
--- /dev/null
+++ b/btrollout/decide_test.go
@@ -0,0 +1,139 @@
+package btrollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfixture"
+)
+
+var begun = time.Unix(10_000, 0)
+
+func rollout() *baobabtide.Rollout {
+	return &baobabtide.Rollout{Offset: 7, Customer: "c", Service: "s", From: "v1", To: "v2", Started: begun, Terms: btfixture.Rollout()}
+}
+
+func counts(requests, failures int) baobabtide.Counts {
+	return baobabtide.Counts{Requests: requests, Failures: failures}
+}
+
+func route(name string, old, next baobabtide.Counts) baobabtide.RouteEvidence {
+	return baobabtide.RouteEvidence{Route: name, Old: old, New: next}
+}
+
+func TestJudge(t *testing.T) {
+	tests := map[string]struct {
+		evidence []baobabtide.RouteEvidence
+		want     Judgment
+	}{
+		"nothing":                         {nil, Undecided},
+		"too few":                         {[]baobabtide.RouteEvidence{route("a", counts(100, 0), counts(10, 0))}, Undecided},
+		"clean":                           {[]baobabtide.RouteEvidence{route("a", counts(1000, 0), counts(60, 0))}, Good},
+		"all fail":                        {[]baobabtide.RouteEvidence{route("a", counts(100, 0), counts(4, 4))}, Bad},
+		"half fail":                       {[]baobabtide.RouteEvidence{route("a", counts(100, 0), counts(8, 4))}, Bad},
+		"one route of two is bad":         {[]baobabtide.RouteEvidence{route("a", counts(1000, 0), counts(60, 0)), route("b", counts(100, 0), counts(8, 6))}, Bad},
+		"one route of two is not known":   {[]baobabtide.RouteEvidence{route("a", counts(1000, 0), counts(60, 0)), route("b", counts(100, 0), counts(3, 0))}, Undecided},
+		"both fail alike":                 {[]baobabtide.RouteEvidence{route("a", counts(1000, 300), counts(100, 30))}, Undecided},
+		"both fail alike, more evidence":  {[]baobabtide.RouteEvidence{route("a", counts(10000, 3000), counts(700, 210))}, Good},
+		"outage of both is not a bad one": {[]baobabtide.RouteEvidence{route("a", counts(500, 500), counts(50, 50))}, Undecided},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			terms := btfixture.Rollout()
+			got, _ := Judge(&terms, tt.evidence)
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("judgment (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestDecide(t *testing.T) {
+	at := func(part float64) time.Time {
+		return begun.Add(time.Duration(part * float64(btfixture.Rollout().CompleteWithin)))
+	}
+	some := []baobabtide.RouteEvidence{route("a", counts(100, 0), counts(10, 0))}
+	spent := []baobabtide.RouteEvidence{route("a", counts(2000, 0), counts(200, 0))}
+	tests := map[string]struct {
+		evidence []baobabtide.RouteEvidence
+		tripped  bool
+		cleared  time.Time
+		now      time.Time
+		want     Phase
+		minShare float64
+		maxShare float64
+		result   baobabtide.Result
+	}{
+		"start":                      {nil, false, time.Time{}, at(0), PhaseProbe, 0.001, 0.02, ""},
+		"probe":                      {some, false, time.Time{}, at(0.3), PhaseProbe, 0.1, 0.1, ""},
+		"requests are spent":         {spent, false, time.Time{}, at(0.3), PhaseProbe, 0, 0, ""},
+		"just cleared":               {some, false, at(0.3), at(0.3), PhaseRamp, 0.1, 0.1, ""},
+		"half-way":                   {some, false, at(0.3), at(0.55), PhaseRamp, 0.4, 0.7, ""},
+		"all traffic":                {some, false, at(0.3), at(0.81), PhaseDone, 1, 1, baobabtide.Completed},
+		"cleared late":               {some, false, at(0.64), at(0.91), PhaseDone, 1, 1, baobabtide.Completed},
+		"tripped":                    {some, true, at(0.3), at(0.9), PhaseTripped, 0, 0, baobabtide.Reverted},
+		"tripped after the time":     {some, true, at(0.3), at(1.5), PhaseTripped, 0, 0, baobabtide.Reverted},
+		"time nearly out":            {some, false, time.Time{}, at(0.98), PhaseProbe, 0.1, 0.1, baobabtide.Reverted},
+		"time out, nothing is known": {some, false, at(0.3), at(1.01), PhaseLate, 0, 0, baobabtide.Reverted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := Decide(rollout(), tt.evidence, tt.tripped, tt.cleared, tt.now)
+			if got.Phase != tt.want || got.Result != tt.result || got.Share < tt.minShare-1e-9 || got.Share > tt.maxShare+1e-9 {
+				t.Errorf("decision %+v, want phase %s, share %g to %g, result %q", got, tt.want, tt.minShare, tt.maxShare, tt.result)
+			}
+		})
+	}
+}
+
+func TestReportsMergeInAnyOrder(t *testing.T) {
+	id := IDOf(rollout())
+	report := func(node string, requests int) Report {
+		return Report{Rollout: id, Node: node, Incarnation: 1, Routes: []baobabtide.RouteEvidence{route("a", counts(requests, 0), counts(requests, 1))}}
+	}
+	reports := []Report{report("n1", 5), report("n1", 9), report("n2", 3)}
+	want := []baobabtide.RouteEvidence{route("a", counts(12, 0), counts(12, 2))}
+	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 0, 2, 1, 0}} {
+		var b Book
+		for _, i := range order {
+			b.Merge(reports[i])
+		}
+		if diff := cmp.Diff(want, b.Evidence(id)); diff != "" {
+			t.Errorf("order %v (-want +got):\n%s", order, diff)
+		}
+	}
+}
+
+func TestTripsAgreeInAnyOrder(t *testing.T) {
+	id := IDOf(rollout())
+	for _, order := range [][]string{{"n1", "n2"}, {"n2", "n1"}} {
+		var b Book
+		for _, node := range order {
+			b.Raise(Trip{Rollout: id, Node: node})
+		}
+		trip, _ := b.Trip(id)
+		if diff := cmp.Diff("n1", trip.Node); diff != "" {
+			t.Errorf("order %v (-want +got):\n%s", order, diff)
+		}
+	}
+}
+
+// Slowness counts against the old version at the same node, for both versions
+// alike.
+func TestCountersTellSlowAnswers(t *testing.T) {
+	var c Counters
+	id, terms := IDOf(rollout()), btfixture.Rollout()
+	for range 100 {
+		c.Observe(id, &terms, "a", false, 10*time.Millisecond, false)
+	}
+	c.Observe(id, &terms, "a", true, 20*time.Millisecond, false)
+	c.Observe(id, &terms, "a", true, 100*time.Millisecond, false)
+	c.Observe(id, &terms, "a", false, 100*time.Millisecond, false)
+	want := []baobabtide.RouteEvidence{route("a", counts(101, 1), counts(2, 1))}
+	if diff := cmp.Diff(want, c.Routes(id)); diff != "" {
+		t.Errorf("counts (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/btroute/table_test.go
@@ -0,0 +1,273 @@
+package btroute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btfixture"
+)
+
+var (
+	now   = time.Unix(10_000, 0)
+	place = Place{Node: "node-0000", Zone: "zone-0"}
+)
+
+// state returns a configuration in which some services carry a version.
+func state(version string, services ...string) *btconfig.State {
+	s := &btconfig.State{
+		Offset:      1,
+		Contracts:   map[string]btconfig.ContractState{"c": {Revision: 1, Contract: *btfixture.Contract("c", services...)}},
+		Assignments: make(map[string]baobabtide.Assignment),
+	}
+	for _, name := range services {
+		s.Assignments[btconfig.AssignmentKey("c", name)] = baobabtide.Assignment{Customer: "c", Service: name, Current: version}
+	}
+	return s
+}
+
+func rollOut(s *btconfig.State, service, to string) {
+	key := btconfig.AssignmentKey("c", service)
+	a := s.Assignments[key]
+	a.Rollout = &baobabtide.Rollout{Offset: 2, Customer: "c", Service: service, From: a.Current, To: to, Terms: btfixture.Rollout()}
+	s.Assignments[key] = a
+}
+
+func TestMatch(t *testing.T) {
+	s := state("v1", "service-0")
+	routes := &s.Contracts["c"].Contract.Services[0].Routes
+	*routes = []baobabtide.RouteTerms{
+		{Name: "all", PathPrefix: "/a"},
+		{Name: "post", Methods: []string{"POST"}, PathPrefix: "/a/b"},
+		{Name: "deep", Methods: []string{"GET"}, PathPrefix: "/a/b/c/"},
+	}
+	table := Build(s, nil, place, nil)
+	tests := []struct{ customer, method, path, want string }{
+		{"c", "GET", "/a", "all"},
+		{"c", "GET", "/a?x=1", "all"},
+		{"c", "GET", "/a/b", "all"},
+		{"c", "POST", "/a/b", "post"},
+		{"c", "GET", "/a/b/c/d", "deep"},
+		{"c", "PUT", "/a/b/c/d", "all"},
+		{"c", "GET", "/ab", ""},
+		{"c", "GET", "/", ""},
+		{"d", "GET", "/a", ""},
+	}
+	for _, tt := range tests {
+		got := ""
+		if r := table.Match(tt.customer, tt.method, tt.path); r != nil {
+			got = r.Terms.Name
+		}
+		if diff := cmp.Diff(tt.want, got); diff != "" {
+			t.Errorf("%s %s (-want +got):\n%s", tt.method, tt.path, diff)
+		}
+	}
+}
+
+// No route points at a version whose targets this node does not know: the line
+// of the earlier table stays until they are.
+func TestBuildHoldsALineUntilItsTargetsAreKnown(t *testing.T) {
+	old := Build(state("v1", "service-0"), btfixture.Members(3, 1, 1, "v1"), place, nil)
+	next := state("v2", "service-0")
+	next.Offset = 9
+	held := Build(next, btfixture.Members(3, 1, 1, "v1"), place, old)
+	line := held.Line("c", "service-0")
+	if diff := cmp.Diff([]string{"v1", "v2"}, []string{line.Current.Name, line.Held}); diff != "" {
+		t.Errorf("current and held version (-want +got):\n%s", diff)
+	}
+	arrived := Build(next, btfixture.Members(3, 1, 1, "v2"), place, held)
+	line = arrived.Line("c", "service-0")
+	if diff := cmp.Diff([]string{"v2", ""}, []string{line.Current.Name, line.Held}); diff != "" {
+		t.Errorf("current and held version once known (-want +got):\n%s", diff)
+	}
+}
+
+func TestNextVersionWithoutTargetsGetsNothing(t *testing.T) {
+	s := state("v1", "service-0")
+	rollOut(s, "service-0", "v2")
+	line := Build(s, btfixture.Members(3, 1, 1, "v1"), place, nil).Line("c", "service-0")
+	line.SetShare(1)
+	if diff := cmp.Diff("v1", line.Choose(0).Name); diff != "" {
+		t.Errorf("version (-want +got):\n%s", diff)
+	}
+}
+
+func TestBuildLeavesOutWhatGetsNoWork(t *testing.T) {
+	members := btfixture.Members(5, 1, 1, "v1")
+	members[0].Targets[0].State = baobabtide.TargetDraining
+	members[1].Targets[0].State = baobabtide.TargetStarting
+	members[2].Status = baobabtide.Failed
+	members[3].Status = baobabtide.Left
+	pool := Build(state("v1", "service-0"), members, place, nil).Line("c", "service-0").Current.Pool
+	if pool.Size() != 1 || pool.Targets()[0].Ref.Node != "node-0004" {
+		t.Errorf("targets %+v", pool.Targets())
+	}
+}
+
+func TestPick(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(targets map[string]*Target)
+		wanted  func(*Target) bool
+	}{
+		"own zone first": {func(map[string]*Target) {}, func(t *Target) bool { return t.Distance <= SameZone }},
+		"spills over when the zone is full": {func(targets map[string]*Target) {
+			for _, t := range targets {
+				if t.Distance <= SameZone {
+					t.Stats.inFlight.Store(int64(2 * t.Slots))
+				}
+			}
+		}, func(t *Target) bool { return t.Distance > SameZone }},
+		"avoids the ejected": {func(targets map[string]*Target) {
+			for _, t := range targets {
+				if t.Ref.Node != "node-0005" {
+					t.Stats.ejectUntil.Store(now.Add(time.Second).UnixNano())
+				}
+			}
+		}, func(t *Target) bool { return t.Ref.Node == "node-0005" }},
+		"takes an ejected one rather than none": {func(targets map[string]*Target) {
+			for _, t := range targets {
+				t.Stats.ejectUntil.Store(now.Add(time.Second).UnixNano())
+			}
+		}, func(t *Target) bool { return t != nil }},
+		"avoids suspects": {func(targets map[string]*Target) {
+			for _, t := range targets {
+				t.Suspect = t.Ref.Node != "node-0004"
+			}
+		}, func(t *Target) bool { return t.Ref.Node == "node-0004" }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			pool := Build(state("v1", "service-0"), btfixture.Members(6, 3, 1, "v1"), place, nil).Line("c", "service-0").Current.Pool
+			targets := make(map[string]*Target)
+			for _, target := range pool.Targets() {
+				targets[target.Ref.Node] = target
+			}
+			tt.prepare(targets)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for range 100 {
+				if target := pool.Pick(now, rng, nil); !tt.wanted(target) {
+					t.Fatalf("picked %+v", target)
+				}
+			}
+		})
+	}
+}
+
+func TestPickPassesOverTriedTargets(t *testing.T) {
+	pool := Build(state("v1", "service-0"), btfixture.Members(3, 3, 1, "v1"), place, nil).Line("c", "service-0").Current.Pool
+	rng := rand.New(rand.NewPCG(1, 1))
+	var tried []*Target
+	for range 3 {
+		target := pool.Pick(now, rng, tried)
+		if target == nil || wasTried(tried, target) {
+			t.Fatalf("picked %+v after %d", target, len(tried))
+		}
+		tried = append(tried, target)
+	}
+	if target := pool.Pick(now, rng, tried); target != nil {
+		t.Errorf("picked %+v although all were tried", target)
+	}
+}
+
+// A key keeps its home when other targets come and go.
+func TestHomeIsStable(t *testing.T) {
+	members := btfixture.Members(20, 3, 1, "v1")
+	all := Build(state("v1", "service-0"), members, place, nil).Line("c", "service-0").Current.Pool
+	fewer := Build(state("v1", "service-0"), members[:19], place, nil).Line("c", "service-0").Current.Pool
+	for key := range uint64(1000) {
+		home := all.Home(mix(key))
+		if home.Ref.Node != "node-0019" && fewer.Home(mix(key)).Ref.Node != home.Ref.Node {
+			t.Fatalf("key %d moved from %s", key, home.Ref.Node)
+		}
+	}
+}
+
+// The home of a key lies beside the same node for both versions of a rollout.
+func TestHomeIsTheSameForBothVersions(t *testing.T) {
+	members := btfixture.Members(6, 3, 1, "v1")
+	for i, m := range btfixture.Members(6, 3, 1, "v2") {
+		members[i].Targets = append(members[i].Targets, m.Targets...)
+	}
+	s := state("v1", "service-0")
+	rollOut(s, "service-0", "v2")
+	line := Build(s, members, place, nil).Line("c", "service-0")
+	for key := range uint64(100) {
+		old, next := line.Home(mix(key), &line.Current), line.Home(mix(key), &line.Next)
+		if old.Ref.Node != next.Ref.Node || next.Version != "v2" {
+			t.Fatalf("key %d: %+v and %+v", key, old.Ref, next.Ref)
+		}
+	}
+}
+
+func TestRoutingDoesNotAllocate(t *testing.T) {
+	table := Build(state("v1", "service-0", "service-1"), btfixture.Members(50, 7, 2, "v1"), place, nil)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var tried [3]*Target
+	allocs := testing.AllocsPerRun(1000, func() {
+		route := table.Match("c", "GET", "/service-1/x")
+		target := route.Line.Choose(0.5).Pool.Pick(now, rng, tried[:0])
+		target.Stats.Begin(now)
+		target.Stats.End(now, time.Millisecond, false)
+	})
+	if diff := cmp.Diff(0.0, allocs); diff != "" {
+		t.Errorf("allocations (-want +got):\n%s", diff)
+	}
+}
+
+// fleet returns the configuration and the members of the target size.
+func fleet() (*btconfig.State, []baobabtide.Member) {
+	var services []string
+	for i := range 250 {
+		services = append(services, fmt.Sprintf("service-%d", i))
+	}
+	return state("v1", services...), btfixture.Members(2000, 7, 250, "v1")
+}
+
+// Bounds on building a table for 2,000 targets in 250 services. They follow
+// from the target of 1,300 changes a day: each rebuild may make garbage for
+// one more table within a node's 32 MB.
+const (
+	maxBuildAllocs = 20_000
+	maxBuildBytes  = 4 << 20
+)
+
+func TestBuildStaysWithinItsBounds(t *testing.T) {
+	s, members := fleet()
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			Build(s, members, place, nil)
+		}
+	})
+	if got := result.AllocsPerOp(); got > maxBuildAllocs {
+		t.Errorf("%d allocations exceed %d", got, maxBuildAllocs)
+	}
+	if got := result.AllocedBytesPerOp(); got > maxBuildBytes {
+		t.Errorf("%d bytes exceed %d", got, maxBuildBytes)
+	}
+}
+
+func BenchmarkBuild2000(b *testing.B) {
+	s, members := fleet()
+	prev := Build(s, members, place, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		Build(s, members, place, prev)
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	s, members := fleet()
+	table := Build(s, members, place, nil)
+	rng := rand.New(rand.NewPCG(1, 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		route := table.Match("c", "GET", "/service-77/x")
+		route.Line.Choose(0.5).Pool.Pick(now, rng, nil)
+	}
+}
