--- /dev/null
+++ b/baobabtide-standin/btlogstandin/contract_test.go
@@ -0,0 +1,175 @@
+package btlogstandin_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
+	"github.com/baobabtide/baobabtide/btplatform"
+)
+
+const (
+	keep    = 5
+	stream  = baobabtide.ConfigStream
+	timeout = time.Second
+)
+
+// logs returns the implementations of baobabtide.Log, each with the stand-in
+// behind it.
+func logs(t *testing.T) map[string]func(appendsPerSecond int) (baobabtide.Log, *btlogstandin.Log) {
+	return map[string]func(int) (baobabtide.Log, *btlogstandin.Log){
+		"in memory": func(rate int) (baobabtide.Log, *btlogstandin.Log) {
+			l := btlogstandin.New(keep, rate)
+			return l, l
+		},
+		"over HTTP": func(rate int) (baobabtide.Log, *btlogstandin.Log) {
+			l := btlogstandin.New(keep, rate)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			server, stop := btlogstandin.NewServer(l)
+			go func() { _ = server.Serve(listener) }()
+			t.Cleanup(stop)
+			client, closeClient := btplatform.NewClient([]string{listener.Addr().String()}, timeout)
+			t.Cleanup(closeClient)
+			return client, l
+		},
+	}
+}
+
+func appendAll(t *testing.T, l baobabtide.Log, records ...string) {
+	t.Helper()
+	for _, r := range records {
+		if _, err := l.Append(context.Background(), stream, []byte(r)); err != nil {
+			t.Fatalf("append %q: %v", r, err)
+		}
+	}
+}
+
+// Each case states what a read shows or which error a call gives.
+func TestLogContract(t *testing.T) {
+	tests := map[string]struct {
+		rate int
+		run  func(t *testing.T, l baobabtide.Log, standin *btlogstandin.Log) ([]string, error)
+		want []string
+		err  error
+	}{
+		"empty stream": {100, func(_ *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			return read(l, 1)
+		}, nil, nil},
+		"read from an offset": {100, func(t *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b", "c")
+			return read(l, 2)
+		}, []string{"2 b", "3 c"}, nil},
+		"read beyond the end": {100, func(t *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a")
+			return read(l, 2)
+		}, nil, nil},
+		"read from the oldest": {100, func(t *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b", "c", "d", "e", "f")
+			return read(l, 0)
+		}, []string{"2 b", "3 c", "4 d", "5 e", "6 f"}, nil},
+		"read beyond the retention": {100, func(t *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b", "c", "d", "e", "f")
+			return read(l, 1)
+		}, nil, baobabtide.ErrRetention},
+		"wait for a record": {100, func(_ *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			go func() { _, _ = l.Append(context.Background(), stream, []byte("a")) }()
+			page, err := l.Read(context.Background(), stream, 1, timeout)
+			return texts(page), err
+		}, []string{"1 a"}, nil},
+		"outage of appends": {100, func(_ *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			s.SetFaults(btlogstandin.Faults{Outage: true})
+			_, err := l.Append(context.Background(), stream, []byte("a"))
+			return nil, err
+		}, nil, baobabtide.ErrUnavailable},
+		"outage of reads": {100, func(_ *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			s.SetFaults(btlogstandin.Faults{Outage: true})
+			return read(l, 1)
+		}, nil, baobabtide.ErrUnavailable},
+		"outage leaves no effect": {100, func(_ *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			s.SetFaults(btlogstandin.Faults{Outage: true})
+			_, _ = l.Append(context.Background(), stream, []byte("a"))
+			s.SetFaults(btlogstandin.Faults{})
+			return read(l, 1)
+		}, nil, nil},
+		"lost answer": {100, func(_ *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			s.SetFaults(btlogstandin.Faults{LoseAnswers: 1})
+			_, err := l.Append(context.Background(), stream, []byte("a"))
+			return nil, err
+		}, nil, baobabtide.ErrUncertain},
+		"lost answer had its effect": {100, func(t *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			s.SetFaults(btlogstandin.Faults{LoseAnswers: 1})
+			_, _ = l.Append(context.Background(), stream, []byte("a"))
+			appendAll(t, l, "b")
+			return read(l, 1)
+		}, []string{"1 a", "2 b"}, nil},
+		"too many appends": {10, func(t *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a")
+			_, err := l.Append(context.Background(), stream, []byte("b"))
+			return nil, err
+		}, nil, baobabtide.ErrUnavailable},
+	}
+	for name, tt := range tests {
+		for kind, open := range logs(t) {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				l, standin := open(tt.rate)
+				got, err := tt.run(t, l, standin)
+				if !errors.Is(err, tt.err) {
+					t.Fatalf("error %v, want %v", err, tt.err)
+				}
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Errorf("records (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+func read(l baobabtide.Log, from baobabtide.Offset) ([]string, error) {
+	page, err := l.Read(context.Background(), stream, from, 0)
+	return texts(page), err
+}
+
+func texts(page baobabtide.Page) []string {
+	var all []string
+	for _, e := range page.Entries {
+		all = append(all, string(rune('0'+e.Offset))+" "+string(e.Data))
+	}
+	return all
+}
+
+func TestUnreachableLogIsUnavailable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	client, closeClient := btplatform.NewClient([]string{address}, timeout)
+	defer closeClient()
+	if _, err := client.Append(context.Background(), stream, nil); !errors.Is(err, baobabtide.ErrUnavailable) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// A log that takes a call in and never answers may have had the effect.
+func TestSilentLogIsUncertain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, closeClient := btplatform.NewClient([]string{listener.Addr().String()}, 100*time.Millisecond)
+	defer closeClient()
+	if _, err := client.Append(context.Background(), stream, []byte("a")); !errors.Is(err, baobabtide.ErrUncertain) {
+		t.Errorf("error %v", err)
+	}
+}
--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -136,22 +136,19 @@
 	if err != nil {
 		stop()
 		p.drop(c)
-		return nil, lostBackend(ctx, err)
+		return nil, lostBackend(ctx, req.Deadline, err)
 	}
 	return p.response(c, req, resp, stop)
 }
 
 // lostBackend reports a request that was sent at least in part.
-func lostBackend(ctx context.Context, err error) *baobabtide.RequestError {
+func lostBackend(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
 	re := &baobabtide.RequestError{Reason: baobabtide.ReasonBackend, Err: err}
-	var timeout net.Error
 	switch {
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case !time.Now().Before(deadline):
 		re.Reason = baobabtide.ReasonDeadline
 	case ctx.Err() != nil:
 		re.Reason = baobabtide.ReasonCanceled
-	case errors.As(err, &timeout) && timeout.Timeout():
-		re.Reason = baobabtide.ReasonDeadline
 	}
 	return re
 }
--- /dev/null
+++ b/btbackend/pool_test.go
@@ -0,0 +1,241 @@
+package btbackend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// rawServer accepts connections and hands each request to a function that
+// writes whatever it likes.
+func rawServer(t *testing.T, serve func(c net.Conn, request, connection int)) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var connections atomic.Int64
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := int(connections.Add(1))
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for request := 1; ; request++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					serve(c, request, number)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), &connections
+}
+
+func write(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+func request(timeout time.Duration) *baobabtide.Request {
+	return &baobabtide.Request{Attempt: "a", Method: "POST", Target: "/x", Deadline: time.Now().Add(timeout)}
+}
+
+// outcome is what a call to a backend server shows.
+type outcome struct {
+	Status  int
+	Body    string
+	Verdict baobabtide.Verdict
+	Reason  baobabtide.Reason
+}
+
+func do(ctx context.Context, p *Pool, req *baobabtide.Request) outcome {
+	resp, err := p.Do(ctx, req)
+	if err != nil {
+		re := baobabtide.AsRequestError(err)
+		return outcome{Verdict: re.Verdict, Reason: re.Reason}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		re := baobabtide.AsRequestError(err)
+		return outcome{Status: resp.Status, Verdict: re.Verdict, Reason: re.Reason}
+	}
+	return outcome{Status: resp.Status, Body: string(body), Verdict: baobabtide.Ran}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestWhatABackendServerMayDo(t *testing.T) {
+	tests := map[string]struct {
+		serve func(c net.Conn, request, connection int)
+		want  outcome
+	}{
+		"answers": {func(c net.Conn, _, _ int) { write(c, okAnswer) }, outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}},
+		"answers in chunks": {func(c net.Conn, _, _ int) {
+			write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n")
+		}, outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}},
+		"fails": {func(c net.Conn, _, _ int) { write(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n") }, outcome{Status: 500, Verdict: baobabtide.Ran}},
+		"sheds": {func(c net.Conn, _, _ int) {
+			write(c, "HTTP/1.1 503 No\r\nBaobabtide-Shed: 1\r\nContent-Length: 0\r\n\r\n")
+		}, outcome{Verdict: baobabtide.NotRun, Reason: baobabtide.ReasonOverload}},
+		"closes before it answers": {func(c net.Conn, _, _ int) { _ = c.Close() }, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}},
+		"never answers":            {func(net.Conn, int, int) {}, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonDeadline}},
+		"cuts a body with a length": {func(c net.Conn, _, _ int) {
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
+			_ = c.Close()
+		}, outcome{Status: 200, Verdict: baobabtide.Ran, Reason: baobabtide.ReasonTruncated}},
+		"cuts a body in chunks": {func(c net.Conn, _, _ int) {
+			write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+			_ = c.Close()
+		}, outcome{Status: 200, Verdict: baobabtide.Ran, Reason: baobabtide.ReasonTruncated}},
+		"gives no length": {func(c net.Conn, _, _ int) {
+			write(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok")
+			_ = c.Close()
+		}, outcome{Verdict: baobabtide.Ran, Reason: baobabtide.ReasonTruncated}},
+		"answers with nonsense": {func(c net.Conn, _, _ int) { write(c, "nonsense\r\n\r\n") }, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := rawServer(t, tt.serve)
+			p, closePool := NewPool(address, 1)
+			defer closePool()
+			if diff := cmp.Diff(tt.want, do(context.Background(), p, request(300*time.Millisecond))); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			if len(p.tokens) != 0 {
+				t.Error("the connection's token was not given back")
+			}
+		})
+	}
+}
+
+func TestUnreachableBackendServerHasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	p, closePool := NewPool(address, 1)
+	defer closePool()
+	want := outcome{Verdict: baobabtide.NotRun, Reason: baobabtide.ReasonBackend}
+	if diff := cmp.Diff(want, do(context.Background(), p, request(time.Second))); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
+
+// An answer that comes after its request was given up must never reach the
+// next request.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	late := make(chan struct{})
+	address, connections := rawServer(t, func(c net.Conn, _, connection int) {
+		if connection == 1 {
+			<-late
+			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+			return
+		}
+		write(c, okAnswer)
+	})
+	p, closePool := NewPool(address, 1)
+	defer closePool()
+	do(context.Background(), p, request(50*time.Millisecond))
+	close(late)
+	want := outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}
+	if diff := cmp.Diff(want, do(context.Background(), p, request(time.Second))); diff != "" {
+		t.Errorf("next request (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(2), connections.Load()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
+
+// A second answer to one request makes the connection unfit for the next.
+func TestSurplusAnswerReachesNobody(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn, _, connection int) {
+		if connection == 1 {
+			write(c, okAnswer+strings.Replace(okAnswer, "ok", "no", 1))
+			return
+		}
+		write(c, okAnswer)
+	})
+	p, closePool := NewPool(address, 1)
+	defer closePool()
+	for range 2 {
+		if diff := cmp.Diff("ok", do(context.Background(), p, request(time.Second)).Body); diff != "" {
+			t.Errorf("body (-want +got):\n%s", diff)
+		}
+	}
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	address, connections := rawServer(t, func(c net.Conn, _, _ int) { write(c, okAnswer) })
+	p, closePool := NewPool(address, 4)
+	defer closePool()
+	for range 5 {
+		do(context.Background(), p, request(time.Second))
+	}
+	if diff := cmp.Diff(int64(1), connections.Load()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
+
+// A caller that goes away ends the request at once and closes its connection,
+// which the backend server can see.
+func TestCancellationReachesTheBackendServer(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := rawServer(t, func(c net.Conn, _, _ int) {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	p, closePool := NewPool(address, 1)
+	defer closePool()
+	gone := errors.New("gone")
+	ctx, cancel := context.WithCancelCause(context.Background())
+	time.AfterFunc(20*time.Millisecond, func() { cancel(gone) })
+	want := outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonCanceled}
+	if diff := cmp.Diff(want, do(ctx, p, request(time.Minute))); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+	<-closed
+}
+
+func TestRegistry(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	announce := func(incarnation uint64) Announcement {
+		return Announcement{Name: "b", Service: "s", Version: "v1", Address: "h:1", State: baobabtide.TargetReady, Slots: 1, Incarnation: incarnation, Lease: time.Second}
+	}
+	var r Registry
+	changed := r.Changed()
+	if !r.Announce(announce(2), now) {
+		t.Fatal("first announcement was refused")
+	}
+	<-changed
+	if r.Announce(announce(1), now) {
+		t.Error("an older incarnation replaced a newer one")
+	}
+	r.Expire(now.Add(time.Second))
+	if diff := cmp.Diff(1, len(r.Targets())); diff != "" {
+		t.Errorf("targets within the lease (-want +got):\n%s", diff)
+	}
+	r.Expire(now.Add(time.Second + 1))
+	if diff := cmp.Diff(0, len(r.Targets())); diff != "" {
+		t.Errorf("targets after the lease (-want +got):\n%s", diff)
+	}
+}
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -108,7 +108,7 @@
 func handleMalformed(ctx *fasthttp.RequestCtx, err error) {
 	refusal := baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
 	var tooSmall *fasthttp.ErrSmallBuffer
-	if errors.As(err, &tooSmall) {
+	if errors.As(err, &tooSmall) || errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		refusal.Reason = baobabtide.ReasonTooLarge
 	}
 	writeRefusal(ctx, refusal)
--- /dev/null
+++ b/btcaller/server_test.go
@@ -0,0 +1,237 @@
+package btcaller
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconn"
+)
+
+// handlerFunc is a baobabtide.Handler.
+type handlerFunc func(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error)
+
+func (f handlerFunc) Serve(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+	return f(ctx, req)
+}
+
+func start(t *testing.T, h handlerFunc) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, stop := NewServer(h, Limits{HeaderBytes: 4096, BodyBytes: 200_000, Connections: 100})
+	go func() { _ = server.Serve(listener, nil) }()
+	t.Cleanup(stop)
+	return listener.Addr().String()
+}
+
+// send writes a request's bytes, closes the sending side where asked to and
+// returns the answer.
+func send(t *testing.T, address, text string, closeWrite bool) (*http.Response, string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	if closeWrite {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func text(body string) *baobabtide.Response {
+	return &baobabtide.Response{Status: 200, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body))}
+}
+
+// brokenBody ends with an error.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (brokenBody) Close() error { return nil }
+
+// answer is the part of an answer that the tests compare.
+type answer struct {
+	Status  int
+	Verdict string
+	Reason  string
+}
+
+// Malformed input gets a 4xx and touches nothing.
+func TestMalformedInputTouchesNothing(t *testing.T) {
+	head := "Host: h\r\n"
+	tests := map[string]struct {
+		text string
+		want answer
+	}{
+		"nonsense":              {"nonsense\r\n\r\n", answer{400, "not-run", "bad-request"}},
+		"header too large":      {"GET / HTTP/1.1\r\n" + head + "X: " + strings.Repeat("x", 5000) + "\r\n\r\n", answer{413, "not-run", "too-large"}},
+		"body too large":        {"POST / HTTP/1.1\r\n" + head + "Content-Length: 200001\r\n\r\n" + strings.Repeat("b", 200_001), answer{413, "not-run", "too-large"}},
+		"bad timeout":           {"GET / HTTP/1.1\r\n" + head + "Baobabtide-Timeout: soon\r\n\r\n", answer{400, "not-run", "bad-request"}},
+		"negative timeout":      {"GET / HTTP/1.1\r\n" + head + "Baobabtide-Timeout: -5\r\n\r\n", answer{400, "not-run", "bad-request"}},
+		"bad depth":             {"GET / HTTP/1.1\r\n" + head + "Baobabtide-Depth: x\r\n\r\n", answer{400, "not-run", "bad-request"}},
+		"key too long":          {"POST / HTTP/1.1\r\n" + head + "Idempotency-Key: " + strings.Repeat("k", 300) + "\r\nContent-Length: 0\r\n\r\n", answer{400, "not-run", "bad-request"}},
+		"body ends too early":   {"POST / HTTP/1.1\r\n" + head + "Content-Length: 10\r\n\r\nshort", answer{400, "not-run", "bad-request"}},
+		"two different lengths": {"POST / HTTP/1.1\r\n" + head + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", answer{400, "not-run", "bad-request"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := start(t, func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+				t.Error("the request went on")
+				return text(""), nil
+			})
+			resp, _, err := send(t, address, tt.text, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := answer{resp.StatusCode, resp.Header.Get(HeaderVerdict), resp.Header.Get(HeaderReason)}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestRequestIsPassedOnWhole(t *testing.T) {
+	body := strings.Repeat("b", 150_000) // longer than what is kept in memory
+	var got string
+	address := start(t, func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		data, err := io.ReadAll(req.Body)
+		got = fmt.Sprintf("%s %s %s %s %d %v", req.Method, req.Target, req.Customer, req.Key, len(data), err)
+		return text("ok"), nil
+	})
+	head := "PATCH /a/b?c=d HTTP/1.1\r\nHost: h\r\nBaobabtide-Customer: c\r\nIdempotency-Key: k\r\n"
+	for name, request := range map[string]string{
+		"length": head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks": head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, answered, err := send(t, address, request, false); err != nil || answered != "ok" {
+				t.Fatalf("answer %q, %v", answered, err)
+			}
+			if diff := cmp.Diff("PATCH /a/b?c=d c k 150000 <nil>", got); diff != "" {
+				t.Errorf("request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A body that breaks off while it is streamed must not pass for whole.
+func TestStreamedBodyThatBreaksOff(t *testing.T) {
+	read := make(chan error, 1)
+	address := start(t, func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		_, err := io.Copy(io.Discard, req.Body)
+		read <- err
+		return nil, baobabtide.AsRequestError(err)
+	})
+	request := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 150000\r\n\r\n" + strings.Repeat("b", 100_000)
+	_, _, _ = send(t, address, request, true)
+	if err := <-read; !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("reading the body: %v", err)
+	}
+}
+
+func TestRefusalsAndAnswers(t *testing.T) {
+	tests := map[string]struct {
+		resp       *baobabtide.Response
+		err        error
+		want       answer
+		retryAfter string
+	}{
+		"whole answer": {text("ok"), nil, answer{200, "ran", ""}, ""},
+		"overload":     {nil, baobabtide.Refuse(baobabtide.ReasonOverload, 1200*time.Millisecond, nil), answer{503, "not-run", "overload"}, "2"},
+		"rate limit":   {nil, baobabtide.Refuse(baobabtide.ReasonRateLimit, time.Millisecond, nil), answer{429, "not-run", "rate-limit"}, "1"},
+		"in doubt":     {nil, &baobabtide.RequestError{Reason: baobabtide.ReasonLost}, answer{502, "may-have-run", "connection-lost"}, ""},
+		"other error":  {nil, errors.New("other"), answer{502, "may-have-run", "connection-lost"}, ""},
+		"short answer that breaks off": {
+			&baobabtide.Response{Status: 200, Body: brokenBody{strings.NewReader("o")}, Length: 2}, nil,
+			answer{502, "ran", "truncated-response"},
+			"",
+		},
+		"short answer that ends early": {
+			&baobabtide.Response{Status: 200, Body: io.NopCloser(strings.NewReader("o")), Length: 2}, nil,
+			answer{502, "ran", "truncated-response"},
+			"",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := start(t, func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) { return tt.resp, tt.err })
+			resp, _, err := send(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := answer{resp.StatusCode, resp.Header.Get(HeaderVerdict), resp.Header.Get(HeaderReason)}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.retryAfter, resp.Header.Get("Retry-After")); diff != "" {
+				t.Errorf("Retry-After (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A long answer that breaks off ends the caller's connection before its end.
+func TestLongAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	for name, length := range map[string]int64{"length": 200_000, "chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			address := start(t, func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+				return &baobabtide.Response{Status: 200, Body: brokenBody{strings.NewReader(strings.Repeat("x", 100_000))}, Length: length}, nil
+			})
+			if _, body, err := send(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false); err == nil {
+				t.Errorf("%d bytes passed for whole", len(body))
+			}
+		})
+	}
+}
+
+func TestCallerThatGoesAwayCancelsItsRequest(t *testing.T) {
+	canceled := make(chan error, 1)
+	entered := make(chan struct{})
+	address := start(t, func(ctx context.Context, _ *baobabtide.Request) (*baobabtide.Response, error) {
+		close(entered)
+		<-ctx.Done()
+		canceled <- context.Cause(ctx)
+		return nil, ctx.Err()
+	})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-entered
+	_ = c.Close()
+	if err := <-canceled; !errors.Is(err, btconn.ErrGone) {
+		t.Errorf("cause %v", err)
+	}
+}
--- /dev/null
+++ b/btpeer/peer_test.go
@@ -0,0 +1,300 @@
+package btpeer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+)
+
+// fakeNode answers calls with its functions.
+type fakeNode struct {
+	admit  func(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error)
+	settle func(attempt string) baobabtide.Verdict
+}
+
+func (n *fakeNode) Admit(ctx context.Context, _ string, _ uint64, req *baobabtide.Request) (*baobabtide.Response, error) {
+	return n.admit(ctx, req)
+}
+func (n *fakeNode) SettleLocal(attempt string) baobabtide.Verdict { return n.settle(attempt) }
+func (n *fakeNode) Info() Info                                    { return Info{Node: "fake"} }
+func (n *fakeNode) Drain(string) int                              { return 0 }
+func (n *fakeNode) Gossip(conn *Stream[Gossip, Gossip]) error {
+	for {
+		m, err := conn.Recv()
+		if err != nil {
+			return err
+		}
+		if err := conn.Send(m); err != nil {
+			return err
+		}
+	}
+}
+
+func serve(t *testing.T, n Node) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, stop := NewServer(n, nil, &ByteCounter{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(stop)
+	return listener.Addr().String()
+}
+
+func client(t *testing.T) *Client {
+	t.Helper()
+	c, closeClient := NewClient(nil, &ByteCounter{}, nil)
+	t.Cleanup(closeClient)
+	return c
+}
+
+func request(body string, timeout time.Duration) *baobabtide.Request {
+	req := &baobabtide.Request{Attempt: "a", Method: "POST", Target: "/x", Deadline: time.Now().Add(timeout)}
+	if body != "" {
+		req.Body, req.BodyLength = &baobabtide.BytesBody{Data: []byte(body)}, int64(len(body))
+	}
+	return req
+}
+
+func text(body string) *baobabtide.Response {
+	return &baobabtide.Response{Status: 200, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body))}
+}
+
+// brokenBody ends with an error.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (brokenBody) Close() error { return nil }
+
+func TestBodiesOfAllSizes(t *testing.T) {
+	echo := &fakeNode{admit: func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		if req.Body == nil {
+			return text(""), nil
+		}
+		data, err := io.ReadAll(req.Body)
+		if err != nil {
+			return nil, err
+		}
+		return text(string(data)), nil
+	}}
+	target := baobabtide.TargetRef{Node: "n", Address: serve(t, echo)}
+	c := client(t)
+	for _, size := range []int{0, 1, firstBodyPart - 1, firstBodyPart, firstBodyPart + 1, maxBodyPart, 3*maxBodyPart + 7, 5 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			body := string(bytes.Repeat([]byte("0123456789"), size/10+1)[:size])
+			resp, err := c.Forward(context.Background(), target, request(body, 10*time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			got, err := io.ReadAll(resp.Body)
+			if err != nil || string(got) != body {
+				t.Errorf("%d bytes came back, %v", len(got), err)
+			}
+		})
+	}
+}
+
+// Each case states what the asking node learns.
+func TestForwardTellsWhatIsProven(t *testing.T) {
+	type outcome struct {
+		Verdict baobabtide.Verdict
+		Reason  baobabtide.Reason
+	}
+	stuck := func(ctx context.Context, _ *baobabtide.Request) (*baobabtide.Response, error) {
+		<-ctx.Done()
+		return nil, &baobabtide.RequestError{Reason: baobabtide.ReasonDeadline, Err: ctx.Err()}
+	}
+	tests := map[string]struct {
+		admit func(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error)
+		want  outcome
+	}{
+		"refused": {func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+			return nil, baobabtide.Refuse(baobabtide.ReasonOverload, time.Second, errors.New("full"))
+		}, outcome{baobabtide.NotRun, baobabtide.ReasonOverload}},
+		"in doubt": {func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+			return nil, errors.New("backend server lost")
+		}, outcome{baobabtide.MayHaveRun, baobabtide.ReasonLost}},
+		"deadline": {stuck, outcome{baobabtide.MayHaveRun, baobabtide.ReasonDeadline}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			target := baobabtide.TargetRef{Address: serve(t, &fakeNode{admit: tt.admit})}
+			_, err := client(t).Forward(context.Background(), target, request("", 200*time.Millisecond))
+			re := baobabtide.AsRequestError(err)
+			if diff := cmp.Diff(tt.want, outcome{re.Verdict, re.Reason}); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestUnreachableNodeHasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = client(t).Forward(context.Background(), baobabtide.TargetRef{Address: address}, request("", 500*time.Millisecond))
+	if diff := cmp.Diff(baobabtide.NotRun, baobabtide.AsRequestError(err).Verdict); diff != "" {
+		t.Errorf("verdict (-want +got):\n%s", diff)
+	}
+}
+
+// A node that dies with a request in hand leaves it in doubt.
+func TestNodeThatDiesWithARequest(t *testing.T) {
+	entered := make(chan struct{})
+	node := &fakeNode{admit: func(ctx context.Context, _ *baobabtide.Request) (*baobabtide.Response, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, _ := NewServer(node, nil, &ByteCounter{})
+	go func() { _ = server.Serve(listener) }()
+	go func() {
+		<-entered
+		server.grpc.Stop()
+	}()
+	_, err = client(t).Forward(context.Background(), baobabtide.TargetRef{Address: listener.Addr().String()}, request("", 5*time.Second))
+	if diff := cmp.Diff(baobabtide.MayHaveRun, baobabtide.AsRequestError(err).Verdict); diff != "" {
+		t.Errorf("verdict (-want +got):\n%s", diff)
+	}
+}
+
+func TestAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	node := &fakeNode{admit: func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+		return &baobabtide.Response{Status: 200, Body: brokenBody{strings.NewReader(strings.Repeat("x", 3*maxBodyPart))}, Length: -1}, nil
+	}}
+	resp, err := client(t).Forward(context.Background(), baobabtide.TargetRef{Address: serve(t, node)}, request("", 5*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	re := baobabtide.AsRequestError(err)
+	if err == nil || re.Verdict != baobabtide.Ran || re.Reason != baobabtide.ReasonTruncated {
+		t.Errorf("error %v", err)
+	}
+}
+
+// callerBody breaks off.
+type callerBody struct{ brokenBody }
+
+func (callerBody) Rewind() bool { return false }
+
+func TestBodyThatBreaksOffIsNotWhole(t *testing.T) {
+	read := make(chan error, 1)
+	node := &fakeNode{admit: func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		_, err := io.Copy(io.Discard, req.Body)
+		read <- err
+		return nil, err
+	}}
+	req := request("", 5*time.Second)
+	req.Body, req.BodyLength = callerBody{brokenBody{strings.NewReader(strings.Repeat("x", 3*maxBodyPart))}}, -1
+	_, _ = client(t).Forward(context.Background(), baobabtide.TargetRef{Address: serve(t, node)}, req)
+	if err := <-read; err == nil {
+		t.Error("a body that broke off was read to its end")
+	}
+}
+
+func TestCancellationTravels(t *testing.T) {
+	entered, ended := make(chan struct{}), make(chan struct{})
+	node := &fakeNode{admit: func(ctx context.Context, _ *baobabtide.Request) (*baobabtide.Response, error) {
+		close(entered)
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-entered
+		cancel()
+	}()
+	_, err := client(t).Forward(ctx, baobabtide.TargetRef{Address: serve(t, node)}, request("", time.Minute))
+	if diff := cmp.Diff(baobabtide.ReasonCanceled, baobabtide.AsRequestError(err).Reason); diff != "" {
+		t.Errorf("reason (-want +got):\n%s", diff)
+	}
+	<-ended
+}
+
+func TestSettle(t *testing.T) {
+	node := &fakeNode{settle: func(attempt string) baobabtide.Verdict {
+		if attempt == "ran" {
+			return baobabtide.Ran
+		}
+		return baobabtide.NotRun
+	}}
+	target := baobabtide.TargetRef{Address: serve(t, node)}
+	for attempt, want := range map[string]baobabtide.Verdict{"ran": baobabtide.Ran, "other": baobabtide.NotRun} {
+		got, err := client(t).Settle(context.Background(), target, attempt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("verdict (-want +got):\n%s", diff)
+		}
+	}
+}
+
+func TestGossipBytesAreCounted(t *testing.T) {
+	var bytes ByteCounter
+	c, closeClient := NewClient(nil, &bytes, nil)
+	defer closeClient()
+	conn, end, err := c.Gossip(context.Background(), serve(t, &fakeNode{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer end()
+	if err := conn.Send(&Gossip{Hello: &Hello{Node: "n"}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	totals := bytes.Totals()
+	if totals.Out == 0 || totals.In == 0 {
+		t.Errorf("totals %+v", totals)
+	}
+}
+
+func FuzzDecodeGossip(f *testing.F) {
+	data, err := btcodec.EncodeCBOR(&Gossip{
+		Hello:     &Hello{Node: "n"},
+		Heartbeat: &Heartbeat{Offset: 1},
+		Members:   []baobabtide.Member{{Name: "n", Zone: "z"}},
+		Repair:    &Repair{Buckets: []int{1}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = btcodec.DecodeCBOR(data, &Gossip{})
+		_ = btcodec.DecodeCBOR(data, &RequestFrame{})
+		_ = btcodec.DecodeCBOR(data, &ResponseFrame{})
+	})
+}
--- a/bttls/loader.go
+++ b/bttls/loader.go
@@ -14,7 +14,7 @@
 	"github.com/baobabtide/baobabtide/btsettings"
 )
 
-const checkPeriod = 5 * time.Second
+const defaultCheckPeriod = 5 * time.Second
 
 // material is what was read from the files.
 type material struct {
@@ -24,6 +24,10 @@
 
 // Loader reads the files of a TLS section.
 type Loader struct {
+	// CheckPeriod is the time between looks at the files. It must not change
+	// once the loader is in use.
+	CheckPeriod time.Duration
+
 	settings btsettings.TLS
 
 	mu       sync.Mutex
@@ -37,7 +41,7 @@
 	if settings.Plaintext {
 		return nil, nil
 	}
-	l := &Loader{settings: settings}
+	l := &Loader{settings: settings, CheckPeriod: defaultCheckPeriod}
 	if err := l.reload(); err != nil {
 		return nil, err
 	}
@@ -82,7 +86,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if now.Sub(l.checked) < checkPeriod {
+	if now.Sub(l.checked) < l.CheckPeriod {
 		return l.current
 	}
 	l.checked = now
