btmember: expect heartbeats only of connected members

Cause: at 200 nodes the whole machine was busy with suspicions and version 26 was not in force everywhere after 60 s. A message that a worker handled after its edge was closed put the member back among those expected to be heard; it was accused, refuted and accused again for ever, 4 floods a second. Ruled out by trial: dial timeouts alone (accusing only on refused connections left the loop), suspicions in the digest, the size of repairs, heartbeats that break edges too early. Each made it milder and is kept: a repair sends versions first, a node that is late itself waits longer, refused and timed-out connections differ. Change: Heard does not start an expectation; expectations without an edge or a neighbor are dropped every tick; edges of the join phase end at different times.

--- a/baobabtide-load/btdeploy/deployment.go
+++ b/baobabtide-load/btdeploy/deployment.go
@@ -298,6 +298,9 @@
 	if d.Spec.SnapshotEvery > 0 {
 		s.Platform.SnapshotEvery = d.Spec.SnapshotEvery
 	}
+	if level := os.Getenv("BAOBABTIDE_LOG_LEVEL"); level != "" {
+		s.Log.Level = level
+	}
 	s.TLS.Plaintext = true
 	return writeJSON(n.settings, s)
 }
--- a/btmember/detect.go
+++ b/btmember/detect.go
@@ -11,23 +11,40 @@
 	"github.com/baobabtide/baobabtide"
 )
 
-// Heard notes that a neighbor gave a sign of life.
+const (
+	latenessWeight   = 8  // smoothing of the delay of ticks
+	latenessFactor   = 20 // a smoothed delay of 100 ms adds 2 s to the silence limit
+	maxSilenceFactor = 3  // the limit grows to four times its value at most
+)
+
+// Heard notes that a neighbor gave a sign of life. A message that arrives after
+// its connection was closed makes nobody a neighbor again.
 func (t *Table) Heard(name string, now time.Time) {
-	if e, ok := t.entries[name]; ok && e.member.Status < baobabtide.Failed {
+	if _, watched := t.heard[name]; watched {
 		t.heard[name] = now
 	}
 }
 
 // Watch starts to expect heartbeats from a neighbor.
 func (t *Table) Watch(name string, now time.Time) {
-	if _, ok := t.heard[name]; !ok {
-		t.Heard(name, now)
+	e, ok := t.entries[name]
+	if _, watched := t.heard[name]; !watched && ok && e.member.Status < baobabtide.Failed {
+		t.heard[name] = now
 	}
 }
 
 // Unwatch ends the expectation of heartbeats from a former neighbor.
 func (t *Table) Unwatch(name string) { delete(t.heard, name) }
 
+// Retain ends the expectation of heartbeats from all that keep does not name.
+func (t *Table) Retain(keep func(name string) bool) {
+	for name := range t.heard {
+		if !keep(name) {
+			delete(t.heard, name)
+		}
+	}
+}
+
 // Accuse marks a member as suspect because it could not be reached.
 func (t *Table) Accuse(name string, now time.Time) Delta {
 	e, ok := t.entries[name]
@@ -50,8 +67,7 @@
 // that are long gone. A tick that comes late means that this node was paused:
 // then its neighbors get a new chance before they are accused.
 func (t *Table) Tick(now time.Time) Delta {
-	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > t.timing.SilenceLimit/2
-	t.lastTick = now
+	paused := t.noteTick(now)
 	if paused {
 		for name := range t.heard {
 			t.heard[name] = now
@@ -60,7 +76,7 @@
 	}
 	var delta Delta
 	for name, heard := range t.heard {
-		if now.Sub(heard) > t.timing.SilenceLimit {
+		if now.Sub(heard) > t.silenceLimit() {
 			delta.Append(t.Accuse(name, now))
 		}
 	}
@@ -76,6 +92,37 @@
 	return delta
 }
 
+// noteTick measures how late a tick comes and tells whether the node was
+// paused since the last one.
+func (t *Table) noteTick(now time.Time) bool {
+	first := t.lastTick.IsZero()
+	gap := now.Sub(t.lastTick)
+	t.lastTick = now
+	if first {
+		return false
+	}
+	late := max(0, gap-t.timing.Tick)
+	t.lateness += (late - t.lateness) / latenessWeight
+	return gap > t.timing.SilenceLimit/2
+}
+
+// silenceLimit grows on a node that is short of processor time itself, because
+// there the silence of others proves little.
+func (t *Table) silenceLimit() time.Duration {
+	return t.timing.SilenceLimit + min(latenessFactor*t.lateness, maxSilenceFactor*t.timing.SilenceLimit)
+}
+
+// Unreachable notes that a connection to a member could not be opened. Where
+// the other end refused it, the member is accused at once; otherwise only once
+// it has been silent for long, because the delay may be this node's own.
+func (t *Table) Unreachable(name string, refused bool, now time.Time) Delta {
+	if refused {
+		return t.Accuse(name, now)
+	}
+	t.Watch(name, now)
+	return Delta{}
+}
+
 func (t *Table) confirmed(e *entry, now time.Time) bool {
 	age := now.Sub(e.changed)
 	if len(e.member.Accusers) >= 2 {
--- a/btmember/merge.go
+++ b/btmember/merge.go
@@ -92,9 +92,3 @@
 	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence &&
 		a.Status == b.Status && slices.Equal(a.Accusers, b.Accusers)
 }
-
-// Newer tells whether a carries knowledge of a member that b lacks.
-func Newer(a, b baobabtide.Member) bool {
-	joined := Join(b, a)
-	return !sameRecord(&joined, &b)
-}
--- a/btmember/table.go
+++ b/btmember/table.go
@@ -22,6 +22,7 @@
 
 // Timing holds the periods of failure detection.
 type Timing struct {
+	Tick           time.Duration // period of Table.Tick
 	Heartbeat      time.Duration // period of heartbeats to each neighbor
 	SilenceLimit   time.Duration // silence after which a neighbor is accused
 	ConfirmQuorum  time.Duration // suspicion by two or more accusers becomes failure
@@ -33,9 +34,10 @@
 // DefaultTiming returns the periods that Table uses for a zero Timing.
 func DefaultTiming() Timing {
 	return Timing{
+		Tick:           250 * time.Millisecond,
 		Heartbeat:      time.Second,
-		SilenceLimit:   3 * time.Second,
-		ConfirmQuorum:  500 * time.Millisecond,
+		SilenceLimit:   4 * time.Second,
+		ConfirmQuorum:  time.Second,
 		ConfirmSingle:  3 * time.Second,
 		ForgetAfter:    time.Hour,
 		RejoinInterval: 5 * time.Second,
@@ -59,6 +61,7 @@
 	buckets    [Buckets]uint64 // xor of the hashes of the entries of a bucket
 	heard      map[string]time.Time
 	lastTick   time.Time
+	lateness   time.Duration // smoothed delay of ticks, shows that this node is short of processor time
 	lastRejoin time.Time
 	generation uint64 // rises with each change
 	rng        *rand.Rand
@@ -243,18 +246,18 @@
 	return positions
 }
 
-// recordHash covers what Join orders by. Failed and left members count as
-// absent, so that nodes that forgot them agree with those that have not.
+// recordHash covers what a member announces. Failed and left members count as
+// absent, so that nodes that forgot them agree with those that have not. A
+// suspicion does not count: it is confirmed or refuted before a repair is due.
 func recordHash(m *baobabtide.Member) uint64 {
 	if m.Status >= baobabtide.Failed {
 		return 0
 	}
 	d := xxhash.New()
 	_, _ = d.WriteString(m.Name)
-	var fields [17]byte
+	var fields [16]byte
 	binary.LittleEndian.PutUint64(fields[0:], m.Incarnation)
 	binary.LittleEndian.PutUint64(fields[8:], m.Sequence)
-	fields[16] = byte(m.Status)
 	_, _ = d.Write(fields[:])
 	return d.Sum64()
 }
@@ -275,20 +278,3 @@
 	}
 	return differing
 }
-
-// BucketMembers returns the records of some buckets.
-func (t *Table) BucketMembers(buckets []int) []baobabtide.Member {
-	var wanted [Buckets]bool
-	for _, b := range buckets {
-		if b >= 0 && b < Buckets {
-			wanted[b] = true
-		}
-	}
-	var members []baobabtide.Member
-	for name, e := range t.entries {
-		if wanted[bucketOf(name)] {
-			members = append(members, e.member)
-		}
-	}
-	return members
-}
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,10 +14,12 @@
 )
 
 const (
-	edgeQueue     = 256                    // messages that wait to be sent on one edge
-	dialTimeout   = time.Second            // of a gossip connection
-	helloTimeout  = 2 * time.Second        // time to the first message of the other end
-	extraLifetime = 10 * time.Second       // of an edge that is not to a neighbor
+	edgeQueue     = 256              // messages that wait to be sent on one edge
+	dialTimeout   = 2 * time.Second  // of a gossip connection
+	helloTimeout  = 2 * time.Second  // time to the first message of the other end
+	extraLifetime = 10 * time.Second // of an edge that is not to a neighbor, up to twice as long
+	silentPart    = 5                // an edge is replaced after 5/8 of the silence after which its node is accused
+	silentWhole   = 8
 	redialPause   = 500 * time.Millisecond // between attempts to open one edge
 )
 
@@ -28,13 +31,14 @@
 	name     string // node at the other end
 	outgoing bool
 	opened   time.Time
+	lifetime time.Duration // if the other end is not a neighbor
 	queue    chan *btpeer.Gossip
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
 	mu       sync.Mutex
 	heard    time.Time // last message of the other end
-	synced   time.Time // last exchange of digests
+	compared bool      // digests were compared once
 	mismatch time.Time // since when the membership differs, zero if it does not
 }
 
@@ -93,6 +97,17 @@
 	return len(s.set)
 }
 
+// names returns the nodes to which there is an edge.
+func (s *edges) names() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make(map[string]bool, len(s.set))
+	for e := range s.set {
+		names[e.name] = true
+	}
+	return names
+}
+
 func (s *edges) connected(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,8 +158,10 @@
 // tickEdges keeps an edge to each neighbor, sends heartbeats and replaces
 // silent edges.
 func (n *Node) tickEdges(now time.Time) {
+	connected := n.edges.names()
 	n.members.mu.Lock()
 	neighbors := n.members.table.Neighbors()
+	n.members.table.Retain(func(name string) bool { return connected[name] || isNeighbor(neighbors, name) })
 	rejoin, rejoining := n.members.table.Rejoin(now)
 	digest := n.members.table.Digest()
 	n.members.mu.Unlock()
@@ -163,16 +180,19 @@
 	}
 }
 
+func isNeighbor(neighbors []baobabtide.Member, name string) bool {
+	return slices.ContainsFunc(neighbors, func(m baobabtide.Member) bool { return m.Name == name })
+}
+
 func (n *Node) tickEdge(e *edge, neighbors []baobabtide.Member, heartbeat *btpeer.Gossip, now time.Time) {
 	e.mu.Lock()
 	silent := now.Sub(e.heard)
 	e.mu.Unlock()
-	if silent > n.settings.Peer.SilenceLimit/2 {
+	if silent > n.settings.Peer.SilenceLimit*silentPart/silentWhole {
 		e.cancel(fmt.Errorf("%w: silent for %s", errEdgeClosed, silent))
 		return
 	}
-	wanted := slices.ContainsFunc(neighbors, func(m baobabtide.Member) bool { return m.Name == e.name })
-	if e.outgoing && !wanted && now.Sub(e.opened) > extraLifetime {
+	if e.outgoing && !isNeighbor(neighbors, e.name) && now.Sub(e.opened) > e.lifetime {
 		e.cancel(fmt.Errorf("%w: not a neighbor any more", errEdgeClosed))
 		return
 	}
@@ -208,15 +228,16 @@
 		err := n.runOutgoing(name, address)
 		n.edges.endDial(address)
 		if err != nil && name != "" && n.ctx.Err() == nil {
-			n.accuse(name, err)
+			n.unreachable(name, err)
 		}
 	})
 }
 
-func (n *Node) accuse(name string, cause error) {
-	now := time.Now()
+// unreachable notes that a node could not be reached.
+func (n *Node) unreachable(name string, cause error) {
+	refused := btpeer.Refused(cause)
 	n.members.mu.Lock()
-	delta := n.members.table.Accuse(name, now)
+	delta := n.members.table.Unreachable(name, refused, time.Now())
 	n.members.mu.Unlock()
 	if !delta.Empty() {
 		n.log.Info().Str("event", "member.accused").Str("member", name).Err(cause).Send()
@@ -286,6 +307,7 @@
 func (n *Node) runEdge(e *edge, conn *btpeer.GossipConn, first *btpeer.Gossip) {
 	now := time.Now()
 	e.opened, e.heard = now, now
+	e.lifetime = extraLifetime + rand.N(extraLifetime)
 	e.queue = make(chan *btpeer.Gossip, edgeQueue)
 	n.edges.add(e)
 	n.members.mu.Lock()
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -12,7 +12,7 @@
 
 const (
 	repairDelay  = 2 * time.Second // a difference in flight settles by itself in this time
-	repairPeriod = time.Second     // between exchanges of digests on one edge
+	repairPeriod = time.Second     // between exchanges of digests that a node starts
 	pullTimeout  = 500 * time.Millisecond
 	joinedSize   = 2 // members a node knows once it has joined
 )
@@ -28,7 +28,10 @@
 		n.answerDigests(e, m.Digests)
 	}
 	if m.Repair != nil {
-		n.takeRepair(e, m.Repair, now)
+		n.takeRepair(e, m.Repair)
+	}
+	if len(m.Wanted) > 0 {
+		n.answerWanted(e, m.Wanted)
 	}
 	if m.Pull != nil {
 		n.answerPull(e, m.Pull.After)
@@ -79,15 +82,15 @@
 		digests = n.members.table.BucketDigests()
 	}
 	n.members.mu.Unlock()
-	if !e.repairDue(same, joined, now) {
-		return
+	if e.differs(same, joined, now) && n.takeRepairTurn(joined, now) {
+		e.send(&btpeer.Gossip{Digests: digests})
 	}
-	e.send(&btpeer.Gossip{Digests: digests})
 }
 
-// repairDue tells whether a difference has lasted long enough to be worth an
-// exchange of digests. A node that has just joined does not wait.
-func (e *edge) repairDue(same, joined bool, now time.Time) bool {
+// differs tells whether the memberships of the two ends differ and have done
+// so for longer than changes take to arrive. A node that has just joined or
+// has just opened the edge does not wait.
+func (e *edge) differs(same, joined bool, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if same {
@@ -97,48 +100,51 @@
 	if e.mismatch.IsZero() {
 		e.mismatch = now
 	}
-	fresh := e.synced.IsZero()
-	if (joined && !fresh && now.Sub(e.mismatch) < repairDelay) || now.Sub(e.synced) < repairPeriod {
+	fresh := !e.compared
+	e.compared = true
+	return !joined || fresh || now.Sub(e.mismatch) >= repairDelay
+}
+
+// takeRepairTurn bounds how often this node starts to exchange digests, over
+// all its edges.
+func (n *Node) takeRepairTurn(joined bool, now time.Time) bool {
+	last := n.repaired.Load()
+	if joined && now.UnixNano()-last < int64(repairPeriod) {
 		return false
 	}
-	e.synced = now
-	return true
+	return n.repaired.CompareAndSwap(last, now.UnixNano())
 }
 
-// answerDigests sends the records of the buckets that differ.
+// answerDigests says how much is known of the members of the buckets that
+// differ.
 func (n *Node) answerDigests(e *edge, digests []uint64) {
 	n.members.mu.Lock()
 	buckets := n.members.table.DifferingBuckets(digests)
-	members := n.members.table.BucketMembers(buckets)
+	versions := n.members.table.Versions(buckets)
 	n.members.mu.Unlock()
 	if len(buckets) > 0 {
-		e.send(&btpeer.Gossip{Repair: &btpeer.Repair{Buckets: buckets, Members: members}})
+		e.send(&btpeer.Gossip{Repair: &btpeer.Repair{Buckets: buckets, Versions: versions}})
 	}
 }
 
-// takeRepair merges the records of some buckets and answers with those that
-// the other end lacks.
-func (n *Node) takeRepair(e *edge, r *btpeer.Repair, now time.Time) {
-	n.mergeMembers(e, btmember.Delta{Members: r.Members}, now)
-	if r.Reply {
-		return
-	}
-	known := make(map[string]baobabtide.Member, len(r.Members))
-	for _, m := range r.Members {
-		known[m.Name] = m
-	}
+// takeRepair sends the records that the other end lacks and asks for those
+// that this node lacks.
+func (n *Node) takeRepair(e *edge, r *btpeer.Repair) {
 	n.members.mu.Lock()
-	own := n.members.table.BucketMembers(r.Buckets)
+	d := n.members.table.Compare(r.Buckets, r.Versions)
 	n.members.mu.Unlock()
-	var missing []baobabtide.Member
-	for _, m := range own {
-		other, ok := known[m.Name]
-		if !ok || btmember.Newer(m, other) {
-			missing = append(missing, m)
-		}
+	if len(d.Send) > 0 || len(d.Want) > 0 {
+		e.send(&btpeer.Gossip{Members: d.Send, Wanted: d.Want})
 	}
-	if len(missing) > 0 {
-		e.send(&btpeer.Gossip{Repair: &btpeer.Repair{Buckets: r.Buckets, Members: missing, Reply: true}})
+}
+
+// answerWanted sends the records of some members.
+func (n *Node) answerWanted(e *edge, names []string) {
+	n.members.mu.Lock()
+	members := n.members.table.Lookup(names)
+	n.members.mu.Unlock()
+	if len(members) > 0 {
+		e.send(&btpeer.Gossip{Members: members})
 	}
 }
 
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -1,8 +1,11 @@
 package btnode
 
 import (
+	"bytes"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"github.com/baobabtide/baobabtide/btconn"
 )
@@ -12,6 +15,7 @@
 	metricsPath = "/metrics"
 	healthPath  = "/health"
 	readyPath   = "/ready"
+	profilePath = "/debug/pprof"
 )
 
 // metricsServer returns the server of metrics, health and readiness, and a
@@ -20,6 +24,10 @@
 	set := n.metricsSet()
 	s := &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
+			if bytes.HasPrefix(ctx.Path(), []byte(profilePath)) {
+				pprofhandler.PprofHandler(ctx)
+				return
+			}
 			switch string(ctx.Path()) {
 			case metricsPath:
 				ctx.SetContentType("text/plain; charset=utf-8")
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -39,7 +39,7 @@
 const (
 	workerCount   = 64
 	tickPeriod    = 250 * time.Millisecond
-	rebuildPeriod = 10 * time.Millisecond // route tables are built at most this often
+	rebuildPeriod = 25 * time.Millisecond // route tables are built at most this often
 )
 
 // Node is one process of the system.
@@ -63,6 +63,7 @@
 	routes    atomic.Pointer[btroute.Table]
 	inForceAt atomic.Int64 // Unix time in microseconds of the last change of configuration
 	pulled    atomic.Int64 // Unix time in nanoseconds of the last question for configuration, 0 once answered
+	repaired  atomic.Int64 // Unix time in nanoseconds of the last exchange of digests that this node started
 	dirty     chan struct{}
 	changed   broadcast // signaled when a configuration comes into force
 
@@ -165,6 +166,7 @@
 
 func (n *Node) timing() btmember.Timing {
 	t := btmember.DefaultTiming()
+	t.Tick = tickPeriod
 	t.Heartbeat = n.settings.Peer.Heartbeat
 	t.SilenceLimit = n.settings.Peer.SilenceLimit
 	return t
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -98,6 +99,12 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// Refused tells whether an error shows that no process listens at an address.
+func Refused(err error) bool {
+	// gRPC reports the cause of a failed connection as text only.
+	return status.Code(err) == codes.Unavailable && strings.Contains(err.Error(), "connection refused")
+}
+
 // conn returns the shared connection to an address.
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -31,6 +31,7 @@
 	State     []byte                  `cbor:"9,keyasint,omitempty"` // btconfig.EncodeState
 	Reports   []btrollout.Report      `cbor:"10,keyasint,omitempty"`
 	Trips     []btrollout.Trip        `cbor:"11,keyasint,omitempty"`
+	Wanted    []string                `cbor:"12,keyasint,omitempty"` // members whose records the sender lacks
 }
 
 // Hello names the node at the other end of a connection.
@@ -44,11 +45,11 @@
 	Digest uint64            `cbor:"2,keyasint"` // of the membership
 }
 
-// Repair carries the records of the buckets in which two nodes differ.
+// Repair says how much the sender knows of the members of the buckets in which
+// two nodes differ.
 type Repair struct {
-	Buckets []int               `cbor:"1,keyasint"`
-	Members []baobabtide.Member `cbor:"2,keyasint"`
-	Reply   bool                `cbor:"3,keyasint,omitempty"` // answers a Repair, ends the exchange
+	Buckets  []int              `cbor:"1,keyasint"`
+	Versions []btmember.Version `cbor:"2,keyasint"`
 }
 
 // Pull asks for the configuration after an offset.
@@ -71,12 +72,11 @@
 			return baobabtide.WithinIndex("Statuses", i, err)
 		}
 	}
-	if g.Repair != nil {
-		for i := range g.Repair.Members {
-			if err := g.Repair.Members[i].Check(); err != nil {
-				return baobabtide.WithinIndex("Repair.Members", i, err)
-			}
-		}
+	if g.Repair != nil && len(g.Repair.Versions) > maxMembers {
+		return baobabtide.Fieldf("Repair.Versions", "%d exceed %d", len(g.Repair.Versions), maxMembers)
+	}
+	if len(g.Wanted) > maxMembers {
+		return baobabtide.Fieldf("Wanted", "%d exceed %d", len(g.Wanted), maxMembers)
 	}
 	if len(g.Links) > maxLinks {
 		return baobabtide.Fieldf("Links", "%d exceed %d", len(g.Links), maxLinks)
--- a/btsettings/defaults.go
+++ b/btsettings/defaults.go
@@ -13,7 +13,7 @@
 		},
 		Peer: Peer{
 			Heartbeat:    time.Second,
-			SilenceLimit: 3 * time.Second,
+			SilenceLimit: 4 * time.Second,
 		},
 		Platform: Platform{
 			Timeout:        2 * time.Second,
