btworkload: count a request without a node as no answer

Cause: kill-all reported 250 bookings as answered and not run. While all nodes were down the driver sent nothing, and the zero value of an ending was Whole. Ruled out: backend servers that ended (all 13 ran, no panic in their logs) and records without a key. Change: NoAnswer is the zero value; the driver waits and tries again while no node runs; a backend server that ends by itself makes Lost unmeasured.

--- a/baobabtide-load/btexperiment/result.go
+++ b/baobabtide-load/btexperiment/result.go
@@ -80,6 +80,10 @@
 	complete := !r.lostRecords
 	for _, b := range r.deployment.Backends() {
 		if !b.Running() {
+			complete = false
+			if !r.lostRecords {
+				r.problems = append(r.problems, "backend server "+b.Spec.Name+" has ended by itself")
+			}
 			continue
 		}
 		report, err := b.Report()
--- a/baobabtide-load/btexperiment/run.go
+++ b/baobabtide-load/btexperiment/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"io"
 	mathrand "math/rand/v2"
@@ -20,6 +21,9 @@
 	settleTime     = 2 * time.Second  // between the setup and the load
 	changeTimeout  = 30 * time.Second // for one change to be in force everywhere
 	releaseTimeout = 10 * time.Second // beyond a rollout's deadline
+
+	maxPublishTries = 4
+	publishPause    = 500 * time.Millisecond
 )
 
 // Runner runs one experiment.
@@ -130,21 +134,38 @@
 func (r *Runner) publish(ctx context.Context, record *baobabtide.Record) (baobabtide.Offset, error) {
 	record.ID = rand.Text()
 	record.Actor = "experiment"
+	for try := range maxPublishTries {
+		result, err := r.publishOnce(ctx, record)
+		if err != nil && try < maxPublishTries-1 {
+			time.Sleep(publishPause)
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		if !result.Entry.Accepted {
+			return 0, fmt.Errorf("publish %s: %s", record.Kind(), result.Entry.Reason)
+		}
+		return result.Entry.Offset, nil
+	}
+	return 0, nil
+}
+
+// publishOnce publishes a record through one running node. A record whose
+// outcome is uncertain may be published again, because it keeps its ID.
+func (r *Runner) publishOnce(ctx context.Context, record *baobabtide.Record) (*btoperator.PublishResult, error) {
 	nodes := r.running()
 	if len(nodes) == 0 {
-		return 0, fmt.Errorf("no node runs")
+		return nil, errors.New("no node runs")
 	}
 	r.mu.Lock()
 	n := nodes[r.rng.IntN(len(nodes))]
 	r.mu.Unlock()
 	result, err := r.observer.Client(n).Publish(ctx, record)
 	if err != nil {
-		return 0, fmt.Errorf("publish %s through %s: %w", record.Kind(), n.Name, err)
-	}
-	if !result.Entry.Accepted {
-		return 0, fmt.Errorf("publish %s: %s", record.Kind(), result.Entry.Reason)
+		return nil, fmt.Errorf("publish %s through %s: %w", record.Kind(), n.Name, err)
 	}
-	return result.Entry.Offset, nil
+	return result, nil
 }
 
 func (r *Runner) running() []*btdeploy.Node {
--- a/baobabtide-load/btworkload/driver.go
+++ b/baobabtide-load/btworkload/driver.go
@@ -107,12 +107,10 @@
 	}
 	var last answer
 	for i := range tries {
-		nodes := d.Nodes()
-		if len(nodes) == 0 {
-			break
+		if nodes := d.Nodes(); len(nodes) > 0 {
+			address := nodes[(node+uint64(i))%uint64(len(nodes))]
+			last = d.try(r, address, name, fmt.Sprintf("%s.%d", name, i), key)
 		}
-		address := nodes[(node+uint64(i))%uint64(len(nodes))]
-		last = d.try(r, address, name, fmt.Sprintf("%s.%d", name, i), key)
 		if last.ending == Whole || last.ending == Failed || i == tries-1 {
 			break
 		}
--- a/baobabtide-load/btworkload/tally.go
+++ b/baobabtide-load/btworkload/tally.go
@@ -20,18 +20,19 @@
 
 // Endings.
 const (
-	Whole      Ending = iota // the whole answer of the service
+	NoAnswer   Ending = iota // the connection broke, or there was no node to ask
+	Whole                    // the whole answer of the service
 	NotRun                   // refused, has not run
 	MayHaveRun               // refused, may have run
 	Failed                   // answered with an error by the service
-	NoAnswer                 // the connection broke
+	endingCount
 )
 
 // Tally counts what callers saw. All methods are safe for concurrent use.
 type Tally struct {
 	mu          sync.Mutex
 	requests    int
-	endings     [NoAnswer + 1]int
+	endings     [endingCount]int
 	wrongCaller int
 	truncated   int
 	byVersion   map[string]int    // whole answers
