btcaller, btplatform: end a planned stop without waiting for idle callers

Cause: a planned stop of a node took 31 s. It waited 30 s for callers' idle connections, which fasthttp leaves open, and up to 12 s for its read of the log. Ruled out: requests under way (none) and the peers' server (2 s at most). Change: answers of a leaving node tell callers to close; idle connections are closed when the server stops; a read of the log ends with its context. Found by the way: a key that is repeated after the node that knew it has left runs twice.

--- a/baobabtide-standin/btbackendstandin/server.go
+++ b/baobabtide-standin/btbackendstandin/server.go
@@ -4,6 +4,7 @@
 package btbackendstandin
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -21,6 +22,7 @@
 	announcePeriod = time.Second
 	announceLease  = 4 * time.Second
 	maxRuns        = 1 << 20
+	stopTimeout    = 500 * time.Millisecond
 )
 
 // Spec describes one backend server.
@@ -113,7 +115,9 @@
 	return s, sync.OnceFunc(func() {
 		close(s.stop)
 		s.announce(true)
-		_ = s.http.Shutdown()
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		_ = s.http.ShutdownWithContext(ctx)
 		stopWatcher()
 	}), nil
 }
--- a/baobabtide-standin/btlogstandin/contract_test.go
+++ b/baobabtide-standin/btlogstandin/contract_test.go
@@ -173,3 +173,27 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A planned stop of a node waited up to 12 s for its read of the log to end.
+func TestReadEndsWithItsContext(t *testing.T) {
+	for kind, open := range logs(t) {
+		t.Run(kind, func(t *testing.T) {
+			l, _ := open(100)
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() {
+				_, err := l.Read(ctx, stream, 1, time.Minute)
+				ended <- err
+			}()
+			cancel()
+			select {
+			case err := <-ended:
+				if !errors.Is(err, baobabtide.ErrUnavailable) {
+					t.Errorf("error %v", err)
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatal("the read goes on 5 s after its context has ended")
+			}
+		})
+	}
+}
--- a/baobabtide-standin/btlogstandin/server.go
+++ b/baobabtide-standin/btlogstandin/server.go
@@ -18,6 +18,8 @@
 // ControlPath takes Faults by POST.
 const ControlPath = "/control"
 
+const stopTimeout = 500 * time.Millisecond
+
 // NewServer returns an HTTP server for a log and a function that stops it.
 func NewServer(l *Log) (*fasthttp.Server, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -29,7 +31,9 @@
 	}
 	return s, func() {
 		cancel()
-		_ = s.Shutdown()
+		stopping, end := context.WithTimeout(context.Background(), stopTimeout)
+		defer end()
+		_ = s.ShutdownWithContext(stopping)
 	}
 }
 
--- a/btbackend/announce.go
+++ b/btbackend/announce.go
@@ -1,6 +1,7 @@
 package btbackend
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -27,7 +28,11 @@
 		ReadTimeout:           time.Minute,
 		Logger:                btconn.QuietLogger{},
 	}
-	return s, func() { _ = s.Shutdown() }
+	return s, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+		defer cancel()
+		_ = s.ShutdownWithContext(ctx)
+	}
 }
 
 func handleAnnounce(ctx *fasthttp.RequestCtx, registry *Registry) {
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -62,6 +63,8 @@
 	handler baobabtide.Handler
 	limits  Limits
 	watcher *btconn.Watcher
+	conns   connections
+	leaving atomic.Bool // answers tell callers to close their connections
 }
 
 // NewServer returns a server and a function that stops it after the requests
@@ -82,8 +85,10 @@
 		CloseOnShutdown:              true,
 		IdleTimeout:                  time.Minute,
 		Logger:                       btconn.QuietLogger{},
+		ConnState:                    s.conns.track,
 	}
 	stop := func() {
+		s.conns.closeIdle()
 		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 		defer cancel()
 		_ = s.http.ShutdownWithContext(ctx)
@@ -92,6 +97,10 @@
 	return s, stop
 }
 
+// Leave tells callers with each answer from now on to close their connections,
+// so that few are left when the server stops.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Serve accepts connections until the server is stopped. A nil config means
 // plaintext.
 func (s *Server) Serve(l net.Listener, config *tls.Config) error {
@@ -116,6 +125,9 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.leaving.Load() {
+		defer ctx.SetConnectionClose()
+	}
 	req, err := s.request(ctx)
 	if err != nil {
 		writeRefusal(ctx, err)
--- a/btcaller/server_test.go
+++ b/btcaller/server_test.go
@@ -235,3 +235,33 @@
 		t.Errorf("cause %v", err)
 	}
 }
+
+// A planned stop took 30 s while a caller kept an idle connection open.
+func TestStopClosesIdleConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := handlerFunc(func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) { return text("ok"), nil })
+	server, stop := NewServer(handler, Limits{HeaderBytes: 4096, BodyBytes: 4096, Connections: 100})
+	go func() { _ = server.Serve(listener, nil) }()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the server has not stopped after 5 s")
+	}
+}
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -31,6 +31,7 @@
 
 func (n *Node) finishDrain() {
 	defer close(n.drained)
+	n.callers.Leave()
 	n.sleep(drainNotice)
 	n.local.Drain()
 	deadline := time.Now().Add(drainFinish)
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
@@ -18,6 +20,8 @@
 	profilePath = "/debug/pprof"
 )
 
+const metricsStopTimeout = 500 * time.Millisecond
+
 // metricsServer returns the server of metrics, health and readiness, and a
 // function that stops it.
 func (n *Node) metricsServer() (*fasthttp.Server, func()) {
@@ -45,7 +49,11 @@
 		CloseOnShutdown:       true,
 		Logger:                btconn.QuietLogger{},
 	}
-	return s, func() { _ = s.Shutdown() }
+	return s, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), metricsStopTimeout)
+		defer cancel()
+		_ = s.ShutdownWithContext(ctx)
+	}
 }
 
 // serveReady says whether callers may be sent here: a configuration is in
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -57,7 +57,8 @@
 	registry btbackend.Registry
 	local    *btlocal.Admitter
 	dispatch *btdispatch.Dispatcher
-	tls      *bttls.Loader // nil for plaintext
+	tls      *bttls.Loader    // nil for plaintext
+	callers  *btcaller.Server // set by Run
 
 	config    btconfig.Store
 	routes    atomic.Pointer[btroute.Table]
@@ -241,6 +242,7 @@
 		Connections:     n.settings.Caller.MaxConnections,
 		DefaultCustomer: n.settings.Caller.DefaultCustomer,
 	})
+	n.callers = callers
 	announce, stopAnnounce := btbackend.NewAnnounceServer(&n.registry)
 	operators, stopOperators := btoperator.NewServer(operators{n})
 	listeners := []listener{
--- a/btplatform/client.go
+++ b/btplatform/client.go
@@ -58,8 +58,7 @@
 // Append implements baobabtide.Log.
 func (c *Client) Append(ctx context.Context, stream baobabtide.Stream, data []byte) (baobabtide.Entry, error) {
 	c.appends.Add(1)
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
+	req := &fasthttp.Request{}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyRaw(data)
 	body, err := c.call(ctx, req, stream, "", c.Timeout)
@@ -76,8 +75,7 @@
 // Read implements baobabtide.Log.
 func (c *Client) Read(ctx context.Context, stream baobabtide.Stream, from baobabtide.Offset, wait time.Duration) (baobabtide.Page, error) {
 	c.reads.Add(1)
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
+	req := &fasthttp.Request{}
 	query := "?" + FromParam + "=" + strconv.FormatUint(uint64(from), 10) + "&" + WaitParam + "=" + wait.String()
 	body, err := c.call(ctx, req, stream, query, c.Timeout+wait)
 	if err != nil {
@@ -104,15 +102,27 @@
 	index := c.current.Load()
 	address := c.Addresses[int(index)%len(c.Addresses)]
 	req.SetRequestURI("http://" + address + StreamsPath + string(stream) + RecordsSuffix + query)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.http.DoTimeout(req, resp, c.remaining(ctx, timeout)); err != nil {
+	resp := &fasthttp.Response{}
+	if err := c.do(ctx, req, resp, c.remaining(ctx, timeout)); err != nil {
 		c.current.CompareAndSwap(index, index+1)
 		return nil, transportError(err)
 	}
 	return body(resp)
 }
 
+// do sends a request and returns early when the context is canceled, because
+// fasthttp knows no cancellation and a read may wait for long.
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	done := make(chan error, 1)
+	go func() { done <- c.http.DoTimeout(req, resp, timeout) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (c *Client) remaining(ctx context.Context, timeout time.Duration) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
 		return min(timeout, time.Until(deadline))
