btledger: a partner for each key

Cause: TestRepeatedKeyRunsOnceAfterItsNodeHasGone found 2 executions of one key. Only the key's home remembered it, and the next home knew nothing. Ruled out: refusing the keys of a node that has gone for 15 minutes, which refuses new keys as well, and the platform's log, which does not carry the rate. Change: before a keyed request begins, its home has the next node in the key's order remember the attempt and learns what that node knows; the end of the attempt follows. Without an answer the request is refused as not run. Before: 2 executions. The cost of the round trip is not measured.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btretry"
 	"github.com/baobabtide/baobabtide/btroute"
@@ -143,7 +141,7 @@
 		c.version = c.line.Choose(rand.Float64())
 		return
 	}
-	hash := xxhash.Sum64String(c.req.Key)
+	hash := btroute.KeyHash(c.req.Key)
 	c.version = c.line.Choose(float64(hash>>11) / (1 << 53))
 	c.home = c.line.Home(hash, c.version)
 	if c.home != nil && c.home.Version != c.version.Name {
--- a/btledger/ledger.go
+++ b/btledger/ledger.go
@@ -30,17 +30,11 @@
 	InDoubt // the backend server was asked and has not answered
 )
 
-// Answer is a stored answer to a keyed request.
-type Answer struct {
-	Status int
-	Header []baobabtide.HeaderField
-	Body   []byte
-}
-
 // record is one attempt or key. Several names may share it.
 type record struct {
-	state  State
-	answer *Answer // nil where it was too large to keep
+	state   State
+	attempt string             // that began it
+	answer  *baobabtide.Answer // nil where it was too large to keep
 }
 
 // Ledger is the record of one node. All methods are safe for concurrent use.
@@ -97,7 +91,7 @@
 // Begin notes that an attempt is about to run. It returns an error where the
 // attempt was fenced off or its key is known, and the stored answer where the
 // key's request was answered.
-func (l *Ledger) Begin(attempt, keyName string, now time.Time) (*Answer, *baobabtide.RequestError) {
+func (l *Ledger) Begin(attempt, keyName string, now time.Time) (*baobabtide.Answer, *baobabtide.RequestError) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.turn(now)
@@ -112,7 +106,7 @@
 			return repeat(r)
 		}
 	}
-	r := &record{state: Running}
+	r := &record{state: Running, attempt: attempt}
 	l.attempts.put(attempt, r)
 	if keyName != "" {
 		l.keys.put(keyName, r)
@@ -121,7 +115,7 @@
 }
 
 // repeat answers a request whose key is known.
-func repeat(r *record) (*Answer, *baobabtide.RequestError) {
+func repeat(r *record) (*baobabtide.Answer, *baobabtide.RequestError) {
 	switch {
 	case r.state == Done && r.answer != nil:
 		return r.answer, nil
@@ -135,7 +129,7 @@
 }
 
 // End notes how an attempt ended. An attempt that has not run frees its key.
-func (l *Ledger) End(attempt, keyName string, verdict baobabtide.Verdict, answer *Answer) {
+func (l *Ledger) End(attempt, keyName string, verdict baobabtide.Verdict, answer *baobabtide.Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.attempts.get(attempt)
@@ -159,7 +153,7 @@
 	}
 }
 
-func (l *Ledger) store(r *record, answer *Answer) {
+func (l *Ledger) store(r *record, answer *baobabtide.Answer) {
 	if answer == nil || len(answer.Body) > maxStoredBody || l.stored+len(answer.Body) > maxStored {
 		return
 	}
--- a/btledger/ledger_test.go
+++ b/btledger/ledger_test.go
@@ -33,7 +33,7 @@
 
 // Each case states what a repeat of key "k" gets after the first attempt.
 func TestRepeatOfAKey(t *testing.T) {
-	done := func(body string) *Answer { return &Answer{Status: 200, Body: []byte(body)} }
+	done := func(body string) *baobabtide.Answer { return &baobabtide.Answer{Status: 200, Body: []byte(body)} }
 	tests := map[string]struct {
 		first func(l *Ledger)
 		after time.Duration
@@ -99,7 +99,7 @@
 func TestEntriesAreForgottenAfterTheRetention(t *testing.T) {
 	var l Ledger
 	begin(&l, "1", "k", now)
-	l.End("1", "k", baobabtide.Ran, &Answer{Body: []byte("ok")})
+	l.End("1", "k", baobabtide.Ran, &baobabtide.Answer{Body: []byte("ok")})
 	for at := time.Duration(0); at < retention-time.Second; at += time.Minute {
 		if got := begin(&l, "x", "k", now.Add(at)); got.Body != "ok" {
 			t.Fatalf("after %s: %+v", at, got)
@@ -123,3 +123,48 @@
 		}
 	}
 }
+
+// Each case states what the home of key "k" learns from the partner when a
+// second attempt reserves it.
+func TestReserve(t *testing.T) {
+	first := baobabtide.KeyRecord{Key: "k", Attempt: "1"}
+	second := baobabtide.KeyRecord{Key: "k", Attempt: "2"}
+	done := first
+	done.State, done.Answer = baobabtide.KeyDone, &baobabtide.Answer{Status: 200, Body: []byte("ok")}
+	tests := map[string]struct {
+		prepare func(l *Ledger)
+		want    baobabtide.KeyState
+	}{
+		"unknown":               {func(*Ledger) {}, baobabtide.KeyFree},
+		"reserved":              {func(l *Ledger) { l.Reserve(first, now) }, baobabtide.KeyInDoubt},
+		"given back":            {func(l *Ledger) { l.Reserve(first, now); l.Resolve(first) }, baobabtide.KeyFree},
+		"done":                  {func(l *Ledger) { l.Reserve(first, now); l.Resolve(done) }, baobabtide.KeyDone},
+		"reserved by itself":    {func(l *Ledger) { l.Reserve(second, now) }, baobabtide.KeyFree},
+		"begun here as home":    {func(l *Ledger) { begin(l, "1", "k", now) }, baobabtide.KeyInDoubt},
+		"late end of another":   {func(l *Ledger) { l.Reserve(first, now); l.Resolve(baobabtide.KeyRecord{Key: "k", Attempt: "0"}) }, baobabtide.KeyInDoubt},
+		"answered here as home": {func(l *Ledger) { begin(l, "1", "k", now); l.End("1", "k", baobabtide.Ran, done.Answer) }, baobabtide.KeyDone},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var l Ledger
+			tt.prepare(&l)
+			if diff := cmp.Diff(tt.want, l.Reserve(second, now).State); diff != "" {
+				t.Errorf("state (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A home that started anew learns from the partner that a key was answered.
+func TestAdopt(t *testing.T) {
+	var l Ledger
+	begin(&l, "2", "k", now)
+	known := baobabtide.KeyRecord{Key: "k", Attempt: "1", State: baobabtide.KeyDone, Answer: &baobabtide.Answer{Body: []byte("ok")}}
+	answer, refusal := l.Adopt("2", known)
+	if refusal != nil || string(answer.Body) != "ok" {
+		t.Errorf("answer %v, refusal %v", answer, refusal)
+	}
+	if diff := cmp.Diff(result{Body: "ok"}, begin(&l, "3", "k", now)); diff != "" {
+		t.Errorf("next repeat (-want +got):\n%s", diff)
+	}
+}
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -37,6 +37,7 @@
 type Admitter struct {
 	Limiter  *btadmit.RateLimiter
 	Observer Observer
+	Partner  baobabtide.KeyPartner
 
 	ledger btledger.Ledger
 
@@ -46,11 +47,20 @@
 	active   int // requests under way
 }
 
+// ReserveKey notes a key for its home and returns what is known of it.
+func (a *Admitter) ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord {
+	return a.ledger.Reserve(key, time.Now())
+}
+
+// ResolveKey notes how the attempt of a reserved key ended.
+func (a *Admitter) ResolveKey(key baobabtide.KeyRecord) { a.ledger.Resolve(key) }
+
 // New returns an Admitter and a function that closes its connections.
-func New(observer Observer) (*Admitter, func()) {
+func New(observer Observer, partner baobabtide.KeyPartner) (*Admitter, func()) {
 	a := &Admitter{
 		Limiter:  &btadmit.RateLimiter{},
 		Observer: observer,
+		Partner:  partner,
 		servers:  make(map[string]*server),
 	}
 	return a, a.close
@@ -182,7 +192,7 @@
 		return nil, refusal
 	}
 	run := &run{admitter: a, server: s, req: req, started: time.Now()}
-	if answer, refusal := run.enter(); answer != nil || refusal != nil {
+	if answer, refusal := run.enter(ctx); answer != nil || refusal != nil {
 		run.release()
 		return replay(answer, a), refusal
 	}
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -10,6 +11,8 @@
 	"github.com/baobabtide/baobabtide/btledger"
 )
 
+const partnerRetry = time.Second
+
 // run is one request that holds a slot.
 type run struct {
 	admitter *Admitter
@@ -23,7 +26,7 @@
 
 // enter records a non-idempotent attempt. It returns the stored answer or a
 // refusal where the request must not run.
-func (r *run) enter() (*btledger.Answer, *baobabtide.RequestError) {
+func (r *run) enter(ctx context.Context) (*baobabtide.Answer, *baobabtide.RequestError) {
 	if r.req.Idempotent {
 		return nil, nil
 	}
@@ -32,7 +35,41 @@
 	}
 	answer, refusal := r.admitter.ledger.Begin(r.req.Attempt, r.keyName, time.Now())
 	r.recorded = answer == nil && refusal == nil
-	return answer, refusal
+	if !r.recorded || r.keyName == "" {
+		return answer, refusal
+	}
+	return r.reserve(ctx)
+}
+
+// reserve has the key's partner remember the attempt before it begins. Where
+// the partner can't be asked the request does not run.
+func (r *run) reserve(ctx context.Context) (*baobabtide.Answer, *baobabtide.RequestError) {
+	key := baobabtide.KeyRecord{Key: r.keyName, Attempt: r.req.Attempt}
+	known, err := r.admitter.Partner.Reserve(ctx, r.req, key)
+	if err != nil {
+		r.recorded = false
+		r.admitter.ledger.End(r.req.Attempt, r.keyName, baobabtide.NotRun, nil)
+		r.admitter.Partner.Resolve(r.req, key)
+		return nil, baobabtide.Refuse(baobabtide.ReasonPartner, partnerRetry, err)
+	}
+	if known.State == baobabtide.KeyFree {
+		return nil, nil
+	}
+	r.recorded = false
+	return r.admitter.ledger.Adopt(r.req.Attempt, known)
+}
+
+// conclude notes how a recorded attempt ended, here and at the key's partner.
+func (r *run) conclude(verdict baobabtide.Verdict, answer *baobabtide.Answer) {
+	r.admitter.ledger.End(r.req.Attempt, r.keyName, verdict, answer)
+	if r.keyName == "" || verdict == baobabtide.MayHaveRun {
+		return
+	}
+	key := baobabtide.KeyRecord{Key: r.keyName, Attempt: r.req.Attempt, Answer: answer}
+	if verdict == baobabtide.Ran {
+		key.State = baobabtide.KeyDone
+	}
+	r.admitter.Partner.Resolve(r.req, key)
 }
 
 // release gives the slot back.
@@ -48,7 +85,7 @@
 // fail ends a request that got no answer.
 func (r *run) fail(err *baobabtide.RequestError) *baobabtide.RequestError {
 	if r.recorded {
-		r.admitter.ledger.End(r.req.Attempt, r.keyName, err.Verdict, nil)
+		r.conclude(err.Verdict, nil)
 	}
 	if err.Reason == baobabtide.ReasonOverload {
 		r.server.queue.Shed()
@@ -106,7 +143,7 @@
 	err := b.ReadCloser.Close()
 	r := b.run
 	if r.recorded {
-		r.admitter.ledger.End(r.req.Attempt, r.keyName, baobabtide.Ran, b.answer())
+		r.conclude(baobabtide.Ran, b.answer())
 	}
 	r.release()
 	r.admitter.end()
@@ -115,15 +152,15 @@
 }
 
 // answer returns what a repeat of the key gets, or nil where it is too large.
-func (b *runBody) answer() *btledger.Answer {
+func (b *runBody) answer() *baobabtide.Answer {
 	if b.run.keyName == "" || !b.whole || b.kept.Len() > storedBody {
 		return nil
 	}
-	return &btledger.Answer{Status: b.resp.Status, Header: b.resp.Header, Body: bytes.Clone(b.kept.Bytes())}
+	return &baobabtide.Answer{Status: b.resp.Status, Header: b.resp.Header, Body: bytes.Clone(b.kept.Bytes())}
 }
 
 // replay returns a stored answer as a response, or nil for none.
-func replay(answer *btledger.Answer, a *Admitter) *baobabtide.Response {
+func replay(answer *baobabtide.Answer, a *Admitter) *baobabtide.Response {
 	if answer == nil {
 		return nil
 	}
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -117,7 +117,7 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	disconnect := n.connect()
-	local, closeLocal := btlocal.New(&n.rollouts)
+	local, closeLocal := btlocal.New(&n.rollouts, keyPartner{n})
 	n.local = local
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
--- /dev/null
+++ b/btnode/partner.go
@@ -0,0 +1,73 @@
+package btnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btroute"
+)
+
+const (
+	reserveTimeout = 500 * time.Millisecond
+	resolveTimeout = 2 * time.Second
+)
+
+// keyPartner reaches the partner of a key over the route table of this node.
+type keyPartner struct {
+	node *Node
+}
+
+var _ baobabtide.KeyPartner = keyPartner{}
+
+// address returns the peer address of a key's partner, or an empty string where
+// no other node serves the service.
+func (p keyPartner) address(req *baobabtide.Request) string {
+	table := p.node.routes.Load()
+	if table == nil {
+		return ""
+	}
+	line := table.Line(req.Customer, req.Service)
+	if line == nil {
+		return ""
+	}
+	if t := line.Partner(btroute.KeyHash(req.Key), p.node.place.Node); t != nil {
+		return t.Ref.Address
+	}
+	return ""
+}
+
+// Reserve implements baobabtide.KeyPartner.
+func (p keyPartner) Reserve(ctx context.Context, req *baobabtide.Request, key baobabtide.KeyRecord) (baobabtide.KeyRecord, error) {
+	address := p.address(req)
+	if address == "" {
+		return baobabtide.KeyRecord{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	return p.node.peers.Reserve(ctx, address, key)
+}
+
+// Resolve implements baobabtide.KeyPartner. A partner that does not hear of the
+// end keeps the key in doubt, which is safe.
+func (p keyPartner) Resolve(req *baobabtide.Request, key baobabtide.KeyRecord) {
+	address := p.address(req)
+	if address == "" {
+		return
+	}
+	p.node.submit(func() {
+		ctx, cancel := context.WithTimeout(p.node.ctx, resolveTimeout)
+		defer cancel()
+		if err := p.node.peers.Resolve(ctx, address, key); err != nil {
+			p.node.log.Debug().Str("event", "key.unresolved").Err(err).Send()
+		}
+	})
+}
+
+// ReserveKey implements btpeer.Node.
+func (n *Node) ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord {
+	return n.local.ReserveKey(key)
+}
+
+// ResolveKey implements btpeer.Node.
+func (n *Node) ResolveKey(key baobabtide.KeyRecord) { n.local.ResolveKey(key) }
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -182,6 +182,29 @@
 	return call[DrainRequest, DrainResponse](ctx, conn, drainMethod, &DrainRequest{Reason: reason})
 }
 
+// Reserve notes a key at the node at an address.
+func (c *Client) Reserve(ctx context.Context, address string, key baobabtide.KeyRecord) (baobabtide.KeyRecord, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return baobabtide.KeyRecord{}, err
+	}
+	known, err := call[baobabtide.KeyRecord, baobabtide.KeyRecord](ctx, conn, reserveMethod, &key)
+	if err != nil {
+		return baobabtide.KeyRecord{}, err
+	}
+	return *known, nil
+}
+
+// Resolve tells the node at an address how the attempt of a key ended.
+func (c *Client) Resolve(ctx context.Context, address string, key baobabtide.KeyRecord) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	_, err = call[baobabtide.KeyRecord, ResolveResponse](ctx, conn, resolveMethod, &key)
+	return err
+}
+
 // Settle implements baobabtide.Forwarder. It uses a new connection because the
 // one that lost the answer may be silent.
 func (c *Client) Settle(ctx context.Context, target baobabtide.TargetRef, attempt string) (baobabtide.Verdict, error) {
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -185,6 +185,9 @@
 	Verdict baobabtide.Verdict `cbor:"1,keyasint"`
 }
 
+// ResolveResponse answers the end of a key's attempt.
+type ResolveResponse struct{}
+
 // InfoRequest asks a node about itself.
 type InfoRequest struct{}
 
--- a/btpeer/peer_test.go
+++ b/btpeer/peer_test.go
@@ -27,9 +27,13 @@
 func (n *fakeNode) Admit(ctx context.Context, _ string, _ uint64, req *baobabtide.Request) (*baobabtide.Response, error) {
 	return n.admit(ctx, req)
 }
+
 func (n *fakeNode) SettleLocal(attempt string) baobabtide.Verdict { return n.settle(attempt) }
-func (n *fakeNode) Info() Info                                    { return Info{Node: "fake"} }
-func (n *fakeNode) Drain(string) int                              { return 0 }
+
+func (n *fakeNode) Info() Info                                               { return Info{Node: "fake"} }
+func (n *fakeNode) Drain(string) int                                         { return 0 }
+func (n *fakeNode) ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord { return key }
+func (n *fakeNode) ResolveKey(baobabtide.KeyRecord)                          {}
 func (n *fakeNode) Gossip(conn *Stream[Gossip, Gossip]) error {
 	for {
 		m, err := conn.Recv()
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -29,6 +29,10 @@
 	baobabtide.Admitter
 	// Gossip serves a connection that another node has opened until it ends.
 	Gossip(conn *Stream[Gossip, Gossip]) error
+	// ReserveKey notes a key for its home and returns what is known of it.
+	ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord
+	// ResolveKey notes how the attempt of a reserved key ended.
+	ResolveKey(key baobabtide.KeyRecord)
 	// Info describes the node.
 	Info() Info
 	// Drain stops the node in a planned way and returns the number of requests
@@ -92,6 +96,16 @@
 	return &SettleResponse{Verdict: s.node.SettleLocal(req.Attempt)}
 }
 
+func (s *Server) reserve(req *baobabtide.KeyRecord) *baobabtide.KeyRecord {
+	known := s.node.ReserveKey(*req)
+	return &known
+}
+
+func (s *Server) resolve(req *baobabtide.KeyRecord) *ResolveResponse {
+	s.node.ResolveKey(*req)
+	return &ResolveResponse{}
+}
+
 func (s *Server) info(*InfoRequest) *Info {
 	info := s.node.Info()
 	return &info
--- a/btpeer/service.go
+++ b/btpeer/service.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"google.golang.org/grpc"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 const (
@@ -13,6 +15,8 @@
 	settleMethod  = "/" + serviceName + "/Settle"
 	infoMethod    = "/" + serviceName + "/Info"
 	drainMethod   = "/" + serviceName + "/Drain"
+	reserveMethod = "/" + serviceName + "/Reserve"
+	resolveMethod = "/" + serviceName + "/Resolve"
 )
 
 // handler is what the node does with calls of other nodes.
@@ -22,6 +26,8 @@
 	settle(req *SettleRequest) *SettleResponse
 	info(req *InfoRequest) *Info
 	drain(req *DrainRequest) *DrainResponse
+	reserve(req *baobabtide.KeyRecord) *baobabtide.KeyRecord
+	resolve(req *baobabtide.KeyRecord) *ResolveResponse
 }
 
 var serviceDesc = grpc.ServiceDesc{
@@ -31,6 +37,8 @@
 		unary("Settle", handler.settle),
 		unary("Info", handler.info),
 		unary("Drain", handler.drain),
+		unary("Reserve", handler.reserve),
+		unary("Resolve", handler.resolve),
 	},
 	Streams: []grpc.StreamDesc{
 		stream("Gossip", handler.gossip),
--- a/btroute/line.go
+++ b/btroute/line.go
@@ -116,6 +116,22 @@
 	return p.targets
 }
 
+// Partner returns a target of the node that remembers a key together with the
+// given node: the first other one in the key's order, or nil for none.
+func (l *Line) Partner(keyHash uint64, node string) *Target {
+	var best *Target
+	var bestWeight uint64
+	for _, t := range l.Current.Pool.Targets() {
+		if t.Ref.Node == node {
+			continue
+		}
+		if w := mix(keyHash ^ t.hash); best == nil || w > bestWeight {
+			best, bestWeight = t, w
+		}
+	}
+	return best
+}
+
 // Home returns the target that a key belongs to. It lies beside the same node
 // for both versions of a rollout, so that a repeat meets the record of the
 // first request whichever version it is sent to.
--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabtide/baobabtide"
 )
 
@@ -180,6 +182,9 @@
 	return false
 }
 
+// KeyHash returns the hash that places a key.
+func KeyHash(key string) uint64 { return xxhash.Sum64String(key) }
+
 // Home returns the target that a key belongs to by rendezvous hashing over the
 // nodes, so that repeats of a key reach the node that knows it.
 func (p *Pool) Home(keyHash uint64) *Target {
--- a/verdict.go
+++ b/verdict.go
@@ -40,6 +40,7 @@
 	ReasonCanceled     Reason = "canceled"
 	ReasonFenced       Reason = "fenced"
 	ReasonDuplicateKey Reason = "duplicate-key"
+	ReasonPartner      Reason = "key-partner-unreachable"
 	ReasonLost         Reason = "connection-lost"
 	ReasonBackend      Reason = "backend-refused"
 	ReasonTruncated    Reason = "truncated-response"
