--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -239,10 +239,11 @@
 	return &settled
 }
 
-// event classifies how an attempt ended.
-func event(err *baobabtide.RequestError, settled bool) btretry.Event {
+// event classifies how an attempt ended, after settle.
+func event(err *baobabtide.RequestError) btretry.Event {
+	lost := err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonDeadline
 	switch {
-	case err.Verdict == baobabtide.Ran && settled:
+	case err.Verdict == baobabtide.Ran && lost:
 		return btretry.EventLostRan
 	case err.Verdict == baobabtide.Ran:
 		return btretry.EventTruncated
@@ -263,8 +264,7 @@
 
 // again tells whether another attempt is made.
 func (d *Dispatcher) again(ctx context.Context, c *call, err *baobabtide.RequestError) bool {
-	settled := err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonDeadline
-	row := btretry.Decide(event(err, settled), c.req.Idempotent)
+	row := btretry.Decide(event(err), c.req.Idempotent)
 	if row.Action != btretry.Retry || ctx.Err() != nil {
 		return false
 	}
@@ -272,7 +272,7 @@
 		err.RetryAfter = max(err.RetryAfter, keyHomeRetry)
 		return false
 	}
-	if c.count == maxAttempts || c.req.Retried && c.req.Depth > 0 || final(err.Reason) {
+	if c.count == maxAttempts || (c.req.Retried && c.req.Depth > 0) || final(err.Reason) {
 		return false
 	}
 	if c.req.Body != nil && !c.req.Body.Rewind() {
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btpeer"
 )
 
 const (
-	drainNotice  = time.Second // other nodes learn in this time that no new work goes here
-	drainFinish  = 20 * time.Second
+	defaultNotice = time.Second      // other nodes learn in this time that no new work goes here
+	defaultFinish = 20 * time.Second // for requests under way, where no contract says more
+
 	drainCheck   = 20 * time.Millisecond
 	farewellTime = 200 * time.Millisecond // for the last messages to leave
 )
@@ -31,16 +33,32 @@
 
 func (n *Node) finishDrain() {
 	defer close(n.drained)
+	terms := drainTerms(n.config.State(), n.registry.Targets())
 	n.callers.Leave()
-	n.sleep(drainNotice)
+	n.sleep(terms.Notice)
 	n.local.Drain()
-	deadline := time.Now().Add(drainFinish)
+	deadline := time.Now().Add(terms.Finish)
 	for n.local.Active() > 0 && time.Now().Before(deadline) {
 		n.sleep(drainCheck)
 	}
 	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Send()
 }
 
+// drainTerms returns the shortest notice and the longest time to finish that the
+// contracts give to the services of some targets.
+func drainTerms(state *btconfig.State, targets []baobabtide.Target) baobabtide.DrainTerms {
+	terms := baobabtide.DrainTerms{Notice: defaultNotice, Finish: defaultFinish}
+	for customer := range state.Contracts {
+		for i := range targets {
+			if t, ok := state.Terms(customer, targets[i].Service); ok {
+				terms.Notice = min(terms.Notice, t.Drain.Notice)
+				terms.Finish = max(terms.Finish, t.Drain.Finish)
+			}
+		}
+	}
+	return terms
+}
+
 // leave tells the neighbors that the node is gone for good.
 func (n *Node) leave() {
 	n.members.mu.Lock()
