btnode: a starting node waits for two neighbors

Ruled out: the store (its offset never falls within a process). Change: a starting node puts no version in force before it has reached that of two neighbors, or of all if there are fewer, for 3 s at most. Clusters in tests use loopback addresses of their own; a port that was free a moment ago made one run fail. Two lagging neighbors are listed as not proved.

--- a/baobabtided/cluster_test.go
+++ b/baobabtided/cluster_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,16 +43,40 @@
 	members []*member
 }
 
-func address(t *testing.T) string {
+// Ports on a loopback address of its own, below those that the kernel gives to
+// outgoing connections.
+const (
+	lockPort = 7000 + iota
+	callerPort
+	backendPort
+	operatorPort
+	peerPort
+	serverPort
+)
+
+// nextAddress keeps an address from being used by two tests, whose connections
+// could meet.
+var nextAddress atomic.Uint32
+
+// loopback reserves a loopback address that nothing else uses until the test
+// ends.
+func loopback(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1 << 16 {
+		n := (uint32(os.Getpid()) + nextAddress.Add(1)) % (1 << 16)
+		ip := fmt.Sprintf("127.251.%d.%d", n>>8, n&0xff)
+		lock, err := net.Listen("tcp", at(ip, lockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return ip
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no loopback address is free")
+	return ""
 }
 
+func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
 // startCluster starts nodes that all know the contract of one customer and
 // version v1 of one service.
 func startCluster(t *testing.T, count int) *cluster {
@@ -63,13 +89,13 @@
 	server, stopLog := btlogstandin.NewServer(c.log)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(stopLog)
-	seed := address(t)
+	seed := ""
 	for i := range count {
-		peer := seed
-		if i > 0 {
-			peer = address(t)
+		ip := loopback(t)
+		if i == 0 {
+			seed = at(ip, peerPort)
 		}
-		c.members = append(c.members, startMember(t, i, peer, seed, listener.Addr().String()))
+		c.members = append(c.members, startMember(t, i, ip, seed, listener.Addr().String()))
 	}
 	c.publish(t, 0, baobabtide.Record{Contract: btfixture.Contract(customer, service)})
 	c.publish(t, 0, baobabtide.Record{Release: &baobabtide.Release{Service: service, Version: "v1"}})
@@ -79,13 +105,13 @@
 	return c
 }
 
-func startMember(t *testing.T, index int, peer, seed, log string) *member {
+func startMember(t *testing.T, index int, ip, seed, log string) *member {
 	t.Helper()
 	s := btsettings.Default()
 	s.Node = btsettings.Node{Name: fmt.Sprintf("n%d", index), Zone: fmt.Sprintf("z%d", index)}
-	s.Caller.Listen, s.Caller.DefaultCustomer = address(t), customer
-	s.Backend.Listen, s.Operator.Listen = address(t), address(t)
-	s.Peer.Listen, s.Peer.Seeds = peer, []string{seed}
+	s.Caller.Listen, s.Caller.DefaultCustomer = at(ip, callerPort), customer
+	s.Backend.Listen, s.Operator.Listen = at(ip, backendPort), at(ip, operatorPort)
+	s.Peer.Listen, s.Peer.Seeds = at(ip, peerPort), []string{seed}
 	s.Platform.Addresses = []string{log}
 	s.TLS.Plaintext = true
 	node, free, err := btnode.New(s, zerolog.Nop())
@@ -101,7 +127,7 @@
 		}
 	}()
 	backend, stopBackend, err := btbackendstandin.Start(btbackendstandin.Spec{
-		Name: s.Node.Name + "-v1", Service: service, Version: "v1", Listen: address(t),
+		Name: s.Node.Name + "-v1", Service: service, Version: "v1", Listen: at(ip, serverPort),
 		Announce: s.Backend.Listen, Slots: 5, Connections: 20, Work: time.Millisecond,
 	})
 	if err != nil {
--- a/baobabtided/node_test.go
+++ b/baobabtided/node_test.go
@@ -65,7 +65,7 @@
 	c := startCluster(t, 2)
 	c.log.SetFaults(btlogstandin.Faults{Outage: true})
 	seed := c.members[0].settings.Peer.Listen
-	late := startMember(t, 2, address(t), seed, c.members[0].settings.Platform.Addresses[0])
+	late := startMember(t, 2, loopback(t), seed, c.members[0].settings.Platform.Addresses[0])
 	c.members = append(c.members, late)
 	c.await(t, "three targets in force without the log", func(s *btoperator.Status) bool {
 		return s.Offset == 2 && len(s.Assignments) == 1 && s.Assignments[0].Shares[0].Targets == 3
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -74,6 +74,10 @@
 
 // takeHeartbeat compares what the sender knows with what this node knows.
 func (n *Node) takeHeartbeat(e *edge, h *btpeer.Heartbeat, now time.Time) {
+	n.catchUp.note(e.name, h.Offset)
+	if n.routes.Load() == nil {
+		n.markDirty()
+	}
 	if own := n.config.State().Offset; h.Offset > own {
 		n.pull(e, own, now)
 	}
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -66,6 +66,7 @@
 	pulled    atomic.Int64 // Unix time in nanoseconds of the last question for configuration, 0 once answered
 	repaired  atomic.Int64 // Unix time in nanoseconds of the last exchange of digests that this node started
 	dirty     chan struct{}
+	catchUp   catchUp
 	changed   broadcast // signaled when a configuration comes into force
 
 	members  members
@@ -274,6 +275,9 @@
 			n.tickMembers(now)
 			n.tickEdges(now)
 			n.tickRollouts(now)
+			if n.routes.Load() == nil {
+				n.markDirty()
+			}
 		case <-n.rollouts.failing:
 			n.tickRollouts(time.Now())
 		}
--- a/btnode/routes.go
+++ b/btnode/routes.go
@@ -35,8 +35,12 @@
 	state := n.config.State()
 	n.members.mu.Lock()
 	members := n.members.table.Members()
+	others := n.members.table.Live() - 1
 	n.members.mu.Unlock()
 	old := n.routes.Load()
+	if old == nil && !n.catchUp.done(state.Offset, others, time.Since(n.started)) {
+		return
+	}
 	table := btroute.Build(state, members, n.place, old)
 	now := time.Now()
 	_, raised := n.rollouts.setShares(state.Running(), table, now)
