btlogstandin: append with an expected offset

Ruled out: a change of the Log interface; the system does not need it, the fold decides on revisions. Change: POST with expected=N answers 409 where the record would get another offset. Killing and pausing nodes in experiments share their waiting. Before: the parameter was ignored.

--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -73,12 +73,19 @@
 }
 
 func (r *Runner) killNodes(f *Fault) error {
+	nodes := r.forTime(f, r.deployment.KillNode)
+	return r.startNodes(nodes)
+}
+
+// forTime does something to the chosen nodes and returns them after the fault's
+// time.
+func (r *Runner) forTime(f *Fault, do func(*btdeploy.Node)) []*btdeploy.Node {
 	nodes := r.chosen(f)
 	for _, n := range nodes {
-		r.deployment.KillNode(n)
+		do(n)
 	}
 	time.Sleep(f.For)
-	return r.startNodes(nodes)
+	return nodes
 }
 
 func (r *Runner) startNodes(nodes []*btdeploy.Node) error {
@@ -103,12 +110,7 @@
 }
 
 func (r *Runner) pauseNodes(f *Fault) error {
-	nodes := r.chosen(f)
-	for _, n := range nodes {
-		r.deployment.PauseNode(n)
-	}
-	time.Sleep(f.For)
-	for _, n := range nodes {
+	for _, n := range r.forTime(f, r.deployment.PauseNode) {
 		r.deployment.ResumeNode(n)
 	}
 	return nil
--- a/baobabtide-standin/btlogstandin/log.go
+++ b/baobabtide-standin/btlogstandin/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -105,8 +106,16 @@
 	return nil
 }
 
+// ErrOffset means that the next offset of a stream is not the expected one.
+var ErrOffset = errors.New("next offset is not the expected one")
+
 // Append implements baobabtide.Log.
 func (l *Log) Append(ctx context.Context, name baobabtide.Stream, data []byte) (baobabtide.Entry, error) {
+	return l.AppendAt(ctx, name, data, 0)
+}
+
+// AppendAt appends only if the record gets the expected offset, 0 for any.
+func (l *Log) AppendAt(ctx context.Context, name baobabtide.Stream, data []byte, expected baobabtide.Offset) (baobabtide.Entry, error) {
 	if err := l.enter(ctx); err != nil {
 		return baobabtide.Entry{}, err
 	}
@@ -116,6 +125,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
+	if expected != 0 && expected != s.next {
+		return baobabtide.Entry{}, fmt.Errorf("%w: %d, not %d", ErrOffset, s.next, expected)
+	}
 	entry := baobabtide.Entry{Offset: s.next, Time: time.Now().UTC(), Data: slices.Clone(data)}
 	s.next++
 	s.entries = append(s.entries, entry)
--- a/baobabtide-standin/btlogstandin/server.go
+++ b/baobabtide-standin/btlogstandin/server.go
@@ -18,6 +18,9 @@
 // ControlPath takes Faults by POST.
 const ControlPath = "/control"
 
+// ExpectedParam is the parameter of an append that must get a certain offset.
+const ExpectedParam = "expected"
+
 const stopTimeout = 500 * time.Millisecond
 
 // NewServer returns an HTTP server for a log and a function that stops it.
@@ -50,7 +53,12 @@
 		return
 	}
 	if c.IsPost() {
-		entry, err := l.Append(ctx, baobabtide.Stream(name), c.PostBody())
+		expected, err := expectedOffset(c)
+		if err != nil {
+			c.Error("expected: "+err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		entry, err := l.AppendAt(ctx, baobabtide.Stream(name), c.PostBody(), expected)
 		write(c, entry, err)
 		return
 	}
@@ -68,6 +76,16 @@
 	write(c, page, err)
 }
 
+// expectedOffset returns the offset that an append must get, 0 for any.
+func expectedOffset(c *fasthttp.RequestCtx) (baobabtide.Offset, error) {
+	text := c.QueryArgs().Peek(ExpectedParam)
+	if len(text) == 0 {
+		return 0, nil
+	}
+	offset, err := strconv.ParseUint(string(text), 10, 64)
+	return baobabtide.Offset(offset), err
+}
+
 func control(c *fasthttp.RequestCtx, l *Log) {
 	faults, err := btcodec.DecodeJSON[Faults](c.PostBody())
 	if err != nil {
@@ -85,6 +103,9 @@
 		c.HijackSetNoResponse(true)
 		_ = c.Conn().Close()
 		return
+	case errors.Is(err, ErrOffset):
+		c.Error(err.Error(), fasthttp.StatusConflict)
+		return
 	case errors.Is(err, baobabtide.ErrRetention):
 		c.Error(err.Error(), fasthttp.StatusGone)
 		return
