--- a/baobabtided/run.go
+++ b/baobabtided/run.go
@@ -10,7 +10,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/baobabtide/baobabtide/btflag"
-	"github.com/baobabtide/baobabtide/btnode"
 	"github.com/baobabtide/baobabtide/btsettings"
 )
 
@@ -45,7 +44,7 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
 	log := zerolog.New(c.OutOrStdout()).Level(level).With().Timestamp().Logger()
-	node, free, err := btnode.New(settings, log)
+	node, free, err := newNode(settings, log)
 	if err != nil {
 		return err
 	}
--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,11 +20,15 @@
 )
 
 const (
-	connBuffer      = 4 << 10 // bytes of each read and write buffer
-	defaultConns    = 128     // open connections where the announcement sets no limit
-	idleLimit       = 30 * time.Second
+	connBuffer      = 4 << 10                // bytes of each read and write buffer
+	defaultConns    = 128                    // open connections where the announcement sets no limit
+	idleLimit       = 30 * time.Second       // where the backend server announces none
+	freshIdle       = 500 * time.Millisecond // older idle connections may be forgotten at the other end, so requests that must not run twice avoid them
+	idleMargin      = time.Second            // a connection is given up this long before the backend server closes it
+	dialLimit       = 500 * time.Millisecond // the backend server is on the same machine
 	shedRetryAfter  = 200 * time.Millisecond
 	noDefaultLength = -2 // fasthttp's length of a body that ends with the connection
+	maxStrayAnswers = 4  // answers to earlier requests that are passed over on one connection
 )
 
 // backendConn is one connection to a backend server.
@@ -31,11 +37,15 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	idleAt time.Time
+	limit  time.Duration // time that it may stay idle
 }
 
 // Pool sends requests to one backend server over reused connections. It
 // implements baobabtide.Backend.
 type Pool struct {
+	Names HeaderNames
+	Name  string // of the backend server, which another one at its address must not take for its own
+
 	address string
 	tokens  chan struct{} // one per connection that may be open
 
@@ -50,7 +60,7 @@
 	if connections <= 0 {
 		connections = defaultConns
 	}
-	p := &Pool{address: address, tokens: make(chan struct{}, connections)}
+	p := &Pool{Names: DefaultNames(), address: address, tokens: make(chan struct{}, connections)}
 	return p, p.close
 }
 
@@ -65,16 +75,16 @@
 }
 
 // get returns a connection on which nothing is under way.
-func (p *Pool) get(ctx context.Context) (*backendConn, error) {
+func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*backendConn, error) {
 	select {
 	case p.tokens <- struct{}{}:
 	case <-ctx.Done():
 		return nil, fmt.Errorf("wait for a connection to %s: %w", p.address, context.Cause(ctx))
 	}
-	if c := p.popIdle(); c != nil {
+	if c := p.popIdle(maxIdle); c != nil {
 		return c, nil
 	}
-	var d net.Dialer
+	d := net.Dialer{Timeout: dialLimit}
 	conn, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		<-p.tokens
@@ -84,17 +94,22 @@
 		Conn:   conn,
 		reader: bufio.NewReaderSize(conn, connBuffer),
 		writer: bufio.NewWriterSize(conn, connBuffer),
+		limit:  idleLimit,
 	}, nil
 }
 
 // popIdle returns the newest idle connection that is still open and quiet.
-func (p *Pool) popIdle() *backendConn {
+func (p *Pool) popIdle(maxIdle time.Duration) *backendConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
+		idle := time.Since(c.idleAt)
+		if idle >= maxIdle && idle < c.limit {
+			return nil
+		}
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(c.idleAt) < idleLimit && c.reader.Buffered() == 0 && btconn.Reusable(c.Conn) {
+		if idle < c.limit && c.reader.Buffered() == 0 && btconn.Reusable(c.Conn) {
 			return c
 		}
 		_ = c.Close()
@@ -123,9 +138,13 @@
 
 // Do implements baobabtide.Backend.
 func (p *Pool) Do(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
-	c, err := p.get(ctx)
+	maxIdle := idleLimit
+	if !req.Idempotent {
+		maxIdle = freshIdle
+	}
+	c, err := p.get(ctx, maxIdle)
 	if err != nil {
-		return nil, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
+		return nil, baobabtide.Refuse(baobabtide.ReasonUnreached, shedRetryAfter, err)
 	}
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		p.drop(c)
@@ -157,13 +176,31 @@
 func (p *Pool) exchange(c *backendConn, req *baobabtide.Request) (*fasthttp.Response, error) {
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
-	fillRequest(out, p.address, req)
+	p.fillRequest(out, req)
 	if err := out.Write(c.writer); err != nil {
 		return nil, fmt.Errorf("write request: %w", err)
 	}
 	if err := c.writer.Flush(); err != nil {
 		return nil, fmt.Errorf("write request: %w", err)
 	}
+	for range maxStrayAnswers {
+		resp, err := p.readAnswer(c, req)
+		if err != nil {
+			return nil, err
+		}
+		if !p.stray(req, resp) {
+			return resp, nil
+		}
+		_, err = io.Copy(io.Discard, answerStream(resp))
+		fasthttp.ReleaseResponse(resp)
+		if err != nil {
+			return nil, fmt.Errorf("pass over an answer to another request: %w", err)
+		}
+	}
+	return nil, errors.New("read answer: only answers to other requests came")
+}
+
+func (p *Pool) readAnswer(c *backendConn, req *baobabtide.Request) (*fasthttp.Response, error) {
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
 	resp.SkipBody = req.Method == fasthttp.MethodHead
@@ -174,39 +211,75 @@
 	return resp, nil
 }
 
-func fillRequest(out *fasthttp.Request, address string, req *baobabtide.Request) {
+// stray tells whether an answer belongs to another request, such as a second
+// answer to the one before. An answer of success must name its request.
+func (p *Pool) stray(req *baobabtide.Request, resp *fasthttp.Response) bool {
+	if p.Names.RequestID == "" || req.ID == "" {
+		return false
+	}
+	id := resp.Header.Peek(p.Names.RequestID)
+	if len(id) == 0 {
+		return resp.StatusCode() < fasthttp.StatusBadRequest
+	}
+	return string(id) != req.ID
+}
+
+// answerStream returns the body of an answer that was read with StreamBody.
+func answerStream(resp *fasthttp.Response) io.Reader {
+	if stream := resp.BodyStream(); stream != nil {
+		return stream
+	}
+	return bytes.NewReader(resp.Body())
+}
+
+func (p *Pool) fillRequest(out *fasthttp.Request, req *baobabtide.Request) {
 	out.Header.SetMethod(req.Method)
 	out.Header.SetRequestURI(req.Target)
-	out.Header.SetHost(address)
+	out.Header.SetHost(p.address)
 	out.Header.SetNoDefaultContentType(true)
+	out.UseHostHeader = true
+	if req.Host != "" {
+		out.Header.SetHost(req.Host)
+	}
 	for _, f := range req.Header {
 		if f.Name == fasthttp.HeaderHost {
-			out.UseHostHeader = true
 			out.Header.SetHost(f.Value)
 			continue
 		}
 		out.Header.Add(f.Name, f.Value)
 	}
 	left := max(1, time.Until(req.Deadline).Milliseconds())
-	out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
-	out.Header.Set(HeaderDepth, strconv.Itoa(req.Depth+1))
-	out.Header.Set(HeaderAttempt, req.Attempt)
+	n := &p.Names
+	setHeader(out, n.Timeout, strconv.FormatInt(left, 10))
+	setHeader(out, n.Depth, strconv.Itoa(req.Depth+1))
+	setHeader(out, n.Attempt, req.Attempt)
+	setHeader(out, n.Expected, p.Name)
+	setHeader(out, n.Origin, req.Origin)
 	if req.Retried {
-		out.Header.Set(HeaderRetried, "1")
+		setHeader(out, n.Retried, "1")
 	}
 	if req.Body != nil {
 		out.SetBodyStream(req.Body, int(req.BodyLength))
 	}
 }
 
+// setHeader sets a header unless its name or its value is empty.
+func setHeader(out *fasthttp.Request, name, value string) {
+	if name != "" && value != "" {
+		out.Header.Set(name, value)
+	}
+}
+
 // response turns an answer's head into a Response that streams its body.
 func (p *Pool) response(c *backendConn, req *baobabtide.Request, in *fasthttp.Response, stop func() bool) (*baobabtide.Response, error) {
 	resp := &baobabtide.Response{Status: in.StatusCode(), Length: int64(in.Header.ContentLength()), Version: req.Version}
-	shed := false
+	shed := resp.Status == fasthttp.StatusMisdirectedRequest
 	for name, value := range in.Header.All() {
 		switch string(name) {
-		case HeaderShed:
+		case p.Names.Shed:
 			shed = true
+		case "Keep-Alive":
+			c.limit = keepAlive(string(value))
 		default:
 			if !hopByHop(string(name)) {
 				resp.Header = append(resp.Header, baobabtide.HeaderField{Name: string(name), Value: string(value)})
@@ -219,21 +292,40 @@
 		body.ended = true
 		resp.Length = max(0, resp.Length)
 	}
-	switch {
-	case shed:
-		_ = body.Close()
-		return nil, baobabtide.Refuse(baobabtide.ReasonOverload, shedRetryAfter, errors.New("backend server shed the request"))
-	case resp.Length == noDefaultLength && !body.ended:
+	if resp.Length == noDefaultLength {
+		resp.Length = -1
+		body.reuse = false
+	}
+	if shed {
+		_, _ = io.Copy(io.Discard, resp.Body) // so that the connection can be used again
 		_ = body.Close()
-		return nil, &baobabtide.RequestError{
-			Verdict: baobabtide.Ran,
-			Reason:  baobabtide.ReasonTruncated,
-			Err:     errors.New("the answer has neither a length nor chunks, its end can't be told"),
-		}
+		return nil, shedError(resp.Status)
 	}
 	return resp, nil
 }
 
+// shedError reports a request that the backend server did not run.
+func shedError(status int) *baobabtide.RequestError {
+	if status == fasthttp.StatusMisdirectedRequest {
+		return baobabtide.Refuse(baobabtide.ReasonMisdirected, shedRetryAfter, errors.New("another backend server has the address"))
+	}
+	return baobabtide.Refuse(baobabtide.ReasonOverload, shedRetryAfter, fmt.Errorf("backend server did not run the request, status %d", status))
+}
+
+// keepAlive returns how long a connection may stay idle by a Keep-Alive header.
+func keepAlive(value string) time.Duration {
+	for item := range strings.SplitSeq(value, ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(item), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil && seconds > 0 {
+			return max(idleMargin, time.Duration(seconds)*time.Second-idleMargin)
+		}
+	}
+	return idleLimit
+}
+
 // hopByHop tells headers that hold for one connection only.
 func hopByHop(name string) bool {
 	switch name {
--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -20,32 +20,82 @@
 type Registry struct {
 	mu      sync.Mutex
 	servers map[string]Server
-	changed chan struct{} // replaced with each change, nil before the first Changed
+	left    map[string]leaver // servers that said that they are gone
+	changed chan struct{}     // replaced with each change, nil before the first Changed
 }
 
-// Announce takes in an announcement. One of an older incarnation than the
-// known one is ignored.
+// leaver is a server that has gone. Words of it that come late bring it back
+// no more.
+type leaver struct {
+	incarnation uint64
+	until       time.Time
+}
+
+// Announce takes in an announcement. It returns false for one that is older
+// than what is known: of an older incarnation or an earlier sequence of the
+// server, or of a predecessor at its address.
 func (r *Registry) Announce(a Announcement, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old, known := r.servers[a.Name]
-	if known && a.Incarnation < old.Announcement.Incarnation {
+	if r.superseded(&a) {
 		return false
 	}
 	if r.servers == nil {
 		r.servers = make(map[string]Server)
+		r.left = make(map[string]leaver)
 	}
+	old, known := r.servers[a.Name]
 	if a.Gone {
 		delete(r.servers, a.Name)
+		r.left[a.Name] = leaver{incarnation: a.Incarnation, until: now.Add(maxLease)}
 	} else {
+		r.replacePredecessors(&a)
 		r.servers[a.Name] = Server{Announcement: a, Expires: now.Add(a.Lease)}
 	}
-	if !known || a.Gone || old.Announcement != a {
+	if a.Gone || !known || !sameAnnounced(&old.Announcement, &a) {
 		r.signal()
 	}
 	return true
 }
 
+// superseded tells whether something newer than the announcement is known.
+func (r *Registry) superseded(a *Announcement) bool {
+	if old, ok := r.servers[a.Name]; ok && !a.Gone {
+		if a.Incarnation < old.Announcement.Incarnation {
+			return true
+		}
+		if a.Incarnation == old.Announcement.Incarnation && a.Sequence < old.Announcement.Sequence {
+			return true
+		}
+	}
+	if gone, ok := r.left[a.Name]; ok && a.Incarnation <= gone.incarnation {
+		return !a.Gone
+	}
+	for name, other := range r.servers {
+		if name != a.Name && other.Announcement.Address == a.Address && a.Incarnation < other.Announcement.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// replacePredecessors forgets the servers that had the address before.
+func (r *Registry) replacePredecessors(a *Announcement) {
+	for name, other := range r.servers {
+		if name != a.Name && other.Announcement.Address == a.Address {
+			delete(r.servers, name)
+			r.signal()
+		}
+	}
+}
+
+// sameAnnounced tells whether two announcements say the same of a server.
+func sameAnnounced(a, b *Announcement) bool {
+	x, y := *a, *b
+	x.Sequence, y.Sequence, x.Cold, y.Cold = 0, 0, 0, 0
+	return x == y
+}
+
 // Expire drops the servers whose lease has ended.
 func (r *Registry) Expire(now time.Time) {
 	r.mu.Lock()
@@ -56,6 +106,11 @@
 			r.signal()
 		}
 	}
+	for name, gone := range r.left {
+		if now.After(gone.until) {
+			delete(r.left, name)
+		}
+	}
 }
 
 // Drop forgets a server whose node could not connect to it.
@@ -108,3 +163,26 @@
 	}
 	return targets
 }
+
+// Leave takes in that a server has gone which does not say which incarnation
+// it is. Where none of its name is known, everything that began before now is
+// meant.
+func (r *Registry) Leave(name string, incarnation uint64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, known := r.servers[name]
+	if incarnation == 0 {
+		incarnation = uint64(now.UnixMilli())
+		if known {
+			incarnation = old.Announcement.Incarnation
+		}
+	}
+	if r.left == nil {
+		r.left = make(map[string]leaver)
+	}
+	r.left[name] = leaver{incarnation: incarnation, until: now.Add(maxLease)}
+	if known && old.Announcement.Incarnation <= incarnation {
+		delete(r.servers, name)
+		r.signal()
+	}
+}
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -30,6 +30,8 @@
 	Slots       int                    // requests at once
 	Connections int                    // open connections at most, 0 for no limit
 	Incarnation uint64                 // differs from that of a predecessor of the same name
+	Sequence    uint64                 `json:",omitempty"` // rises with each announcement of an incarnation, 0 for no order
+	Cold        time.Duration          `json:",omitzero"`  // time for which the server is still slow after its start
 	Lease       time.Duration
 	Gone        bool `json:",omitempty"` // the server stops now
 }
@@ -43,6 +45,9 @@
 	if a.Address == "" {
 		return baobabtide.Fieldf("Address", "empty")
 	}
+	if a.Cold < 0 {
+		return baobabtide.Fieldf("Cold", "%s is negative", a.Cold)
+	}
 	if a.Lease < minLease || a.Lease > maxLease {
 		return baobabtide.Fieldf("Lease", "%s, %s to %s are allowed", a.Lease, minLease, maxLease)
 	}
@@ -77,3 +82,28 @@
 	// HeaderShed marks a backend server's 503 as given before the request ran.
 	HeaderShed = "Baobabtide-Shed"
 )
+
+// HeaderNames are the names under which a node and a backend server exchange
+// what the product needs to know, in canonical case. A header whose name is
+// empty is neither read nor sent.
+type HeaderNames struct {
+	Timeout   string // milliseconds left
+	Depth     string
+	Retried   string
+	Attempt   string
+	Origin    string // service beside the node that took the request from its caller
+	Expected  string // name of the backend server that is meant
+	Shed      string // on an answer: the request has not run
+	RequestID string // sent by the caller, repeated in the answer
+}
+
+// DefaultNames are the product's own header names.
+func DefaultNames() HeaderNames {
+	return HeaderNames{
+		Timeout: HeaderTimeout,
+		Depth:   HeaderDepth,
+		Retried: HeaderRetried,
+		Attempt: HeaderAttempt,
+		Shed:    HeaderShed,
+	}
+}
--- a/btcaller/answer.go
+++ b/btcaller/answer.go
@@ -1,6 +1,7 @@
 package btcaller
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -21,84 +22,117 @@
 	Message string `json:",omitempty"`
 }
 
-// status returns the HTTP status of a refusal.
-func status(reason baobabtide.Reason) int {
-	switch reason {
+// status returns the HTTP status of a refusal. 429 and 503 promise that the
+// request has not run; 502 and 504 promise nothing.
+func status(err *baobabtide.RequestError) int {
+	switch err.Reason {
 	case baobabtide.ReasonBadRequest, baobabtide.ReasonNoCustomer:
 		return fasthttp.StatusBadRequest
 	case baobabtide.ReasonNoRoute:
 		return fasthttp.StatusNotFound
 	case baobabtide.ReasonTooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
-	case baobabtide.ReasonRateLimit:
-		return fasthttp.StatusTooManyRequests
 	case baobabtide.ReasonDuplicateKey:
 		return fasthttp.StatusConflict
-	case baobabtide.ReasonDeadline:
-		return fasthttp.StatusGatewayTimeout
-	case baobabtide.ReasonCanceled:
-		return statusClientClosed
-	case baobabtide.ReasonLost, baobabtide.ReasonBackend, baobabtide.ReasonTruncated:
-		return fasthttp.StatusBadGateway
 	case baobabtide.ReasonTooDeep:
 		return fasthttp.StatusLoopDetected
-	default:
+	case baobabtide.ReasonCanceled:
+		return statusClientClosed
+	}
+	switch {
+	case err.Verdict == baobabtide.NotRun && err.Reason == baobabtide.ReasonRateLimit:
+		return fasthttp.StatusTooManyRequests
+	case err.Verdict == baobabtide.NotRun:
 		return fasthttp.StatusServiceUnavailable
+	case err.Reason == baobabtide.ReasonDeadline:
+		return fasthttp.StatusGatewayTimeout
+	default:
+		return fasthttp.StatusBadGateway
 	}
 }
 
-// writeRefusal answers a request that got no answer from its service.
-func writeRefusal(ctx *fasthttp.RequestCtx, err *baobabtide.RequestError) {
-	ctx.Response.Reset()
-	ctx.SetStatusCode(status(err.Reason))
-	ctx.Response.Header.Set(HeaderVerdict, err.Verdict.String())
-	ctx.Response.Header.Set(HeaderReason, string(err.Reason))
+// refuse leaves the answer of a request that got none from its service.
+func (x *exchange) refuse(err *baobabtide.RequestError) {
+	resp := newResponse()
+	resp.SetStatusCode(status(err))
+	resp.Header.Set(HeaderVerdict, err.Verdict.String())
+	resp.Header.Set(HeaderReason, string(err.Reason))
+	names := &x.conn.server.Names
 	if err.RetryAfter > 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(err.RetryAfter))
+		resp.Header.Set(fasthttp.HeaderRetryAfter, names.retryAfter(err.RetryAfter))
+	}
+	if names.RequestID != "" && x.req != nil && x.req.ID != "" {
+		resp.Header.Set(names.RequestID, x.req.ID)
 	}
 	body := ErrorBody{Verdict: err.Verdict, Reason: err.Reason}
 	if err.Err != nil {
 		body.Message = err.Err.Error()
 	}
-	data, encodeErr := btcodec.EncodeJSON(body)
-	if encodeErr != nil {
-		return
+	if data, encodeErr := btcodec.EncodeJSON(body); encodeErr == nil {
+		resp.Header.SetContentType("application/json")
+		resp.SetBodyRaw(data)
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(data)
+	resp.SkipBody = x.head
+	x.resp, x.end = resp, func() {}
 }
 
-// retryAfter returns whole seconds, at least one.
-func retryAfter(d time.Duration) string {
+func newResponse() *fasthttp.Response {
+	resp := fasthttp.AcquireResponse()
+	resp.Header.SetNoDefaultContentType(true)
+	return resp
+}
+
+// retryAfter returns a time as the callers read it: whole seconds, at least
+// one, or a fraction in thousandths.
+func (n *HeaderNames) retryAfter(d time.Duration) string {
+	if n.FractionalRetry {
+		return strconv.FormatFloat(max(d, time.Millisecond).Seconds(), 'f', 3, 64)
+	}
 	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
 }
 
-// writeResponse sends an answer on. A short one is read first, so that one
-// that breaks off is refused as such; a longer one that breaks off closes the
-// caller's connection before its end.
-func writeResponse(ctx *fasthttp.RequestCtx, resp *baobabtide.Response, end func()) {
-	if resp.Length >= 0 && resp.Length <= bufferedAnswer {
-		data, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		end()
-		if err == nil && !ctx.IsHead() && int64(len(data)) != resp.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			writeRefusal(ctx, truncated(err))
-			return
-		}
-		writeHead(ctx, resp)
-		if ctx.IsHead() {
-			ctx.Response.SkipBody = true
-			ctx.Response.Header.SetContentLength(int(resp.Length))
-			return
-		}
-		ctx.Response.SetBodyRaw(data)
+// answer leaves an answer of the service. One that is not too long is read
+// first, so that one that breaks off is refused as such; a longer one that
+// breaks off closes the caller's connection before its end. The function is
+// called once nothing more is read of the answer.
+func (x *exchange) answer(in *baobabtide.Response, cancel func()) {
+	if in.Length > bufferedAnswer {
+		x.resp, x.end = x.streamed(in, cancel)
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(in.Body, bufferedAnswer+1))
+	if err == nil && len(data) > bufferedAnswer {
+		in.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(data), in.Body), Closer: in.Body}
+		x.resp, x.end = x.streamed(in, cancel)
+		return
+	}
+	_ = in.Body.Close()
+	cancel()
+	if err == nil && !x.head && in.Length >= 0 && int64(len(data)) != in.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		x.refuse(truncated(err))
 		return
 	}
-	writeHead(ctx, resp)
-	ctx.SetBodyStream(&answerBody{Response: resp, end: end}, int(resp.Length))
+	resp := x.heading(in)
+	if x.head {
+		resp.SkipBody = true
+		resp.Header.SetContentLength(int(max(0, in.Length)))
+	} else {
+		resp.SetBodyRaw(data)
+	}
+	x.resp, x.end = resp, func() {}
+}
+
+// streamed returns an answer whose body is read as it is written.
+func (x *exchange) streamed(in *baobabtide.Response, cancel func()) (*fasthttp.Response, func()) {
+	resp := x.heading(in)
+	resp.SetBodyStream(in.Body, int(in.Length))
+	return resp, func() {
+		_ = in.Body.Close()
+		cancel()
+	}
 }
 
 func truncated(err error) *baobabtide.RequestError {
@@ -109,31 +143,25 @@
 	return &baobabtide.RequestError{Verdict: baobabtide.Ran, Reason: baobabtide.ReasonTruncated, Err: err}
 }
 
-func writeHead(ctx *fasthttp.RequestCtx, resp *baobabtide.Response) {
-	ctx.SetStatusCode(resp.Status)
-	for _, f := range resp.Header {
-		ctx.Response.Header.Add(f.Name, f.Value)
+// heading returns an answer of the service without its body.
+func (x *exchange) heading(in *baobabtide.Response) *fasthttp.Response {
+	resp := newResponse()
+	resp.SetStatusCode(in.Status)
+	for _, f := range in.Header {
+		resp.Header.Add(f.Name, f.Value)
 	}
-	ctx.Response.Header.Set(HeaderVerdict, baobabtide.Ran.String())
-	if resp.Version != "" {
-		ctx.Response.Header.Set(HeaderVersion, resp.Version)
+	resp.Header.Set(HeaderVerdict, baobabtide.Ran.String())
+	if in.Version != "" {
+		resp.Header.Set(HeaderVersion, in.Version)
 	}
-	if resp.Node != "" {
-		ctx.Response.Header.Set(HeaderNode, resp.Node)
+	if in.Node != "" {
+		resp.Header.Set(HeaderNode, in.Node)
 	}
+	return resp
 }
 
-// answerBody streams an answer and ends its request when fasthttp closes it.
-type answerBody struct {
-	*baobabtide.Response
-	end func()
-}
-
-// Read implements io.Reader.
-func (b *answerBody) Read(p []byte) (int, error) { return b.Body.Read(p) }
-
-// Close implements io.Closer.
-func (b *answerBody) Close() error {
-	defer b.end()
-	return b.Body.Close()
+// joinedBody reads from one place and closes another.
+type joinedBody struct {
+	io.Reader
+	io.Closer
 }
--- a/btconfig/fold.go
+++ b/btconfig/fold.go
@@ -71,6 +71,7 @@
 		}
 	}
 	next.Audit = s.Audit.Append(audit)
+	next.settle()
 	return next
 }
 
@@ -113,6 +114,9 @@
 }
 
 func (s *State) applyContract(c *baobabtide.Contract, offset baobabtide.Offset) *RejectError {
+	if held := s.Contracts[c.Customer].Contract.Revision; c.Revision < held {
+		return reject(RejectRevision, "the publisher's revision %d is older than %d, which is in force", c.Revision, held)
+	}
 	named := make(map[string]bool, len(c.Services))
 	for i := range c.Services {
 		named[c.Services[i].Service] = true
@@ -121,7 +125,7 @@
 		}
 	}
 	for key, a := range s.Assignments {
-		if a.Customer != c.Customer || named[a.Service] {
+		if a.Customer != c.Customer || named[a.Service] || a.Current == baobabtide.AnyVersion {
 			continue
 		}
 		if a.Running() {
@@ -138,6 +142,12 @@
 func (s *State) assignContract(customer string, terms *baobabtide.ServiceTerms) *RejectError {
 	key := AssignmentKey(customer, terms.Service)
 	a, ok := s.Assignments[key]
+	if terms.Unversioned {
+		if !ok {
+			s.Assignments[key] = baobabtide.Assignment{Customer: customer, Service: terms.Service, Current: baobabtide.AnyVersion}
+		}
+		return nil
+	}
 	if ok {
 		if !terms.Allows(a.Current) {
 			return reject(RejectConflict, "version %q of service %q carries the traffic and is not allowed", a.Current, terms.Service)
@@ -158,6 +168,10 @@
 }
 
 func (s *State) applyRelease(r *baobabtide.Release, entry baobabtide.Entry) *RejectError {
+	if r.Terms != nil {
+		s.applyUnversioned(r, entry)
+		return nil
+	}
 	customers, rejection := s.releaseCustomers(r)
 	if rejection != nil {
 		return rejection
@@ -182,6 +196,27 @@
 	return nil
 }
 
+// applyUnversioned starts a rollout with terms of its own, in place of any that
+// runs.
+func (s *State) applyUnversioned(r *baobabtide.Release, entry baobabtide.Entry) {
+	for _, customer := range r.Customers {
+		s.Assignments[AssignmentKey(customer, r.Service)] = baobabtide.Assignment{
+			Customer: customer,
+			Service:  r.Service,
+			Current:  baobabtide.AnyVersion,
+			Rollout: &baobabtide.Rollout{
+				Offset:   entry.Offset,
+				Customer: customer,
+				Service:  r.Service,
+				From:     baobabtide.AnyVersion,
+				To:       r.Version,
+				Started:  entry.Time.UTC(),
+				Terms:    *r.Terms,
+			},
+		}
+	}
+}
+
 // releaseCustomers returns the customers that a release concerns, sorted.
 func (s *State) releaseCustomers(r *baobabtide.Release) ([]string, *RejectError) {
 	if len(r.Customers) > 0 {
--- a/btconfig/state.go
+++ b/btconfig/state.go
@@ -18,6 +18,7 @@
 	Services    map[string]ServiceState          `cbor:"3,keyasint,omitempty"` // by service
 	Assignments map[string]baobabtide.Assignment `cbor:"4,keyasint,omitempty"` // by AssignmentKey
 	Audit       AuditLog                         `cbor:"5,keyasint,omitempty"`
+	Outcomes    []baobabtide.OutcomeRecord       `cbor:"6,keyasint,omitempty"` // of unversioned services, by rollout; kept apart from the log
 }
 
 // ContractState is a contract with its revision.
@@ -76,6 +77,7 @@
 		Services:    maps.Clone(s.Services),
 		Assignments: maps.Clone(s.Assignments),
 		Audit:       s.Audit,
+		Outcomes:    s.Outcomes,
 	}
 	if c.Contracts == nil {
 		c.Contracts = make(map[string]ContractState)
--- a/btconfig/store.go
+++ b/btconfig/store.go
@@ -59,13 +59,29 @@
 	return true, nil
 }
 
-// Adopt replaces the state by a later one.
+// AddOutcome takes in an outcome that is kept apart from the log. It returns
+// false for one that is known.
+func (s *Store) AddOutcome(o baobabtide.OutcomeRecord) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.State()
+	next := old.WithOutcome(o)
+	s.state.Store(next)
+	return next != old
+}
+
+// Adopt replaces the state by a later one. Outcomes that are known here stay
+// known.
 func (s *Store) Adopt(state *State) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state.Offset <= s.State().Offset {
+	old := s.State()
+	if state.Offset <= old.Offset {
 		return false
 	}
+	for _, o := range old.Outcomes {
+		state = state.WithOutcome(o)
+	}
 	s.state.Store(state)
 	s.tail = nil
 	return true
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -112,7 +112,7 @@
 	if !table.HasCustomer(req.Customer) {
 		return nil, baobabtide.Refuse(baobabtide.ReasonNoCustomer, 0, fmt.Errorf("customer %q has no contract", req.Customer))
 	}
-	route := table.Match(req.Customer, req.Method, req.Target)
+	route := table.Match(req.Customer, req.Host, req.Method, req.Target)
 	if route == nil {
 		return nil, baobabtide.Refuse(baobabtide.ReasonNoRoute, 0, nil)
 	}
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -38,6 +38,7 @@
 	Limiter  *btadmit.RateLimiter
 	Observer Observer
 	Partner  baobabtide.KeyPartner
+	Names    btbackend.HeaderNames
 
 	ledger btledger.Ledger
 
@@ -61,6 +62,7 @@
 		Limiter:  &btadmit.RateLimiter{},
 		Observer: observer,
 		Partner:  partner,
+		Names:    btbackend.DefaultNames(),
 		servers:  make(map[string]*server),
 	}
 	return a, a.close
@@ -88,7 +90,7 @@
 			next[announcement.Name] = old
 			continue
 		}
-		next[announcement.Name] = newServer(announcement)
+		next[announcement.Name] = a.newServer(announcement)
 	}
 	for name, old := range a.servers {
 		if next[name] != old {
@@ -108,8 +110,9 @@
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Slots == b.Slots && a.Connections == b.Connections
 }
 
-func newServer(announcement btbackend.Announcement) *server {
+func (a *Admitter) newServer(announcement btbackend.Announcement) *server {
 	pool, closePool := btbackend.NewPool(announcement.Address, announcement.Connections)
+	pool.Names, pool.Name = a.Names, announcement.Name
 	return &server{
 		announcement: announcement,
 		queue:        btadmit.NewQueue(announcement.Slots),
--- a/btmember/seeds.go
+++ b/btmember/seeds.go
@@ -1,6 +1,9 @@
 package btmember
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	joinPhase       = 10 * time.Second       // after the start, while seeds may still be starting too
@@ -51,3 +54,12 @@
 	}
 	return "", false
 }
+
+// Offer adds addresses to visit.
+func (s *Seeds) Offer(addresses []string) {
+	for _, address := range addresses {
+		if !slices.Contains(s.Addresses, address) {
+			s.Addresses = append(s.Addresses, address)
+		}
+	}
+}
--- a/btnode/append.go
+++ b/btnode/append.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return fmt.Errorf("encode record: %w", err)
 	}
-	return appendUntilCertain(ctx, n.platform, data)
+	return appendUntilCertain(ctx, n.adapters.Log, data)
 }
 
 func appendUntilCertain(ctx context.Context, log baobabtide.Log, data []byte) error {
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -315,6 +315,9 @@
 	n.members.table.Watch(e.name, now)
 	n.members.mu.Unlock()
 	n.sendReports(e)
+	if outcomes := n.config.State().Outcomes; len(outcomes) > 0 {
+		e.send(&btpeer.Gossip{Outcomes: outcomes})
+	}
 	go e.sendLoop(conn)
 	go n.receiveLoop(e, conn, first)
 	<-e.ctx.Done()
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -48,6 +48,9 @@
 			n.answerHeartbeat(e)
 		}
 	}
+	if len(m.Outcomes) > 0 {
+		n.takeOutcomes(e, m.Outcomes)
+	}
 	if len(m.Reports) > 0 || len(m.Trips) > 0 {
 		n.takeReports(e, m)
 	}
--- a/btnode/info.go
+++ b/btnode/info.go
@@ -16,7 +16,7 @@
 	live := n.members.table.Live()
 	n.members.mu.Unlock()
 	bytes := n.bytes.Totals()
-	calls := n.platform.Calls()
+	reads, appends := n.adapters.Calls()
 	return btpeer.Info{
 		Node:        n.place.Node,
 		Zone:        n.place.Zone,
@@ -32,8 +32,8 @@
 		Held:        n.held(),
 		ControlNano: processorNanos(),
 		Resident:    residentBytes(),
-		LogReads:    calls.Reads,
-		LogAppends:  calls.Appends,
+		LogReads:    reads,
+		LogAppends:  appends,
 	}
 }
 
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -84,8 +84,14 @@
 	gauge("baobabtide_gossip_bytes_out_total", func() float64 { return float64(n.bytes.Totals().Out) })
 	gauge("baobabtide_log_reader", func() float64 { return boolean(n.reader.Load()) })
 	gauge("baobabtide_log_up", func() float64 { return boolean(n.logUp.Load()) })
-	gauge("baobabtide_log_reads_total", func() float64 { return float64(n.platform.Calls().Reads) })
-	gauge("baobabtide_log_appends_total", func() float64 { return float64(n.platform.Calls().Appends) })
+	gauge("baobabtide_log_reads_total", func() float64 {
+		reads, _ := n.adapters.Calls()
+		return float64(reads)
+	})
+	gauge("baobabtide_log_appends_total", func() float64 {
+		_, appends := n.adapters.Calls()
+		return float64(appends)
+	})
 	gauge("baobabtide_requests_active", func() float64 { return float64(n.local.Active()) })
 	gauge("baobabtide_requests_total", func() float64 { return float64(counters.Requests.Load()) })
 	gauge(`baobabtide_answers_total{verdict="ran"}`, func() float64 { return float64(counters.Answered.Load()) })
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -30,7 +30,6 @@
 	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btoperator"
 	"github.com/baobabtide/baobabtide/btpeer"
-	"github.com/baobabtide/baobabtide/btplatform"
 	"github.com/baobabtide/baobabtide/btroute"
 	"github.com/baobabtide/baobabtide/btsettings"
 	"github.com/baobabtide/baobabtide/bttls"
@@ -51,7 +50,7 @@
 	started     time.Time
 
 	workers  *ants.Pool
-	platform *btplatform.Client
+	adapters Adapters
 	peers    *btpeer.Client
 	bytes    btpeer.ByteCounter
 	registry btbackend.Registry
@@ -71,9 +70,12 @@
 
 	members  members
 	seeds    *btmember.Seeds // used by the tick loop only
+	found    chan []string   // addresses from the directory, for the tick loop
 	edges    edges
 	rollouts rollouts
 
+	outcomesRead atomic.Bool // what is kept apart from the log was read once
+
 	logUp      atomic.Bool
 	reader     atomic.Bool
 	draining   atomic.Bool
@@ -93,9 +95,23 @@
 	table *btmember.Table
 }
 
-// New returns a node that does nothing before Run, and a function that frees
-// what it holds.
+// New returns a node on the product's own platform log that does nothing
+// before Run, and a function that frees what it holds.
 func New(settings *btsettings.Settings, log zerolog.Logger) (*Node, func(), error) {
+	adapters, closeAdapters := ownAdapters(settings)
+	n, free, err := NewWith(settings, log, adapters)
+	if err != nil {
+		closeAdapters()
+		return nil, nil, err
+	}
+	return n, func() {
+		free()
+		closeAdapters()
+	}, nil
+}
+
+// NewWith is New for a platform that adapters reach. The caller frees them.
+func NewWith(settings *btsettings.Settings, log zerolog.Logger, adapters Adapters) (*Node, func(), error) {
 	loader, err := bttls.NewLoader(settings.TLS)
 	if err != nil {
 		return nil, nil, err
@@ -107,6 +123,7 @@
 	now := time.Now()
 	n := &Node{
 		settings:    settings,
+		adapters:    adapters,
 		log:         log.With().Str("node", settings.Node.Name).Logger(),
 		place:       btroute.Place{Node: settings.Node.Name, Zone: settings.Node.Zone, Region: settings.Node.Region},
 		incarnation: uint64(now.UnixMilli()),
@@ -115,10 +132,12 @@
 		tls:         loader,
 		dirty:       make(chan struct{}, 1),
 		drained:     make(chan struct{}),
+		found:       make(chan []string),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	disconnect := n.connect()
 	local, closeLocal := btlocal.New(&n.rollouts, keyPartner{n})
+	local.Names = adapters.BackendNames
 	n.local = local
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
@@ -140,20 +159,16 @@
 	return n, free, nil
 }
 
-// connect makes the clients of the platform and of other nodes, and returns a
-// function that closes their connections.
+// connect makes the client of other nodes, and returns a function that closes
+// its connections.
 func (n *Node) connect() func() {
-	platform, closePlatform := btplatform.NewClient(n.settings.Platform.Addresses, n.settings.Platform.Timeout)
 	var config *tls.Config
 	if n.tls != nil {
 		config = n.tls.Client()
 	}
 	peers, closePeers := btpeer.NewClient(config, &n.bytes, n.settings.Peer.Source())
-	n.platform, n.peers = platform, peers
-	return func() {
-		closePeers()
-		closePlatform()
-	}
+	n.peers = peers
+	return closePeers
 }
 
 func (n *Node) self() baobabtide.Member {
@@ -182,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop} {
+	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop} {
 		n.wg.Go(loop)
 	}
 	n.log.Info().Str("event", "node.started").Str("zone", n.place.Zone).Uint64("incarnation", n.incarnation).Send()
@@ -242,9 +257,12 @@
 		BodyBytes:       n.settings.Caller.MaxBodyBytes,
 		Connections:     n.settings.Caller.MaxConnections,
 		DefaultCustomer: n.settings.Caller.DefaultCustomer,
+		Contract:        n.callerLimits,
 	})
+	callers.Names = n.adapters.CallerNames
+	callers.Origin = n.origin
 	n.callers = callers
-	announce, stopAnnounce := btbackend.NewAnnounceServer(&n.registry)
+	announce, stopAnnounce := n.adapters.Announce(&n.registry)
 	operators, stopOperators := btoperator.NewServer(operators{n})
 	listeners := []listener{
 		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, stopCallers},
@@ -255,6 +273,10 @@
 		metrics, stopMetrics := n.metricsServer()
 		listeners = append(listeners, listener{"metrics", n.settings.Metrics.Listen, metrics.Serve, stopMetrics})
 	}
+	if n.settings.Metrics.Ready != "" {
+		ready, stopReady := n.metricsServer()
+		listeners = append(listeners, listener{"readiness", n.settings.Metrics.Ready, ready.Serve, stopReady})
+	}
 	peers, stopPeers := btpeer.NewServer(n, n.serverTLS(), &n.bytes)
 	return append(listeners, listener{"peers", n.settings.Peer.Listen, peers.Serve, func() {
 		n.edges.closeAll()
@@ -278,6 +300,9 @@
 			if n.routes.Load() == nil {
 				n.markDirty()
 			}
+		case addresses := <-n.found:
+			n.seeds.Offer(addresses)
+			n.visitSeed(time.Now())
 		case <-n.rollouts.failing:
 			n.tickRollouts(time.Now())
 		}
--- /dev/null
+++ b/btnode/outcomes.go
@@ -0,0 +1,96 @@
+package btnode
+
+import (
+	"errors"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btpeer"
+)
+
+const (
+	outcomeCheck  = 200 * time.Millisecond // how often the loop looks whether a rollout runs
+	outcomePeriod = 5 * time.Second        // between reads while a rollout runs; gossip tells of outcomes sooner
+	recordTries   = 4
+	recordPause   = 100 * time.Millisecond
+)
+
+// outcomeLoop reads the outcomes that are kept apart from the log while a
+// rollout seems to run.
+func (n *Node) outcomeLoop() {
+	if n.adapters.Outcomes == nil {
+		n.outcomesRead.Store(true)
+		return
+	}
+	var last time.Time
+	for n.ctx.Err() == nil {
+		due := last.IsZero() || time.Since(last) > outcomePeriod+n.jitter()
+		if due && len(n.config.State().Running()) > 0 {
+			if _, err := n.readOutcomes(); err == nil {
+				last = time.Now()
+			}
+		}
+		n.sleep(outcomeCheck)
+	}
+}
+
+// readOutcomes takes in what is recorded and returns the position for the next
+// record.
+func (n *Node) readOutcomes() (baobabtide.Offset, error) {
+	outcomes, err := n.adapters.Outcomes.Outcomes(n.ctx)
+	if err != nil {
+		n.log.Warn().Str("event", "outcomes.unread").Err(err).Send()
+		return 0, err
+	}
+	n.outcomesRead.Store(true)
+	n.takeOutcomes(nil, outcomes.Ended)
+	return outcomes.Next, nil
+}
+
+// takeOutcomes takes in outcomes and passes on those that are news.
+func (n *Node) takeOutcomes(from *edge, outcomes []baobabtide.OutcomeRecord) {
+	var fresh []baobabtide.OutcomeRecord
+	for _, o := range outcomes {
+		if n.config.AddOutcome(o) {
+			fresh = append(fresh, o)
+			n.log.Info().Str("event", "rollout.ended").Uint64("rollout", uint64(o.Rollout)).Str("service", o.Service).
+				Str("version", o.Version).Str("result", string(o.Result)).Str("reason", o.Reason).Send()
+		}
+	}
+	if len(fresh) > 0 {
+		n.spreadMessage(&btpeer.Gossip{Outcomes: fresh}, from)
+		n.markDirty()
+	}
+}
+
+// recordOutcome records the outcome of a rollout unless one is recorded. Where
+// an answer was lost, what was recorded is read back.
+func (n *Node) recordOutcome(outcome *baobabtide.OutcomeRecord) error {
+	var err error
+	for range recordTries {
+		var next baobabtide.Offset
+		if next, err = n.readOutcomes(); err == nil {
+			if n.hasEnded(outcome.Rollout) {
+				return nil
+			}
+			if err = n.adapters.Outcomes.Record(n.ctx, next, outcome); err == nil {
+				n.takeOutcomes(nil, []baobabtide.OutcomeRecord{*outcome})
+				return nil
+			}
+		}
+		if !errors.Is(err, baobabtide.ErrConflict) {
+			n.sleep(recordPause)
+		}
+	}
+	return err
+}
+
+// hasEnded tells whether the outcome of a rollout is known.
+func (n *Node) hasEnded(rollout baobabtide.Offset) bool {
+	for _, r := range n.config.State().Running() {
+		if r.Offset == rollout {
+			return false
+		}
+	}
+	return true
+}
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -69,7 +69,7 @@
 // readOnce reads and folds the records after the configuration in force.
 func (n *Node) readOnce() error {
 	state := n.config.State()
-	page, err := n.platform.Read(n.ctx, baobabtide.ConfigStream, state.Offset+1, n.settings.Platform.ReadWait)
+	page, err := n.adapters.Log.Read(n.ctx, baobabtide.ConfigStream, state.Offset+1, n.settings.Platform.ReadWait)
 	if errors.Is(err, baobabtide.ErrRetention) {
 		return n.restore()
 	}
@@ -128,7 +128,7 @@
 	var chunks []btconfig.Chunk
 	from := baobabtide.Offset(0)
 	for {
-		page, err := n.platform.Read(n.ctx, baobabtide.SnapshotStream, from, 0)
+		page, err := n.adapters.Log.Read(n.ctx, baobabtide.SnapshotStream, from, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -150,6 +150,9 @@
 // snapshotLoop writes a snapshot whenever enough records have come since the
 // last one, while this node is the one that does so.
 func (n *Node) snapshotLoop() {
+	if n.settings.Platform.SnapshotEvery == 0 {
+		return
+	}
 	for n.ctx.Err() == nil {
 		n.sleep(time.Duration(float64(snapshotCheck) * (1 + snapshotJitter*(rand.Float64()-1))))
 		n.members.mu.Lock()
@@ -191,7 +194,7 @@
 		if err != nil {
 			return fmt.Errorf("encode snapshot: %w", err)
 		}
-		if _, err := n.platform.Append(n.ctx, baobabtide.SnapshotStream, data); err != nil {
+		if _, err := n.adapters.Log.Append(n.ctx, baobabtide.SnapshotStream, data); err != nil {
 			return err
 		}
 	}
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -106,6 +106,9 @@
 		}
 	}
 	p.decision = btrollout.Decide(rollout, evidence, tripped, p.cleared, now)
+	if !r.node.outcomesRead.Load() {
+		p.decision = btrollout.Decision{Phase: btrollout.PhaseProbe, Reason: "the outcome may be recorded already"}
+	}
 	if tripped {
 		p.decision.Reason = trip.Reason
 	}
@@ -254,13 +257,20 @@
 			Rollout:  rollout.Offset,
 			Customer: rollout.Customer,
 			Service:  rollout.Service,
+			Version:  rollout.To,
 			Result:   decision.Result,
 			Reason:   decision.Reason,
 			Evidence: n.rollouts.evidence(rollout),
 		},
 	}
 	n.submit(func() {
-		if err := n.appendRecord(n.ctx, record); err != nil {
+		var err error
+		if n.adapters.Outcomes != nil {
+			err = n.recordOutcome(record.Outcome)
+		} else {
+			err = n.appendRecord(n.ctx, record)
+		}
+		if err != nil {
 			n.log.Warn().Str("event", "outcome.append").Uint64("rollout", uint64(rollout.Offset)).Err(err).Send()
 		}
 	})
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -278,6 +278,9 @@
 // firstFrame returns the head with the first part of the body.
 func firstFrame(target baobabtide.TargetRef, req *baobabtide.Request) (*RequestFrame, error) {
 	frame := &RequestFrame{Head: &RequestHead{
+		ID:                req.ID,
+		Origin:            req.Origin,
+		Host:              req.Host,
 		Attempt:           req.Attempt,
 		Target:            target.Name,
 		TargetIncarnation: target.Incarnation,
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -30,6 +30,8 @@
 	Reports   []btrollout.Report      `cbor:"10,keyasint,omitempty"`
 	Trips     []btrollout.Trip        `cbor:"11,keyasint,omitempty"`
 	Wanted    []string                `cbor:"12,keyasint,omitempty"` // members whose records the sender lacks
+
+	Outcomes []baobabtide.OutcomeRecord `cbor:"13,keyasint,omitempty"` // that are kept apart from the configuration's log
 }
 
 // Hello names the node at the other end of a connection.
@@ -110,6 +112,9 @@
 	Depth             int                      `cbor:"16,keyasint,omitempty"`
 	Retried           bool                     `cbor:"17,keyasint,omitempty"`
 	Version           string                   `cbor:"18,keyasint,omitempty"`
+	ID                string                   `cbor:"19,keyasint,omitempty"`
+	Origin            string                   `cbor:"20,keyasint,omitempty"`
+	Host              string                   `cbor:"21,keyasint,omitempty"`
 }
 
 // Check reports the first field that breaks a rule.
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -150,6 +150,9 @@
 
 func (h *RequestHead) request(deadline time.Time) *baobabtide.Request {
 	return &baobabtide.Request{
+		ID:         h.ID,
+		Origin:     h.Origin,
+		Host:       h.Host,
 		Attempt:    h.Attempt,
 		Customer:   h.Customer,
 		Service:    h.Service,
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,16 +14,25 @@
 // Table maps requests to routes and routes to targets.
 type Table struct {
 	Offset    baobabtide.Offset // configuration version
-	customers map[string][]*Route
+	customers map[string]*customerRoutes
 	lines     map[string]*Line // by btconfig.AssignmentKey
 	targets   map[targetKey]*Target
 }
 
-// Route is one customer's route with the line that serves it.
+// Route is one customer's route with the lines that serve it.
 type Route struct {
 	Customer string
 	Terms    baobabtide.RouteTerms
-	Line     *Line
+	Line     *Line  // the only line, or the first of a split route
+	split    *split // nil for a route that goes to one service
+}
+
+// Choose returns the line that serves the next request.
+func (r *Route) Choose() *Line {
+	if r.split == nil {
+		return r.Line
+	}
+	return r.split.choose()
 }
 
 // targetKey tells a target from its predecessor at the same node.
@@ -48,7 +56,7 @@
 func Build(state *btconfig.State, members []baobabtide.Member, place Place, prev *Table) *Table {
 	t := &Table{
 		Offset:    state.Offset,
-		customers: make(map[string][]*Route, len(state.Contracts)),
+		customers: make(map[string]*customerRoutes, len(state.Contracts)),
 		lines:     make(map[string]*Line, len(state.Assignments)),
 		targets:   make(map[targetKey]*Target),
 	}
@@ -129,17 +137,21 @@
 }
 
 func (t *Table) addContract(state *btconfig.State, customer string, c *baobabtide.Contract, pools map[versionKey]*Pool, prev *Table) {
-	var routes []*Route
+	routes := newCustomerRoutes(c)
+	for i := range c.Services {
+		t.line(state, customer, &c.Services[i], pools, prev)
+	}
 	for i := range c.Services {
 		terms := &c.Services[i]
-		line := t.line(state, customer, terms, pools, prev)
 		for j := range terms.Routes {
-			routes = append(routes, &Route{Customer: customer, Terms: terms.Routes[j], Line: line})
+			route := &Route{Customer: customer, Terms: terms.Routes[j], Line: t.Line(customer, terms.Service)}
+			if len(route.Terms.Split) > 0 {
+				route.split = t.newSplit(customer, route.Terms.Split)
+				route.Line = route.split.parts[0].line
+			}
+			routes.add(route)
 		}
 	}
-	slices.SortStableFunc(routes, func(a, b *Route) int {
-		return len(b.Terms.PathPrefix) - len(a.Terms.PathPrefix)
-	})
 	t.customers[customer] = routes
 }
 
@@ -152,7 +164,11 @@
 	if !ok {
 		return line
 	}
-	line.Current = version(terms.Service, a.Current, pools)
+	if a.Current == baobabtide.AnyVersion {
+		line.Current = anyVersion(&a, pools)
+	} else {
+		line.Current = version(terms.Service, a.Current, pools)
+	}
 	if a.Running() {
 		line.Next = version(terms.Service, a.Rollout.To, pools)
 		line.Rollout = a.Rollout
@@ -181,33 +197,55 @@
 	return Version{Name: name, Pool: pools[versionKey{service, name}]}
 }
 
+// anyVersion returns the targets of an unversioned service that carry its
+// traffic: those of the version that a rollout has completed, or else all but
+// those of versions that a rollout moves traffic to or has taken back.
+func anyVersion(a *baobabtide.Assignment, pools map[versionKey]*Pool) Version {
+	if a.Rollout != nil && a.Rollout.Result == baobabtide.Completed {
+		if v := version(a.Service, a.Rollout.To, pools); v.Pool.Size() > 0 {
+			return v
+		}
+	}
+	v := Version{Name: baobabtide.AnyVersion}
+	for key, pool := range pools {
+		taken := a.Running() && a.Rollout.To == key.version
+		if key.service != a.Service || taken || slices.Contains(a.Refused, key.version) {
+			continue
+		}
+		if v.Pool == nil {
+			v.Pool = &Pool{}
+		}
+		v.Pool.targets = append(v.Pool.targets, pool.targets...)
+	}
+	if v.Pool != nil {
+		v.Pool.sort()
+	}
+	return v
+}
+
 // HasCustomer tells whether a contract names the customer.
 func (t *Table) HasCustomer(customer string) bool {
 	_, ok := t.customers[customer]
 	return ok
 }
 
-// Match returns the route with the longest prefix of the path that takes the
-// method, or nil. It does not allocate.
-func (t *Table) Match(customer, method, path string) *Route {
-	for _, r := range t.customers[customer] {
-		if matchPath(r.Terms.PathPrefix, path) && matchMethod(r.Terms.Methods, method) {
-			return r
-		}
+// Callers returns the bounds on a customer's callers, nil for none.
+func (t *Table) Callers(customer string) *baobabtide.CallerLimits {
+	if routes := t.customers[customer]; routes != nil {
+		return routes.callers
 	}
 	return nil
 }
 
-// matchPath tells whether prefix covers path at a segment's end.
-func matchPath(prefix, path string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
+// Match returns the route of the host with the longest prefix of the path that
+// takes the method, or nil. Routes without a host take what no route of the
+// host does. It does not allocate.
+func (t *Table) Match(customer, host, method, path string) *Route {
+	routes := t.customers[customer]
+	if routes == nil {
+		return nil
 	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/' || path[len(prefix)] == '?'
-}
-
-func matchMethod(methods []string, method string) bool {
-	return len(methods) == 0 || slices.Contains(methods, method)
+	return routes.match(host, method, path)
 }
 
 // Line returns the versions that serve a customer's service, or nil.
--- a/btsettings/platform.go
+++ b/btsettings/platform.go
@@ -19,9 +19,16 @@
 	Timeout        time.Duration // of one call
 	ReadWait       time.Duration // a read waits this long for new records
 	ReadersPerZone int           // nodes of a zone that read the log
-	SnapshotEvery  int           // records between snapshots
+	SnapshotEvery  int           // records between snapshots, 0 for none where the platform keeps the newest records for ever
+	Adapter        string        `json:",omitempty"` // OwnLog or KeyedLog, empty for OwnLog
 }
 
+// Adapters of a platform.
+const (
+	OwnLog   = "OwnLog"   // the product's own log protocol
+	KeyedLog = "KeyedLog" // a log with keyed topics that operators write to
+)
+
 // Check reports the first field that breaks a rule.
 func (p *Platform) Check() error {
 	if len(p.Addresses) == 0 {
@@ -41,7 +48,10 @@
 	if p.ReadersPerZone < 1 || p.ReadersPerZone > maxReaders {
 		return baobabtide.Fieldf("ReadersPerZone", "%d, 1 to %d are allowed", p.ReadersPerZone, maxReaders)
 	}
-	if p.SnapshotEvery < minSnapshotEvery {
+	if p.Adapter != "" && p.Adapter != OwnLog && p.Adapter != KeyedLog {
+		return baobabtide.Fieldf("Adapter", "%q is neither %q nor %q", p.Adapter, OwnLog, KeyedLog)
+	}
+	if p.SnapshotEvery < minSnapshotEvery && (p.SnapshotEvery != 0 || p.Adapter != KeyedLog) {
 		return baobabtide.Fieldf("SnapshotEvery", "%d is less than %d", p.SnapshotEvery, minSnapshotEvery)
 	}
 	return nil
--- a/btsettings/settings.go
+++ b/btsettings/settings.go
@@ -18,6 +18,7 @@
 	Backend  Backend
 	Peer     Peer
 	Platform Platform
+	Terms    Terms
 	Operator Operator
 	Metrics  Metrics
 	TLS      TLS
@@ -35,6 +36,7 @@
 		{"Backend", s.Backend.Check},
 		{"Peer", s.Peer.Check},
 		{"Platform", s.Platform.Check},
+		{"Terms", s.Terms.Check},
 		{"Operator", s.Operator.Check},
 		{"Metrics", s.Metrics.Check},
 		{"TLS", s.TLS.Check},
--- a/contract.go
+++ b/contract.go
@@ -9,13 +9,25 @@
 // Contract holds every limit that applies to one customer.
 type Contract struct {
 	Customer string
+	Revision uint64        `json:",omitempty"` // the publisher's own count, never lower than that of the contract in force; 0 for none
+	Callers  *CallerLimits `json:",omitempty"` // nil for those of the node's settings
 	Services []ServiceTerms
 }
 
+// CallerLimits bound what callers may send and how long they may take. Zero
+// fields keep what the node's settings say.
+type CallerLimits struct {
+	HeaderBytes   int           `json:",omitempty"`
+	BodyBytes     int           `json:",omitempty"`
+	HeaderTimeout time.Duration `json:",omitzero"` // from the first byte of a request to the end of its header
+	IdleTimeout   time.Duration `json:",omitzero"` // between two requests of one connection
+}
+
 // ServiceTerms are a customer's limits for one service.
 type ServiceTerms struct {
 	Service           string
 	Versions          []string `json:",omitempty"` // versions that may carry the traffic, empty for every version
+	Unversioned       bool     `json:",omitempty"` // every announced version carries the traffic unless a rollout says otherwise
 	RequestsPerSecond float64  `json:",omitempty"` // per admitting node, 0 for no limit
 	Routes            []RouteTerms
 	Rollout           RolloutTerms
@@ -24,12 +36,22 @@
 
 // RouteTerms describe one kind of request.
 type RouteTerms struct {
-	Name       string
-	Methods    []string `json:",omitempty"` // empty for every method
-	PathPrefix string   // unique within the contract, the longest match wins
-	Idempotent bool
-	Priority   int           `json:",omitempty"` // higher goes first under overload
-	Timeout    time.Duration // time a request may take from end to end
+	Name        string
+	Host        string   `json:",omitempty"` // host that the caller asks for, empty for every host
+	Methods     []string `json:",omitempty"` // empty for every method
+	PathPrefix  string   // unique within the contract's host, the longest match wins
+	Idempotent  bool
+	Split       []ServiceShare `json:",omitempty"` // services that share the traffic, empty for the one that holds the route
+	Priority    int            `json:",omitempty"` // higher goes first under overload
+	MaxAttempts int            `json:",omitempty"` // targets that one request may reach, 0 for the node's default
+	Objective   time.Duration  `json:",omitzero"`  // time within which an answer is worth most, 0 for Timeout
+	Timeout     time.Duration  // time a request may take from end to end
+}
+
+// ServiceShare is the part of a route's traffic that goes to one service.
+type ServiceShare struct {
+	Service string
+	Weight  int // relative to the sum of the route's weights
 }
 
 // Policy on a rollout that ran out of time without enough evidence.
@@ -60,7 +82,12 @@
 // Bounds on a contract.
 const (
 	maxServices  = 512
-	maxRoutes    = 64
+	maxRoutes    = 1 << 14
+	maxEvidence  = 1 << 10 // routes of an outcome's evidence
+	maxSplit     = 64
+	maxWeight    = 1 << 20
+	maxAttempts  = 16
+	maxHost      = 253
 	maxVersions  = 64
 	maxTimeout   = 10 * time.Minute
 	maxRollout   = 7 * 24 * time.Hour
@@ -79,6 +106,11 @@
 		return Fieldf("Services", "%d entries, 1 to %d are allowed", len(c.Services), maxServices)
 	}
 	services := make(map[string]bool, len(c.Services))
+	if c.Callers != nil {
+		if err := c.Callers.Check(); err != nil {
+			return Within("Callers", err)
+		}
+	}
 	prefixes := make(map[string]string)
 	for i := range c.Services {
 		s := &c.Services[i]
@@ -93,6 +125,21 @@
 			return WithinIndex("Services", i, err)
 		}
 	}
+	return c.checkSplits(services)
+}
+
+// checkSplits reports a route that shares its traffic with a service that the
+// contract does not name.
+func (c *Contract) checkSplits(services map[string]bool) error {
+	for i := range c.Services {
+		for j := range c.Services[i].Routes {
+			for _, part := range c.Services[i].Routes[j].Split {
+				if !services[part.Service] {
+					return Fieldf(fmt.Sprintf("Services[%d].Routes[%d].Split", i, j), "service %q is not in the contract", part.Service)
+				}
+			}
+		}
+	}
 	return nil
 }
 
@@ -105,7 +152,7 @@
 			methods = []string{"*"}
 		}
 		for _, m := range methods {
-			key := m + " " + r.PathPrefix
+			key := m + " " + r.Host + r.PathPrefix
 			if other, ok := seen[key]; ok {
 				return Fieldf(fmt.Sprintf("Routes[%d].PathPrefix", i), "%q is taken by route %q", key, other)
 			}
@@ -131,7 +178,7 @@
 	if s.RequestsPerSecond < 0 {
 		return Fieldf("RequestsPerSecond", "%g is negative", s.RequestsPerSecond)
 	}
-	if len(s.Routes) == 0 || len(s.Routes) > maxRoutes {
+	if len(s.Routes) > maxRoutes || (len(s.Routes) == 0 && !s.Unversioned) {
 		return Fieldf("Routes", "%d entries, 1 to %d are allowed", len(s.Routes), maxRoutes)
 	}
 	names := make(map[string]bool, len(s.Routes))
@@ -185,6 +232,56 @@
 	if r.Timeout <= 0 || r.Timeout > maxTimeout {
 		return Fieldf("Timeout", "%s, more than 0s up to %s are allowed", r.Timeout, maxTimeout)
 	}
+	if r.Objective < 0 || r.Objective > maxTimeout {
+		return Fieldf("Objective", "%s, 0s to %s are allowed", r.Objective, maxTimeout)
+	}
+	if r.MaxAttempts < 0 || r.MaxAttempts > maxAttempts {
+		return Fieldf("MaxAttempts", "%d, 0 to %d are allowed", r.MaxAttempts, maxAttempts)
+	}
+	if len(r.Host) > maxHost {
+		return Fieldf("Host", "%d bytes exceed %d", len(r.Host), maxHost)
+	}
+	return r.checkSplit()
+}
+
+func (r *RouteTerms) checkSplit() error {
+	if len(r.Split) > maxSplit {
+		return Fieldf("Split", "%d entries exceed %d", len(r.Split), maxSplit)
+	}
+	sum := 0
+	for i, part := range r.Split {
+		if err := checkName("Service", part.Service); err != nil {
+			return WithinIndex("Split", i, err)
+		}
+		if part.Weight < 0 || part.Weight > maxWeight {
+			return Fieldf(fmt.Sprintf("Split[%d].Weight", i), "%d, 0 to %d are allowed", part.Weight, maxWeight)
+		}
+		sum += part.Weight
+	}
+	if len(r.Split) > 0 && sum == 0 {
+		return Fieldf("Split", "all weights are 0")
+	}
+	return nil
+}
+
+// Check reports the first field that breaks a rule.
+func (l *CallerLimits) Check() error {
+	for _, size := range []struct {
+		name  string
+		bytes int
+	}{{"HeaderBytes", l.HeaderBytes}, {"BodyBytes", l.BodyBytes}} {
+		if size.bytes < 0 {
+			return Fieldf(size.name, "%d is negative", size.bytes)
+		}
+	}
+	for _, limit := range []struct {
+		name string
+		time time.Duration
+	}{{"HeaderTimeout", l.HeaderTimeout}, {"IdleTimeout", l.IdleTimeout}} {
+		if limit.time < 0 || limit.time > maxTimeout {
+			return Fieldf(limit.name, "%s, 0s to %s are allowed", limit.time, maxTimeout)
+		}
+	}
 	return nil
 }
 
--- a/log.go
+++ b/log.go
@@ -43,8 +43,41 @@
 	Read(ctx context.Context, stream Stream, from Offset, wait time.Duration) (Page, error)
 }
 
+// OutcomeLog keeps the outcomes of rollouts apart from the configuration. The
+// first outcome of a rollout that is recorded counts.
+type OutcomeLog interface {
+	// Outcomes returns what is recorded and the position that Record takes.
+	Outcomes(ctx context.Context) (Outcomes, error)
+	// Record adds an outcome, or a start where Result is empty, unless
+	// something was recorded after the position. ErrConflict means that it
+	// was; ErrUncertain that the outcome may have been recorded.
+	Record(ctx context.Context, at Offset, outcome *OutcomeRecord) error
+}
+
+// Outcomes is what an OutcomeLog holds.
+type Outcomes struct {
+	Ended []OutcomeRecord
+	Next  Offset // position after the newest record
+}
+
+// Directory is where nodes find each other when they know none.
+type Directory interface {
+	// Register notes the address of a node.
+	Register(ctx context.Context, node Listing) error
+	// Nodes returns the nodes that have registered, also those that are gone.
+	Nodes(ctx context.Context) ([]Listing, error)
+}
+
+// Listing is one node of a Directory.
+type Listing struct {
+	Name        string
+	Address     string // peer address
+	Incarnation uint64
+}
+
 // Errors of a Log.
 var (
+	ErrConflict    = errors.New("something else was recorded in the meantime")
 	ErrUnavailable = errors.New("platform log unavailable")
 	ErrUncertain   = errors.New("append may have taken effect")
 	ErrRetention   = errors.New("offset is older than the log's retention")
--- a/record.go
+++ b/record.go
@@ -22,6 +22,10 @@
 	Service   string
 	Version   string
 	Customers []string `json:",omitempty"` // empty for every customer whose contract allows the version
+
+	// Terms replace those of the contract, which need not name the service
+	// yet. A release with terms ends a running rollout of its service.
+	Terms *RolloutTerms `json:",omitempty"`
 }
 
 // Result says how a rollout ended.
@@ -38,6 +42,7 @@
 	Rollout  Offset // offset of the release
 	Customer string
 	Service  string
+	Version  string `json:",omitempty"` // that the rollout moved traffic to
 	Result   Result
 	Reason   string
 	Evidence []RouteEvidence `json:",omitempty"`
@@ -100,7 +105,7 @@
 	maxReasonLength   = 1024
 	maxCustomers      = 4096
 	// MaxRecordSize is the largest encoded record in bytes.
-	MaxRecordSize = 256 << 10
+	MaxRecordSize = 8 << 20
 )
 
 // Check reports the first field that breaks a rule.
@@ -151,6 +156,14 @@
 	if len(r.Customers) > maxCustomers {
 		return Fieldf("Customers", "%d exceed %d", len(r.Customers), maxCustomers)
 	}
+	if r.Terms != nil {
+		if err := r.Terms.Check(); err != nil {
+			return Within("Terms", err)
+		}
+		if len(r.Customers) == 0 {
+			return Fieldf("Customers", "empty, Terms need them")
+		}
+	}
 	for i, c := range r.Customers {
 		if err := checkName(fmt.Sprintf("Customers[%d]", i), c); err != nil {
 			return err
@@ -176,8 +189,8 @@
 	if len(o.Reason) > maxReasonLength {
 		return Fieldf("Reason", "%d bytes exceed %d", len(o.Reason), maxReasonLength)
 	}
-	if len(o.Evidence) > maxRoutes {
-		return Fieldf("Evidence", "%d routes exceed %d", len(o.Evidence), maxRoutes)
+	if len(o.Evidence) > maxEvidence {
+		return Fieldf("Evidence", "%d routes exceed %d", len(o.Evidence), maxEvidence)
 	}
 	return nil
 }
@@ -224,9 +237,14 @@
 type Assignment struct {
 	Customer string
 	Service  string
-	Current  string   // version that carries the traffic, the old one while a rollout runs
+	Current  string   // version that carries the traffic, the old one while a rollout runs, or AnyVersion
 	Rollout  *Rollout `json:",omitempty"` // the latest, nil before the first
+	Refused  []string `json:",omitempty"` // versions that were taken back, for AnyVersion only
 }
 
+// AnyVersion is the current version of an unversioned service: all announced
+// versions but those that a rollout moves traffic to or has taken back.
+const AnyVersion = "*"
+
 // Running tells whether a rollout has not ended.
 func (a *Assignment) Running() bool { return a.Rollout != nil && a.Rollout.Result == "" }
--- a/request.go
+++ b/request.go
@@ -14,7 +14,10 @@
 
 // Request is a caller's request after it was matched to a route.
 type Request struct {
+	ID         string // chosen by the caller, empty for none; the answer must repeat it
 	Attempt    string // unique per attempt, chosen by the node that the caller asked
+	Origin     string // service beside the node that the caller asked, empty for none
+	Host       string // host that the caller asked for
 	Customer   string
 	Service    string
 	Version    string
--- a/verdict.go
+++ b/verdict.go
@@ -43,6 +43,8 @@
 	ReasonPartner      Reason = "key-partner-unreachable"
 	ReasonLost         Reason = "connection-lost"
 	ReasonBackend      Reason = "backend-refused"
+	ReasonUnreached    Reason = "backend-unreached" // no connection to the backend server could be had
+	ReasonMisdirected  Reason = "backend-replaced"  // another backend server has the address
 	ReasonTruncated    Reason = "truncated-response"
 	ReasonTooDeep      Reason = "too-deep"
 )
@@ -52,6 +54,8 @@
 	Verdict    Verdict
 	Reason     Reason
 	RetryAfter time.Duration // zero when a retry can't help
+	Reached    bool          // a backend server has seen the request, even if it did not run it
+	Load       Load          // of the refusing target, zero Slots for unknown
 	Err        error         // cause, may be nil
 }
 
