btdispatch, btadmit, btpeer: requests move on when a target has no room, silent links are probed

Cut nodes held requests for over a second. Ruled out: 2 s of backoff and 10 s of gRPC keep-alive (too slow for a cut).

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -1,5 +1,11 @@
 // Package btadmit decides which requests the node beside a backend server lets
 // in: how many at once, in which order, and which are refused at once.
+//
+// The load that it answers is one of more requests than the backend server has
+// time for, of kinds that are more and less urgent, some of which are calls of
+// requests that run elsewhere. Work that can't end within its latency objective
+// only keeps other work from ending within its own, so a request whose wait is
+// known to be too long is refused when it comes, before it costs anything.
 package btadmit
 
 import (
@@ -11,19 +17,32 @@
 )
 
 const (
-	queuePerSlot      = 2                      // waiting requests per slot
-	initialService    = 5 * time.Millisecond   // estimate before the first answer
-	serviceWeight     = 16                     // smoothing of the service time
-	limitDecrease     = 0.8                    // factor after the backend server shed a request
-	minRetryAfter     = 100 * time.Millisecond // lower bound of what a refused caller is told
-	deadlineQueuePart = 2                      // a request waits for at most 1/2 of the time left to it
+	maxPerSlot    = 8                      // waiting requests per slot, a bound on memory
+	minRetryAfter = 100 * time.Millisecond // lower bound of what a refused caller is told
+	limitDecrease = 0.8                    // factor after the backend server shed a request for overload
+	busyPart      = 0.8                    // part of the limit in use from which shedding means overload
+	residualPart  = 0.7                    // part of a run that is left, on average, when one looks
+	expireMargin  = 0.7                    // part of the expected run that must fit before the deadline
+	urgentEvery   = 8                      // of so many grants one goes to the oldest waiter, so that no kind starves
+	maxLateWait   = 0.35                   // part of the time left that a request waits at most once it can't meet its objective
+	minLatePart   = 0.1                    // part of the slots that is assumed for late work under any load
 )
 
 // Ticket is a request that asks for a slot.
 type Ticket struct {
-	Customer string
-	Priority int // higher goes first
-	Deadline time.Time
+	Customer  string
+	Route     string
+	Priority  int // higher goes first
+	Deadline  time.Time
+	Objective time.Time // time by which its answer is worth most, zero for the deadline
+	Late      bool      // wanted also where the objective can't be met
+}
+
+func (t *Ticket) objective() time.Time {
+	if t.Objective.IsZero() {
+		return t.Deadline
+	}
+	return t.Objective
 }
 
 // Waiter is a ticket that waits for a slot.
@@ -48,15 +67,19 @@
 	slots    int
 	limit    float64 // slots in use at most, 1 to slots
 	inFlight int
-	service  time.Duration // smoothed time from grant to release
-	waiting  []*Waiter     // in order of arrival
+	begun    time.Duration // sum of the times, since epoch, at which the running requests were granted
+	epoch    time.Time
+	pace     Pace
+	waiting  []*Waiter // in order of arrival
 	running  map[string]int
-	closed   bool // draining: nothing new is let in
+	grants   int
+	onTime   decayingSum // work granted to requests that can meet their objectives
+	closed   bool        // draining: nothing new is let in
 }
 
 // NewQueue returns a queue for a backend server with a number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, limit: float64(slots), service: initialService, running: make(map[string]int)}
+	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int)}
 }
 
 // granted is the waiter of all tickets that get a slot at once.
@@ -74,51 +97,106 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed {
-		return nil, baobabtide.Refuse(baobabtide.ReasonDraining, minRetryAfter, nil)
+		return nil, q.refusal(baobabtide.ReasonDraining, &t, minRetryAfter, now)
 	}
 	if !now.Before(t.Deadline) {
-		return nil, baobabtide.Refuse(baobabtide.ReasonDeadline, 0, nil)
+		return nil, q.refusal(baobabtide.ReasonDeadline, &t, 0, now)
 	}
+	work := q.work(t.Route, now)
 	if q.free() && len(q.waiting) == 0 {
-		q.grant(t.Customer)
+		if q.inFlight > 0 && now.Add(work).After(t.Deadline) {
+			return nil, q.refusal(baobabtide.ReasonTooSlow, &t, max(work, minRetryAfter), now)
+		}
+		q.grant(&t, now)
 		return granted, nil
 	}
 	w := &Waiter{ticket: t, arrived: now, ready: make(chan struct{})}
-	if wait := q.wait(q.ahead(t)); now.Add(wait * deadlineQueuePart).After(t.Deadline) {
-		return nil, baobabtide.Refuse(baobabtide.ReasonOverload, max(wait, minRetryAfter), nil)
+	wait := q.wait(w, now)
+	end := now.Add(wait + work)
+	late := end.After(t.objective())
+	if late {
+		wait = q.lateWait(wait, now)
+		end = now.Add(wait + work)
 	}
-	if len(q.waiting) >= q.slots*queuePerSlot && !q.evict(t) {
-		return nil, baobabtide.Refuse(baobabtide.ReasonOverload, max(q.wait(len(q.waiting)), minRetryAfter), nil)
+	tooLong := wait > time.Duration(maxLateWait*float64(t.Deadline.Sub(now)))
+	switch {
+	case end.After(t.Deadline), late && (!t.Late || tooLong), len(q.waiting) >= q.slots*maxPerSlot && !q.evict(&t, now):
+		return nil, q.refusal(baobabtide.ReasonOverload, &t, q.comeBack(&t, wait+work, now), now)
 	}
 	q.waiting = append(q.waiting, w)
 	return w, nil
 }
 
+// refusal describes why a ticket gets no slot, with the load that decided it.
+func (q *Queue) refusal(reason baobabtide.Reason, t *Ticket, retryAfter time.Duration, now time.Time) *baobabtide.RequestError {
+	err := baobabtide.Refuse(reason, retryAfter, nil)
+	err.Load = q.load(t.Route, now)
+	return err
+}
+
+// comeBack returns the time after which a ticket would be let in if nothing
+// else came.
+func (q *Queue) comeBack(t *Ticket, takes time.Duration, now time.Time) time.Duration {
+	return max(minRetryAfter, takes-t.objective().Sub(now))
+}
+
 func (q *Queue) free() bool { return float64(q.inFlight) < max(1, float64(int(q.limit))) }
 
-func (q *Queue) grant(customer string) {
+func (q *Queue) grant(t *Ticket, now time.Time) {
+	if q.epoch.IsZero() {
+		q.epoch = now
+	}
 	q.inFlight++
-	q.running[customer]++
+	q.begun += now.Sub(q.epoch)
+	q.running[t.Customer]++
+	q.grants++
+	if work := q.pace.Work(t.Route); !now.Add(work).After(t.objective()) {
+		q.onTime.add(work.Seconds(), now)
+	}
 }
 
-// ahead counts the waiters that go before a new ticket.
-func (q *Queue) ahead(t Ticket) int {
-	n := 0
-	for _, w := range q.waiting {
-		if w.ticket.Priority >= t.Priority {
-			n++
-		}
+// lateWait estimates the wait of a request that those with a chance to meet
+// their objectives overtake while it waits.
+func (q *Queue) lateWait(wait time.Duration, now time.Time) time.Duration {
+	used := q.onTime.perSecond(now) / max(1, q.limit)
+	return time.Duration(float64(wait) / max(minLatePart, 1-used))
+}
+
+// work returns how long a run of a route is expected to take now.
+func (q *Queue) work(route string, now time.Time) time.Duration {
+	return time.Duration(float64(q.pace.Work(route)) * q.slowness(now))
+}
+
+// slowness tells how much longer than expected the running requests have been
+// running already, 1 for no longer. It shows a backend server that has turned
+// slow before a single answer does.
+func (q *Queue) slowness(now time.Time) float64 {
+	expected := float64(q.pace.Mean())
+	if q.inFlight == 0 || expected == 0 {
+		return 1
 	}
-	return n
+	age := float64(now.Sub(q.epoch)) - float64(q.begun)/float64(q.inFlight)
+	return max(1, age/(expected*slowAge))
 }
 
-// wait estimates how long a ticket behind a number of others waits.
-func (q *Queue) wait(ahead int) time.Duration {
-	return time.Duration(float64(q.service) * float64(ahead+1) / max(1, q.limit))
+// wait estimates how long a waiter waits for a slot behind those that go before
+// it.
+func (q *Queue) wait(w *Waiter, now time.Time) time.Duration {
+	if q.free() && len(q.waiting) == 0 {
+		return 0
+	}
+	slow := q.slowness(now)
+	ahead := residualPart * float64(q.pace.Mean())
+	for _, other := range q.waiting {
+		if !q.before(w, other, now) {
+			ahead += float64(q.pace.Work(other.ticket.Route))
+		}
+	}
+	return time.Duration(slow * ahead / max(1, q.limit))
 }
 
 // evict refuses the newest waiter of the lowest priority below the ticket's.
-func (q *Queue) evict(t Ticket) bool {
+func (q *Queue) evict(t *Ticket, now time.Time) bool {
 	lowest := -1
 	for i, w := range q.waiting {
 		if w.ticket.Priority < t.Priority && (lowest < 0 || w.ticket.Priority <= q.waiting[lowest].ticket.Priority) {
@@ -128,8 +206,8 @@
 	if lowest < 0 {
 		return false
 	}
-	retryAfter := max(q.wait(len(q.waiting)), minRetryAfter)
-	q.refuse(lowest, baobabtide.Refuse(baobabtide.ReasonOverload, retryAfter, nil))
+	evicted := &q.waiting[lowest].ticket
+	q.refuse(lowest, q.refusal(baobabtide.ReasonOverload, evicted, minRetryAfter, now))
 	return true
 }
 
@@ -154,37 +232,52 @@
 	return true
 }
 
-// Release returns a slot after a request took some time and lets the next
+// Release returns a slot that was granted some time ago and lets the next
 // waiters in.
 func (q *Queue) Release(customer string, took time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.inFlight--
+	q.begun -= now.Add(-took).Sub(q.epoch)
+	if q.inFlight == 0 {
+		q.begun, q.epoch = 0, now
+	}
 	if q.running[customer]--; q.running[customer] <= 0 {
 		delete(q.running, customer)
 	}
-	q.service += (took - q.service) / serviceWeight
 	if q.inFlight+1 >= int(q.limit) {
 		q.limit = min(float64(q.slots), q.limit+1/q.limit)
 	}
 	q.admit(now)
 }
 
-// Shed notes that the backend server refused a request for overload.
+// Learn notes how long a run of a route took and whether it failed.
+func (q *Queue) Learn(route string, took time.Duration, failed bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pace.Learn(route, took, failed)
+}
+
+// Shed notes that the backend server did not run a request that was let in. It
+// is short of room, unless hardly any of its slots were taken: then it is ill.
 func (q *Queue) Shed() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limit = max(1, q.limit*limitDecrease)
+	if float64(q.inFlight) >= busyPart*q.limit {
+		q.limit = max(1, q.limit*limitDecrease)
+		return
+	}
+	q.pace.Fail()
 }
 
 // admit gives free slots to waiters.
 func (q *Queue) admit(now time.Time) {
 	q.expire(now)
 	for q.free() && len(q.waiting) > 0 {
-		i := q.next()
+		i := q.next(now)
 		w := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
-		q.grant(w.ticket.Customer)
+		q.grant(&w.ticket, now)
 		close(w.ready)
 	}
 }
@@ -192,29 +285,50 @@
 // expire refuses the waiters that can't be answered in time any more.
 func (q *Queue) expire(now time.Time) {
 	for i := len(q.waiting) - 1; i >= 0; i-- {
-		if now.Add(q.service).After(q.waiting[i].ticket.Deadline) {
-			q.refuse(i, baobabtide.Refuse(baobabtide.ReasonDeadline, 0, nil))
+		t := &q.waiting[i].ticket
+		if now.Add(time.Duration(expireMargin * float64(q.pace.Work(t.Route)))).After(t.Deadline) {
+			q.refuse(i, q.refusal(baobabtide.ReasonDeadline, t, 0, now))
 		}
 	}
 }
 
-// next returns the waiter to let in: the highest priority, then the customer
-// with the fewest running requests, then the oldest.
-func (q *Queue) next() int {
+// next returns the waiter to let in.
+func (q *Queue) next(now time.Time) int {
+	if q.grants%urgentEvery == urgentEvery-1 {
+		return 0
+	}
 	best := 0
 	for i := 1; i < len(q.waiting); i++ {
-		if q.before(q.waiting[i], q.waiting[best]) {
+		if q.before(q.waiting[i], q.waiting[best], now) {
 			best = i
 		}
 	}
 	return best
 }
 
-func (q *Queue) before(a, b *Waiter) bool {
+// before tells whether a goes before b: the more urgent kind, then what can
+// still meet its objective, then the customer with the fewest running requests,
+// then the earlier objective. Calls of work that runs have the shortest
+// objectives and so go before new work of their rank.
+func (q *Queue) before(a, b *Waiter, now time.Time) bool {
 	if a.ticket.Priority != b.ticket.Priority {
 		return a.ticket.Priority > b.ticket.Priority
 	}
-	return q.running[a.ticket.Customer] < q.running[b.ticket.Customer]
+	if am, bm := q.meets(a, now), q.meets(b, now); am != bm {
+		return am
+	}
+	if a.ticket.Customer != b.ticket.Customer {
+		ar, br := q.running[a.ticket.Customer], q.running[b.ticket.Customer]
+		if ar != br {
+			return ar < br
+		}
+	}
+	return a.ticket.objective().Before(b.ticket.objective())
+}
+
+// meets tells whether a waiter let in now would meet its objective.
+func (q *Queue) meets(w *Waiter, now time.Time) bool {
+	return !now.Add(q.pace.Work(w.ticket.Route)).After(w.ticket.objective())
 }
 
 // Close refuses all waiters and whatever is offered from now on.
@@ -223,13 +337,24 @@
 	defer q.mu.Unlock()
 	q.closed = true
 	for len(q.waiting) > 0 {
-		q.refuse(len(q.waiting)-1, baobabtide.Refuse(baobabtide.ReasonDraining, minRetryAfter, nil))
+		refusal := baobabtide.Refuse(baobabtide.ReasonDraining, minRetryAfter, nil)
+		q.refuse(len(q.waiting)-1, refusal)
 	}
 }
 
-// Load returns what a response reports.
-func (q *Queue) Load() baobabtide.Load {
+// Load returns what a response on a route reports.
+func (q *Queue) Load(route string, now time.Time) baobabtide.Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return baobabtide.Load{InFlight: q.inFlight, Queued: len(q.waiting), Slots: max(1, int(q.limit))}
+	return q.load(route, now)
+}
+
+func (q *Queue) load(route string, now time.Time) baobabtide.Load {
+	return baobabtide.Load{
+		InFlight: q.inFlight,
+		Queued:   len(q.waiting),
+		Slots:    max(1, int(q.limit)),
+		Work:     q.work(route, now),
+		Failing:  q.pace.Failing(),
+	}
 }
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -15,7 +16,10 @@
 	"github.com/baobabtide/baobabtide/btledger"
 )
 
-const goneRetry = time.Second
+const (
+	goneRetry = time.Second
+	downTime  = 300 * time.Millisecond // without requests after a server could not be reached; restarts take longer
+)
 
 // Observer counts what requests show of a version.
 type Observer interface {
@@ -30,6 +34,15 @@
 	queue        *btadmit.Queue
 	pool         *btbackend.Pool
 	closePool    func()
+	downUntil    atomic.Int64 // Unix time in nanoseconds before which nothing is sent, because no connection could be had
+}
+
+// unreached notes that no connection to the server could be had.
+func (s *server) unreached(now time.Time) { s.downUntil.Store(now.Add(downTime).UnixNano()) }
+
+// down returns how long nothing is sent to the server.
+func (s *server) down(now time.Time) time.Duration {
+	return time.Duration(s.downUntil.Load() - now.UnixNano())
 }
 
 // Admitter implements baobabtide.Admitter for the backend servers that the
@@ -145,7 +158,7 @@
 	defer a.mu.Unlock()
 	loads := make(map[string]baobabtide.Load, len(a.servers))
 	for name, s := range a.servers {
-		loads[name] = s.queue.Load()
+		loads[name] = s.queue.Load("", time.Now())
 	}
 	return loads
 }
@@ -191,6 +204,9 @@
 	if wait := a.Limiter.Take(req.Customer, req.Service, time.Now()); wait > 0 {
 		return nil, baobabtide.Refuse(baobabtide.ReasonRateLimit, wait, nil)
 	}
+	if left := s.down(time.Now()); left > 0 {
+		return nil, baobabtide.Refuse(baobabtide.ReasonUnreached, left, nil)
+	}
 	if refusal := a.acquire(ctx, s, req); refusal != nil {
 		return nil, refusal
 	}
@@ -208,7 +224,14 @@
 
 // acquire waits for a slot.
 func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request) *baobabtide.RequestError {
-	ticket := btadmit.Ticket{Customer: req.Customer, Priority: req.Priority, Deadline: req.Deadline}
+	ticket := btadmit.Ticket{
+		Customer:  req.Customer,
+		Route:     req.Route,
+		Priority:  req.Priority,
+		Deadline:  req.Deadline,
+		Objective: req.Objective,
+		Late:      req.Late,
+	}
 	w, refusal := s.queue.Offer(ticket, time.Now())
 	if refusal != nil {
 		return refusal
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -87,11 +87,20 @@
 	if r.recorded {
 		r.conclude(err.Verdict, nil)
 	}
-	if err.Reason == baobabtide.ReasonOverload {
+	now := time.Now()
+	switch err.Reason {
+	case baobabtide.ReasonOverload:
 		r.server.queue.Shed()
-	}
+	case baobabtide.ReasonUnreached:
+		r.server.unreached(now)
+	case baobabtide.ReasonMisdirected:
+		r.server.queue.Close() // another backend server has taken its place
+	case baobabtide.ReasonBackend:
+		r.server.queue.Learn(r.req.Route, now.Sub(r.started), true)
+	}
+	err.Load = r.server.queue.Load(r.req.Route, now)
 	r.release()
-	if err.Reason != baobabtide.ReasonOverload && err.Reason != baobabtide.ReasonCanceled {
+	if err.Verdict != baobabtide.NotRun && err.Reason != baobabtide.ReasonCanceled {
 		r.admitter.Observer.Observe(r.req, time.Since(r.started), true)
 	}
 	return err
@@ -100,7 +109,7 @@
 // succeed wraps an answer so that the request ends with its body.
 func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
 	took := time.Since(r.started)
-	resp.Load = r.server.queue.Load()
+	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
 	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp, took: took}
 	return resp
 }
@@ -145,6 +154,7 @@
 	if r.recorded {
 		r.conclude(baobabtide.Ran, b.answer())
 	}
+	r.server.queue.Learn(r.req.Route, time.Since(r.started), b.failed || b.resp.Status >= 500)
 	r.release()
 	r.admitter.end()
 	r.admitter.Observer.Observe(r.req, b.took, b.failed || b.resp.Status >= 500)
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -38,6 +38,7 @@
 const (
 	workerCount   = 64
 	tickPeriod    = 500 * time.Millisecond
+	burstPart     = 0.6                   // part of the shared allowance of retries that the nodes use, the rest covers differing views of their number
 	rebuildPeriod = 25 * time.Millisecond // route tables are built at most this often
 )
 
@@ -171,6 +172,9 @@
 	return closePeers
 }
 
+// Process implements btpeer.Node.
+func (n *Node) Process() uint64 { return n.incarnation }
+
 func (n *Node) self() baobabtide.Member {
 	return baobabtide.Member{
 		Name:        n.settings.Node.Name,
@@ -178,6 +182,7 @@
 		Region:      n.settings.Node.Region,
 		PeerAddress: n.settings.Peer.Address(),
 		Incarnation: n.incarnation,
+		Process:     n.incarnation,
 		Sequence:    1,
 	}
 }
@@ -341,7 +346,11 @@
 	n.members.mu.Lock()
 	delta := n.members.table.Tick(now)
 	readers := n.members.table.Readers(n.settings.Platform.ReadersPerZone)
+	live := n.members.table.Live()
 	n.members.mu.Unlock()
+	if burst := n.settings.Terms.RetryBurst; burst > 0 {
+		n.dispatch.Budgets.SetBurst(burst * burstPart / float64(live))
+	}
 	n.reader.Store(containsName(readers, n.place.Node) && n.mayRead(now))
 	for _, s := range delta.Statuses {
 		n.log.Info().Str("event", "member.status").Str("member", s.Name).Stringer("status", s.Status).Send()
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -24,11 +24,11 @@
 
 const (
 	idleTimeout    = time.Minute
-	dialTimeout    = time.Second
+	dialTimeout    = 500 * time.Millisecond // a lost opening packet is sent again after seconds, so a new attempt is faster
 	settleTimeout  = time.Second
 	firstBodyPart  = 32 << 10 // bytes of body that travel with the head
 	reconnectDelay = 100 * time.Millisecond
-	reconnectMax   = 2 * time.Second
+	reconnectMax   = 500 * time.Millisecond
 )
 
 // Client calls other nodes. It keeps one connection per address for requests.
@@ -38,7 +38,7 @@
 	source      net.IP
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	links map[string]*link
 }
 
 // NewClient returns a client and a function that closes its connections. A nil
@@ -49,7 +49,7 @@
 		source:      source,
 		credentials: insecure.NewCredentials(),
 		bytes:       bytes,
-		conns:       make(map[string]*grpc.ClientConn),
+		links:       make(map[string]*link),
 	}
 	if config != nil {
 		c.credentials = credentials.NewTLS(config)
@@ -60,9 +60,9 @@
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
+	for address, l := range c.links {
+		_ = l.conn.Close()
+		delete(c.links, address)
 	}
 }
 
@@ -107,29 +107,49 @@
 
 // conn returns the shared connection to an address.
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	l, err := c.link(address)
+	if err != nil {
+		return nil, err
+	}
+	return l.conn, nil
+}
+
+func (c *Client) link(address string) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn, ok := c.conns[address]; ok {
-		return conn, nil
+	if l, ok := c.links[address]; ok {
+		return l, nil
 	}
 	conn, err := c.dial(address)
 	if err != nil {
 		return nil, err
 	}
-	c.conns[address] = conn
-	return conn, nil
+	l := newLink(conn)
+	c.links[address] = l
+	return l, nil
 }
 
 // Replace drops the shared connection to an address. Calls on it go on for a
 // grace period; new calls open a new one.
 func (c *Client) Replace(address string, grace time.Duration) {
 	c.mu.Lock()
-	conn, ok := c.conns[address]
-	delete(c.conns, address)
+	l, ok := c.links[address]
+	delete(c.links, address)
 	c.mu.Unlock()
 	if ok {
-		time.AfterFunc(grace, func() { _ = conn.Close() })
+		time.AfterFunc(grace, func() { _ = l.conn.Close() })
+	}
+}
+
+// replaceLink is Replace for a link that went silent, unless another one has
+// taken its place.
+func (c *Client) replaceLink(address string, silent *link) {
+	c.mu.Lock()
+	if c.links[address] == silent {
+		delete(c.links, address)
 	}
+	c.mu.Unlock()
+	_ = silent.conn.Close()
 }
 
 // GossipConn is a gossip connection that this node has opened.
@@ -215,7 +235,7 @@
 	defer conn.Close()
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	resp, err := call[SettleRequest, SettleResponse](ctx, conn, settleMethod, &SettleRequest{Attempt: attempt})
+	resp, err := call[SettleRequest, SettleResponse](ctx, conn, settleMethod, &SettleRequest{Attempt: attempt, Process: target.Process})
 	if err != nil {
 		return baobabtide.MayHaveRun, err
 	}
@@ -224,52 +244,77 @@
 
 // Forward implements baobabtide.Forwarder.
 func (c *Client) Forward(ctx context.Context, target baobabtide.TargetRef, req *baobabtide.Request) (*baobabtide.Response, error) {
-	conn, err := c.conn(target.Address)
+	l, err := c.link(target.Address)
 	if err != nil {
 		return nil, notSent(err)
 	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	raw, err := conn.NewStream(ctx, &serviceDesc.Streams[1], forwardMethod)
+	ctx, cancel := context.WithCancelCause(ctx)
+	raw, err := c.open(ctx, l, cancel)
 	if err != nil {
-		cancel()
+		cancel(err)
 		return nil, notSent(err)
 	}
-	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw}
+	landed := l.begin(cancel, func() { c.replaceLink(target.Address, l) })
+	end := func() {
+		landed()
+		cancel(nil)
+	}
+	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw, heard: l.note}
 	first, err := firstFrame(target, req)
 	if err != nil {
-		cancel()
+		end()
 		return nil, baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
 	}
 	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
-		cancel()
-		return nil, lost(err)
+		end()
+		return nil, lost(ctx, req.Deadline, err)
 	}
 	if first.Last {
 		_ = raw.CloseSend()
 	} else {
-		go sendBody(stream, raw, req.Body, cancel)
+		go sendBody(stream, raw, req.Body, end)
 	}
-	resp, err := receiveResponse(stream, cancel)
+	resp, err := receiveResponse(stream, end)
 	if err != nil {
-		cancel()
-		return nil, err
+		re := baobabtide.AsRequestError(err)
+		if re.Verdict == baobabtide.MayHaveRun {
+			re = lost(ctx, req.Deadline, err)
+		}
+		end()
+		return nil, re
 	}
 	resp.Node = target.Node
 	return resp, nil
 }
 
+// open opens a stream. Nothing of the request has left before it returns.
+func (c *Client) open(ctx context.Context, l *link, cancel context.CancelCauseFunc) (grpc.ClientStream, error) {
+	timer := time.AfterFunc(openTimeout, func() { cancel(errSilent) })
+	raw, err := l.conn.NewStream(ctx, &serviceDesc.Streams[1], forwardMethod)
+	if err != nil {
+		return nil, err
+	}
+	if !timer.Stop() {
+		return nil, errSilent
+	}
+	return raw, nil
+}
+
 // notSent reports a request of which nothing has left this node.
 func notSent(err error) *baobabtide.RequestError {
 	return baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
 }
 
 // lost reports a request that was sent and got no answer.
-func lost(err error) *baobabtide.RequestError {
+func lost(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
 	re := &baobabtide.RequestError{Reason: baobabtide.ReasonLost, Err: err}
-	switch status.Code(err) {
-	case codes.DeadlineExceeded:
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		re.Err = errSilent
+	case errors.Is(cause, context.DeadlineExceeded), !time.Now().Before(deadline):
 		re.Reason = baobabtide.ReasonDeadline
-	case codes.Canceled:
+	case ctx.Err() != nil, status.Code(err) == codes.Canceled:
 		re.Reason = baobabtide.ReasonCanceled
 	}
 	return re
@@ -299,7 +344,11 @@
 		TimeoutMicros:     time.Until(req.Deadline).Microseconds(),
 		Depth:             req.Depth,
 		Retried:           req.Retried,
+		Late:              req.Late,
 	}, Last: true}
+	if !req.Objective.IsZero() {
+		frame.Head.ObjectiveMicros = time.Until(req.Objective).Microseconds()
+	}
 	if req.Body == nil {
 		return frame, nil
 	}
@@ -337,13 +386,15 @@
 func receiveResponse(stream *Stream[ResponseFrame, RequestFrame], cancel func()) (*baobabtide.Response, error) {
 	frame, err := stream.Recv()
 	if err != nil {
-		return nil, lost(noEOF(err))
+		return nil, noEOF(err)
 	}
 	if r := frame.Refusal; r != nil {
 		re := &baobabtide.RequestError{
 			Verdict:    r.Verdict,
 			Reason:     r.Reason,
 			RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond,
+			Load:       r.Load,
+			Reached:    r.Reached,
 		}
 		if r.Message != "" {
 			re.Err = errors.New(r.Message)
@@ -351,7 +402,7 @@
 		return nil, re
 	}
 	if frame.Head == nil {
-		return nil, lost(errors.New("first frame of an answer has no head"))
+		return nil, errors.New("first frame of an answer has no head")
 	}
 	return &baobabtide.Response{
 		Status:  frame.Head.Status,
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -115,6 +115,8 @@
 	ID                string                   `cbor:"19,keyasint,omitempty"`
 	Origin            string                   `cbor:"20,keyasint,omitempty"`
 	Host              string                   `cbor:"21,keyasint,omitempty"`
+	ObjectiveMicros   int64                    `cbor:"22,keyasint,omitempty"` // left at sending, 0 for none
+	Late              bool                     `cbor:"23,keyasint,omitempty"`
 }
 
 // Check reports the first field that breaks a rule.
@@ -167,6 +169,7 @@
 	RetryAfterMicros int64              `cbor:"3,keyasint,omitempty"`
 	Message          string             `cbor:"4,keyasint,omitempty"`
 	Load             baobabtide.Load    `cbor:"5,keyasint"`
+	Reached          bool               `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports the first field that breaks a rule.
@@ -183,6 +186,7 @@
 // SettleRequest asks what became of an attempt.
 type SettleRequest struct {
 	Attempt string `cbor:"1,keyasint"`
+	Process uint64 `cbor:"2,keyasint"` // start of the process that the attempt was sent to; a later one proves nothing
 }
 
 // SettleResponse answers a SettleRequest.
@@ -193,6 +197,12 @@
 // ResolveResponse answers the end of a key's attempt.
 type ResolveResponse struct{}
 
+// PingRequest asks for a sign of life.
+type PingRequest struct{}
+
+// PingResponse is one.
+type PingResponse struct{}
+
 // InfoRequest asks a node about itself.
 type InfoRequest struct{}
 
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -33,6 +33,8 @@
 	ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord
 	// ResolveKey notes how the attempt of a reserved key ended.
 	ResolveKey(key baobabtide.KeyRecord)
+	// Process tells this start of the node's process from others.
+	Process() uint64
 	// Info describes the node.
 	Info() Info
 	// Drain stops the node in a planned way and returns the number of requests
@@ -93,6 +95,9 @@
 func (s *Server) gossip(conn *Stream[Gossip, Gossip]) error { return s.node.Gossip(conn) }
 
 func (s *Server) settle(req *SettleRequest) *SettleResponse {
+	if req.Process != s.node.Process() {
+		return &SettleResponse{Verdict: baobabtide.MayHaveRun} // what an earlier process did is not known here
+	}
 	return &SettleResponse{Verdict: s.node.SettleLocal(req.Attempt)}
 }
 
@@ -106,6 +111,8 @@
 	return &ResolveResponse{}
 }
 
+func (s *Server) ping(*PingRequest) *PingResponse { return &PingResponse{} }
+
 func (s *Server) info(*InfoRequest) *Info {
 	info := s.node.Info()
 	return &info
@@ -141,7 +148,13 @@
 
 func refusalOf(err error) *Refusal {
 	re := baobabtide.AsRequestError(err)
-	refusal := &Refusal{Verdict: re.Verdict, Reason: re.Reason, RetryAfterMicros: re.RetryAfter.Microseconds()}
+	refusal := &Refusal{
+		Verdict:          re.Verdict,
+		Reason:           re.Reason,
+		RetryAfterMicros: re.RetryAfter.Microseconds(),
+		Load:             re.Load,
+		Reached:          re.Reached,
+	}
 	if re.Err != nil {
 		refusal.Message = re.Err.Error()
 	}
@@ -149,7 +162,14 @@
 }
 
 func (h *RequestHead) request(deadline time.Time) *baobabtide.Request {
+	objective := time.Time{}
+	if h.ObjectiveMicros != 0 {
+		left := time.Duration(h.TimeoutMicros-h.ObjectiveMicros) * time.Microsecond
+		objective = deadline.Add(-left)
+	}
 	return &baobabtide.Request{
+		Objective:  objective,
+		Late:       h.Late,
 		ID:         h.ID,
 		Origin:     h.Origin,
 		Host:       h.Host,
--- a/btpeer/service.go
+++ b/btpeer/service.go
@@ -13,6 +13,7 @@
 	gossipMethod  = "/" + serviceName + "/Gossip"
 	forwardMethod = "/" + serviceName + "/Forward"
 	settleMethod  = "/" + serviceName + "/Settle"
+	pingMethod    = "/" + serviceName + "/Ping"
 	infoMethod    = "/" + serviceName + "/Info"
 	drainMethod   = "/" + serviceName + "/Drain"
 	reserveMethod = "/" + serviceName + "/Reserve"
@@ -24,6 +25,7 @@
 	gossip(s *Stream[Gossip, Gossip]) error
 	forward(s *Stream[RequestFrame, ResponseFrame]) error
 	settle(req *SettleRequest) *SettleResponse
+	ping(req *PingRequest) *PingResponse
 	info(req *InfoRequest) *Info
 	drain(req *DrainRequest) *DrainResponse
 	reserve(req *baobabtide.KeyRecord) *baobabtide.KeyRecord
@@ -35,6 +37,7 @@
 	HandlerType: (*handler)(nil),
 	Methods: []grpc.MethodDesc{
 		unary("Settle", handler.settle),
+		unary("Ping", handler.ping),
 		unary("Info", handler.info),
 		unary("Drain", handler.drain),
 		unary("Reserve", handler.reserve),
@@ -81,7 +84,8 @@
 
 // Stream receives messages of one type and sends those of another.
 type Stream[In, Out any] struct {
-	raw rawStream
+	raw   rawStream
+	heard func() // told of each message received, may be nil
 }
 
 // Context returns the stream's context.
@@ -96,5 +100,8 @@
 	if err := s.raw.RecvMsg(m); err != nil {
 		return nil, err
 	}
+	if s.heard != nil {
+		s.heard()
+	}
 	return m, nil
 }
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -102,6 +102,7 @@
 		Ref: baobabtide.TargetRef{
 			Node:        m.Name,
 			Address:     m.PeerAddress,
+			Process:     m.Process,
 			Name:        announced.Name,
 			Incarnation: announced.Incarnation,
 		},
--- a/btsettings/terms.go
+++ b/btsettings/terms.go
@@ -8,6 +8,10 @@
 	Customer string // of all requests
 	Rollout  baobabtide.RolloutTerms
 	Drain    baobabtide.DrainTerms
+
+	// RetryBurst is how many retries all nodes together may send to one service
+	// beyond their share of its requests, 0 for the nodes' default.
+	RetryBurst float64 `json:",omitempty"`
 }
 
 // Check reports the first field that breaks a rule. Terms without a customer
@@ -16,6 +20,9 @@
 	if t.Customer == "" {
 		return nil
 	}
+	if t.RetryBurst < 0 {
+		return baobabtide.Fieldf("RetryBurst", "%g is negative", t.RetryBurst)
+	}
 	if err := t.Rollout.Check(); err != nil {
 		return baobabtide.Within("Rollout", err)
 	}
--- a/member.go
+++ b/member.go
@@ -43,6 +43,7 @@
 type TargetRef struct {
 	Node        string
 	Address     string // peer address of the node
+	Process     uint64 // start of the node's process that announced the target
 	Name        string
 	Incarnation uint64
 }
@@ -59,6 +60,7 @@
 	Status      Status   `cbor:"7,keyasint,omitempty" json:"Status"`
 	Accusers    []string `cbor:"8,keyasint,omitempty" json:"Accusers,omitempty"` // sorted, without repeats
 	Targets     []Target `cbor:"9,keyasint,omitempty" json:"Targets,omitempty"`
+	Process     uint64   `cbor:"10,keyasint,omitempty" json:"Process,omitempty"` // differs with each start of the node's process
 }
 
 // Bounds on what a member may announce.
--- a/request.go
+++ b/request.go
@@ -32,6 +32,8 @@
 	Body       Body  // nil for none
 	BodyLength int64 // -1 when unknown
 	Deadline   time.Time
+	Objective  time.Time // time by which the answer is worth most, zero for the deadline
+	Late       bool      // wanted also where the objective can't be met
 	Depth      int
 	Retried    bool // a node or a deeper layer has already retried
 }
@@ -79,9 +81,11 @@
 
 // Load is what an admitting node reports with each response.
 type Load struct {
-	InFlight int `cbor:"1,keyasint"`
-	Queued   int `cbor:"2,keyasint"`
-	Slots    int `cbor:"3,keyasint"`
+	InFlight int           `cbor:"1,keyasint"`
+	Queued   int           `cbor:"2,keyasint"`
+	Slots    int           `cbor:"3,keyasint"`           // in use at most, 0 for an unknown load
+	Work     time.Duration `cbor:"4,keyasint,omitempty"` // that a run of the request's route is expected to take
+	Failing  int           `cbor:"5,keyasint,omitempty"` // thousandths of the runs that fail
 }
 
 // Backend carries one request to a local backend server.
--- a/verdict.go
+++ b/verdict.go
@@ -34,6 +34,7 @@
 	ReasonBadRequest   Reason = "bad-request"
 	ReasonTooLarge     Reason = "too-large"
 	ReasonOverload     Reason = "overload"
+	ReasonTooSlow      Reason = "too-slow" // the target can't answer before the deadline
 	ReasonRateLimit    Reason = "rate-limit"
 	ReasonDraining     Reason = "draining"
 	ReasonDeadline     Reason = "deadline"
