btrollout, btdispatch: hold the share until late, then ramp fast; evidence where requests begin

Slowness was compared at one node, where only one version runs. Change: minor routes alone keep nothing from being cleared; the share stays at the cap until 0.7 of the time, ramps within 0.08 and is proven for 0.08; dispatchers observe, with the time that the backend server took; idempotent requests that a server failed move on within the budget.

--- a/btdispatch/body.go
+++ b/btdispatch/body.go
@@ -1,6 +1,7 @@
 package btdispatch
 
 import (
+	"errors"
 	"io"
 	"sync"
 )
@@ -18,3 +19,25 @@
 	b.once.Do(b.end)
 	return err
 }
+
+// answerBody is an endingBody that notes whether the answer broke off.
+type answerBody struct {
+	io.ReadCloser
+	end    func()
+	broken bool
+	once   sync.Once
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.broken = b.broken || err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(b.end)
+	return err
+}
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -27,9 +27,12 @@
 	silentGrace     = 30 * time.Second // calls on a replaced connection may go on for this long
 	settlePart      = 4                // a lost attempt is settled within 1/4 of the time left
 	minSettleWindow = 20 * time.Millisecond
-	decidePart      = 8                     // a request that finds no room is refused within 1/8 of its objective
-	minDecideWindow = 20 * time.Millisecond // time for a move or two between zones
-	retrySpread     = 0.5                   // part of Retry-After that is random, so that callers do not return together
+	decidePart      = 8                      // a request that finds no room is refused within 1/8 of its objective
+	minDecideWindow = 20 * time.Millisecond  // time for a move or two between zones
+	timedOut        = 504                    // a backend server's answer at the deadline, which another attempt can't beat
+	minRetryTime    = 100 * time.Millisecond // time left that makes another attempt worth its cost
+	minFailure      = 500                    // lowest status of an answer that counts as a failure
+	retrySpread     = 0.5                    // part of Retry-After that is random, so that callers do not return together
 )
 
 // Peers carries requests to other nodes.
@@ -39,6 +42,13 @@
 	Replace(address string, grace time.Duration)
 }
 
+// Observer counts what requests show of a version.
+type Observer interface {
+	// Observe notes an answer. A request that says nothing of the version, such
+	// as one whose caller went away, is not observed.
+	Observe(req *baobabtide.Request, took time.Duration, failed bool)
+}
+
 // Dispatcher is the baobabtide.Handler of a node.
 type Dispatcher struct {
 	Node        string
@@ -47,6 +57,7 @@
 	Peers       Peers
 	Local       baobabtide.Admitter
 	Budgets     btretry.Budgets
+	Observer    Observer // nil for none
 
 	sizes    btroute.Sizes
 	attempts atomic.Uint64
@@ -107,6 +118,9 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	for {
 		resp, attemptErr := d.attempt(ctx, c)
+		if attemptErr == nil && d.discard(c, resp) {
+			continue
+		}
 		if attemptErr == nil {
 			resp.Body = &endingBody{ReadCloser: resp.Body, end: cancel}
 			return resp, nil
@@ -118,6 +132,17 @@
 	}
 }
 
+// discard gives up an answer of failure to an idempotent request in favor of
+// another attempt, where one is allowed.
+func (d *Dispatcher) discard(c *call, resp *baobabtide.Response) bool {
+	failed := resp.Status >= minFailure && resp.Status != timedOut
+	if !failed || !c.req.Idempotent || time.Until(c.req.Deadline) < minRetryTime || !d.retry(c) {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
+
 // prepare matches a request to its route and chooses the version.
 func (d *Dispatcher) prepare(req *baobabtide.Request) (*call, *baobabtide.RequestError) {
 	table := d.Table()
@@ -187,7 +212,7 @@
 	resp, err := d.send(ctx, target, c.req)
 	if err != nil {
 		re := d.settle(ctx, target, c.req, baobabtide.AsRequestError(err))
-		d.noteFailure(target, c.req.Route, re, started)
+		d.noteFailure(target, *c.req, re, started)
 		return nil, re
 	}
 	target.Stats.Report(c.req.Route, resp.Load, time.Now())
@@ -195,21 +220,34 @@
 		d.sizes.Learn(c.req.Route, resp.Length)
 	}
 	took := time.Since(started)
-	resp.Body = &endingBody{ReadCloser: resp.Body, end: func() {
+	shown := *c.req // the version is that of this attempt
+	body := &answerBody{ReadCloser: resp.Body}
+	body.end = func() {
 		target.Stats.End(time.Now(), took, false)
-	}}
+		d.observe(&shown, resp.Took, body.broken || resp.Status >= minFailure)
+	}
+	resp.Body = body
 	return resp, nil
 }
 
+func (d *Dispatcher) observe(req *baobabtide.Request, took time.Duration, failed bool) {
+	if d.Observer != nil {
+		d.Observer.Observe(req, took, failed)
+	}
+}
+
 // noteFailure takes in what an attempt without an answer shows of its target.
-func (d *Dispatcher) noteFailure(target *btroute.Target, route string, err *baobabtide.RequestError, started time.Time) {
+func (d *Dispatcher) noteFailure(target *btroute.Target, shown baobabtide.Request, err *baobabtide.RequestError, started time.Time) {
 	now := time.Now()
 	target.Stats.End(now, now.Sub(started), blames(err))
+	if err.Reason == baobabtide.ReasonBackend && err.Verdict != baobabtide.NotRun {
+		d.observe(&shown, now.Sub(started), true)
+	}
 	if err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonUnreached {
 		target.Stats.Silent(now)
 		return
 	}
-	target.Stats.Report(route, err.Load, now)
+	target.Stats.Report(shown.Route, err.Load, now)
 }
 
 func (c *call) target() *btroute.Target {
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -21,13 +21,6 @@
 	downTime  = 300 * time.Millisecond // without requests after a server could not be reached; restarts take longer
 )
 
-// Observer counts what requests show of a version.
-type Observer interface {
-	// Observe notes an answer. A request that says nothing of the version, such
-	// as one whose caller went away, is not observed.
-	Observe(req *baobabtide.Request, took time.Duration, failed bool)
-}
-
 // server is one backend server beside the node.
 type server struct {
 	announcement btbackend.Announcement
@@ -48,10 +41,9 @@
 // Admitter implements baobabtide.Admitter for the backend servers that the
 // registry holds.
 type Admitter struct {
-	Limiter  *btadmit.RateLimiter
-	Observer Observer
-	Partner  baobabtide.KeyPartner
-	Names    btbackend.HeaderNames
+	Limiter *btadmit.RateLimiter
+	Partner baobabtide.KeyPartner
+	Names   btbackend.HeaderNames
 
 	ledger btledger.Ledger
 
@@ -70,13 +62,12 @@
 func (a *Admitter) ResolveKey(key baobabtide.KeyRecord) { a.ledger.Resolve(key) }
 
 // New returns an Admitter and a function that closes its connections.
-func New(observer Observer, partner baobabtide.KeyPartner) (*Admitter, func()) {
+func New(partner baobabtide.KeyPartner) (*Admitter, func()) {
 	a := &Admitter{
-		Limiter:  &btadmit.RateLimiter{},
-		Observer: observer,
-		Partner:  partner,
-		Names:    btbackend.DefaultNames(),
-		servers:  make(map[string]*server),
+		Limiter: &btadmit.RateLimiter{},
+		Partner: partner,
+		Names:   btbackend.DefaultNames(),
+		servers: make(map[string]*server),
 	}
 	return a, a.close
 }
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -100,17 +100,14 @@
 	}
 	err.Load = r.server.queue.Load(r.req.Route, now)
 	r.release()
-	if err.Verdict != baobabtide.NotRun && err.Reason != baobabtide.ReasonCanceled {
-		r.admitter.Observer.Observe(r.req, time.Since(r.started), true)
-	}
 	return err
 }
 
 // succeed wraps an answer so that the request ends with its body.
 func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
-	took := time.Since(r.started)
+	resp.Took = time.Since(r.started)
 	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
-	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp, took: took}
+	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp}
 	return resp
 }
 
@@ -121,7 +118,6 @@
 	io.ReadCloser
 	run    *run
 	resp   *baobabtide.Response
-	took   time.Duration
 	kept   bytes.Buffer // start of the body of a keyed request
 	whole  bool
 	failed bool
@@ -157,7 +153,6 @@
 	r.server.queue.Learn(r.req.Route, time.Since(r.started), b.failed || b.resp.Status >= 500)
 	r.release()
 	r.admitter.end()
-	r.admitter.Observer.Observe(r.req, b.took, b.failed || b.resp.Status >= 500)
 	return err
 }
 
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -137,7 +137,7 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	disconnect := n.connect()
-	local, closeLocal := btlocal.New(&n.rollouts, keyPartner{n})
+	local, closeLocal := btlocal.New(keyPartner{n})
 	local.Names = adapters.BackendNames
 	n.local = local
 	n.rollouts.node = n
@@ -150,6 +150,7 @@
 		Table:       n.routes.Load,
 		Peers:       n.peers,
 		Local:       local,
+		Observer:    &n.rollouts,
 	}
 	free := func() {
 		n.cancel()
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -41,7 +41,7 @@
 	proposed time.Time
 }
 
-// Observe implements btlocal.Observer.
+// Observe implements btdispatch.Observer.
 func (r *rollouts) Observe(req *baobabtide.Request, took time.Duration, failed bool) {
 	if req.Rollout == 0 {
 		return
--- a/btpeer/body.go
+++ b/btpeer/body.go
@@ -56,6 +56,8 @@
 		Length:  resp.Length,
 		Version: resp.Version,
 		Load:    resp.Load,
+
+		TookMicros: resp.Took.Microseconds(),
 	}
 	for {
 		n, err := readPart(resp.Body, buf[:])
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -411,5 +411,6 @@
 		Length:  frame.Head.Length,
 		Version: frame.Head.Version,
 		Load:    frame.Head.Load,
+		Took:    time.Duration(frame.Head.TookMicros) * time.Microsecond,
 	}, nil
 }
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -160,6 +160,8 @@
 	Length  int64                    `cbor:"3,keyasint"`
 	Version string                   `cbor:"4,keyasint,omitempty"`
 	Load    baobabtide.Load          `cbor:"5,keyasint"`
+
+	TookMicros int64 `cbor:"6,keyasint"` // that the backend server took to begin its answer
 }
 
 // Refusal says why a request got no answer.
--- a/btrollout/decide.go
+++ b/btrollout/decide.go
@@ -31,10 +31,12 @@
 const (
 	probeRampPart  = 0.1  // part of the time in which the share grows to the cap
 	firstShareCap  = 0.01 // share at the start, below the contract's cap
-	finishPart     = 0.8  // part of the time at which all traffic is moved
-	settlePart     = 0.9  // part of the time at which completion is proposed
+	rampStart      = 0.7  // part of the time before which the share stays at the cap, so that a version that turns bad later does little harm
+	rampShortest   = 0.08 // length of the ramp as a part of the time; a version that is bad under load gets half of the traffic, on average, in it
+	provePart      = 0.08 // part of the time for which all traffic stays on the version before completion is proposed
+	settlePart     = 0.9  // part of the time at which the ramp has ended
 	recordPart     = 0.97 // part of the time at which an outcome is proposed in any case
-	rampShortest   = 0.25 // shortest ramp, as a part of the time
+	minorPart      = 0.02 // part of a service's requests below which a route alone keeps no version from being cleared
 	minFailureRate = 0.001
 	maxFailureRate = 0.999
 	minOldRequests = 10 // below, the old version's rate is taken as minFailureRate
@@ -51,12 +53,15 @@
 	if elapsed >= 1 {
 		return late(r)
 	}
-	if cleared.IsZero() {
+	at := rampStart
+	if !cleared.IsZero() {
+		at = max(at, part(r, cleared))
+	} else if elapsed < rampStart || !acceptable(&r.Terms, evidence) {
 		return probe(r, evidence, elapsed)
 	}
-	share := rampShare(r, part(r, cleared), elapsed)
+	share := rampShare(r, at, elapsed)
 	d := Decision{Phase: PhaseRamp, Share: share, Reason: "the new version is as good as the old one"}
-	if share >= 1 && elapsed >= min(settlePart, doneAt(part(r, cleared))) {
+	if share >= 1 && elapsed >= min(recordPart, rampEnd(at)+provePart) {
 		d.Phase = PhaseDone
 		d.Result = baobabtide.Completed
 	}
@@ -108,23 +113,43 @@
 	return false
 }
 
-// doneAt returns the part of the time at which the ramp that began at a part
-// has ended.
-func doneAt(cleared float64) float64 {
-	return max(finishPart, min(settlePart, cleared+rampShortest))
+// rampEnd returns the part of the time at which a ramp that began at a part has
+// ended.
+func rampEnd(begun float64) float64 {
+	return min(begun+rampShortest, max(settlePart, begun))
 }
 
-// rampShare grows linearly from the cap to 1.
-func rampShare(r *baobabtide.Rollout, cleared, elapsed float64) float64 {
-	end := max(cleared+rampShortest, min(finishPart, cleared+2*rampShortest))
-	end = min(end, settlePart)
+// rampShare stays at the cap until the ramp begins and then grows linearly to 1.
+func rampShare(r *baobabtide.Rollout, begun, elapsed float64) float64 {
+	end := rampEnd(begun)
 	if elapsed >= end {
 		return 1
 	}
-	grown := (elapsed - cleared) / (end - cleared)
+	grown := (elapsed - begun) / (end - begun)
 	return min(1, r.Terms.MaxBadShare+(1-r.Terms.MaxBadShare)*max(0, grown))
 }
 
+// acceptable tells whether the evidence of all routes together clears a
+// version and none speaks against it. It decides for a version whose routes
+// have too little traffic to be cleared one by one in time.
+func acceptable(terms *baobabtide.RolloutTerms, evidence []baobabtide.RouteEvidence) bool {
+	var sum baobabtide.RouteEvidence
+	for _, e := range evidence {
+		if logLikelihoodRatio(terms, e) > 0 {
+			return false
+		}
+		sum.Old = addCounts(sum.Old, e.Old)
+		sum.New = addCounts(sum.New, e.New)
+	}
+	return logLikelihoodRatio(terms, sum) <= clearBound(terms)
+}
+
+// clearBound is the logarithm of the likelihood ratio at which a version is
+// cleared.
+func clearBound(terms *baobabtide.RolloutTerms) float64 {
+	return math.Log(terms.MissedBadRate / (1 - terms.FalseRevertRate))
+}
+
 // Judgment is what the evidence says of a version.
 type Judgment uint8
 
@@ -141,9 +166,10 @@
 // version served say so.
 func Judge(terms *baobabtide.RolloutTerms, evidence []baobabtide.RouteEvidence) (Judgment, string) {
 	upper := math.Log((1 - terms.MissedBadRate) / terms.FalseRevertRate)
-	lower := math.Log(terms.MissedBadRate / (1 - terms.FalseRevertRate))
+	lower := clearBound(terms)
 	judgment := Undecided
 	undecided := false
+	minor := minorRequests(evidence)
 	for _, e := range evidence {
 		ratio := logLikelihoodRatio(terms, e)
 		switch {
@@ -152,7 +178,7 @@
 				e.Route, e.New.Failures, e.New.Requests, e.Old.Failures, e.Old.Requests)
 		case ratio <= lower:
 			judgment = Good
-		default:
+		case ratio > 0 || requests(e) >= minor:
 			undecided = true
 		}
 	}
@@ -162,6 +188,18 @@
 	return judgment, ""
 }
 
+// minorRequests returns the number of requests below which a route is a minor
+// one of its service.
+func minorRequests(evidence []baobabtide.RouteEvidence) float64 {
+	sum := 0.0
+	for _, e := range evidence {
+		sum += requests(e)
+	}
+	return minorPart * sum
+}
+
+func requests(e baobabtide.RouteEvidence) float64 { return float64(e.Old.Requests + e.New.Requests) }
+
 func logLikelihoodRatio(terms *baobabtide.RolloutTerms, e baobabtide.RouteEvidence) float64 {
 	p0 := minFailureRate
 	if e.Old.Requests >= minOldRequests {
@@ -182,7 +220,7 @@
 // RequestsToClear returns the number of requests without a failure after which
 // a route of the new version is cleared, next to an old version without one.
 func RequestsToClear(terms *baobabtide.RolloutTerms) int {
-	lower := math.Log(terms.MissedBadRate / (1 - terms.FalseRevertRate))
+	lower := clearBound(terms)
 	one := logLikelihoodRatio(terms, baobabtide.RouteEvidence{New: baobabtide.Counts{Requests: 1}})
 	return int(math.Ceil(lower / one))
 }
--- a/request.go
+++ b/request.go
@@ -77,6 +77,7 @@
 	Version string
 	Node    string
 	Load    Load
+	Took    time.Duration // that the backend server took to begin its answer
 }
 
 // Load is what an admitting node reports with each response.
