btnode, btadmit: a planned stop keeps its backend server at work; targets outlive their node's process

Requests were let in as on time whose expected end was the objective: half of them were late. Change: a stop announces itself to other nodes only after the notice; a successor takes over what its former process announced, from neighbors; 1.3 expected runs must fit before the objective.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -22,6 +22,7 @@
 	limitDecrease = 0.8                    // factor after the backend server shed a request for overload
 	busyPart      = 0.8                    // part of the limit in use from which shedding means overload
 	residualPart  = 0.7                    // part of a run that is left, on average, when one looks
+	onTimeMargin  = 1.3                    // expected runs that must fit before the objective, since half of all runs take longer than expected
 	expireMargin  = 0.7                    // part of the expected run that must fit before the deadline
 	urgentEvery   = 8                      // of so many grants one goes to the oldest waiter, so that no kind starves
 	maxLateWait   = 0.35                   // part of the time left that a request waits at most once it can't meet its objective
@@ -113,7 +114,7 @@
 	w := &Waiter{ticket: t, arrived: now, ready: make(chan struct{})}
 	wait := q.wait(w, now)
 	end := now.Add(wait + work)
-	late := end.After(t.objective())
+	late := now.Add(wait + time.Duration(onTimeMargin*float64(work))).After(t.objective())
 	if late {
 		wait = q.lateWait(wait, now)
 		end = now.Add(wait + work)
--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -58,6 +58,15 @@
 	return true
 }
 
+// Restore takes in what a former process knew of a server, unless something is
+// known already.
+func (r *Registry) Restore(a Announcement, now time.Time) bool {
+	r.mu.Lock()
+	known := len(r.servers) > 0 || len(r.left) > 0
+	r.mu.Unlock()
+	return !known && r.Announce(a, now)
+}
+
 // superseded tells whether something newer than the announcement is known.
 func (r *Registry) superseded(a *Announcement) bool {
 	if old, ok := r.servers[a.Name]; ok && !a.Gone {
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -46,6 +46,8 @@
 	Connections     int
 	DefaultCustomer string // customer of requests without a customer header, empty for none
 
+	Finish time.Duration // for requests under way when the server stops, 0 for drainTimeout
+
 	// Contract returns the bounds that the configuration in force adds, or
 	// nil. A nil function adds none.
 	Contract func() *baobabtide.CallerLimits
@@ -149,7 +151,7 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(drainTimeout):
+	case <-time.After(s.finishTime()):
 		for _, c := range conns {
 			c.cancel(errStopped)
 			_ = c.socket.Close()
@@ -157,6 +159,13 @@
 	}
 }
 
+func (s *Server) finishTime() time.Duration {
+	if s.limits.Finish > 0 {
+		return s.limits.Finish
+	}
+	return drainTimeout
+}
+
 // CloseIdle closes the connections on which nothing is under way.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
--- a/btmember/table.go
+++ b/btmember/table.go
@@ -120,16 +120,27 @@
 	return Delta{Members: []baobabtide.Member{self}}
 }
 
-// Leave marks the node itself as left.
-func (t *Table) Leave(now time.Time) Delta {
+// Leave marks the node itself as left. The others remember its targets for the
+// process that may follow.
+func (t *Table) Leave(targets []baobabtide.Target, now time.Time) Delta {
 	self := t.Self()
 	self.Status = baobabtide.Left
-	self.Targets = nil
+	self.Targets = targets
 	self.Sequence++
 	t.put(self, now)
 	return Delta{Members: []baobabtide.Member{self}}
 }
 
+// Former returns the targets that a member's former process announced, nil
+// where the record is not of a later process than the known one.
+func (t *Table) Former(m *baobabtide.Member) []baobabtide.Target {
+	e, ok := t.entries[m.Name]
+	if !ok || e.member.Process == m.Process || e.member.Incarnation >= m.Incarnation {
+		return nil
+	}
+	return e.member.Targets
+}
+
 // Merge takes in what another node sent and returns the part that was new. An
 // accusation of the node itself is refuted with a higher incarnation.
 func (t *Table) Merge(d Delta, now time.Time) Delta {
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -15,17 +15,19 @@
 	defaultFinish = 20 * time.Second // for requests under way, where no contract says more
 
 	drainCheck   = 20 * time.Millisecond
-	farewellTime = 200 * time.Millisecond // for the last messages to leave
+	announceTime = 50 * time.Millisecond  // for the other nodes to hear that the node refuses work
+	farewellTime = 100 * time.Millisecond // for the last messages to leave
 )
 
-// Drain implements btpeer.Node. The stop goes on in the background: the node
-// announces it, goes on admitting for a short notice, then refuses new work,
-// waits for the requests under way and leaves.
+// Drain implements btpeer.Node. The stop goes on in the background: the node is
+// not ready any more and serves on for a short notice, in which callers go
+// elsewhere; the backend server beside it gets work all the while. Then it
+// tells the other nodes, refuses new work, waits for the requests under way and
+// leaves.
 func (n *Node) Drain(reason string) int {
 	n.stopOnce.Do(func() {
 		n.log.Info().Str("event", "node.draining").Str("reason", reason).Send()
 		n.draining.Store(true)
-		n.announceTargets()
 		n.wg.Go(n.finishDrain)
 	})
 	return n.local.Active()
@@ -36,6 +38,10 @@
 	terms := drainTerms(n.config.State(), n.registry.Targets())
 	n.callers.Leave()
 	n.sleep(terms.Notice)
+	n.callers.CloseIdle()
+	n.refusing.Store(true)
+	n.announceTargets()
+	n.sleep(announceTime)
 	n.local.Drain()
 	deadline := time.Now().Add(terms.Finish)
 	for n.local.Active() > 0 && time.Now().Before(deadline) {
@@ -62,7 +68,7 @@
 // leave tells the neighbors that the node is gone for good.
 func (n *Node) leave() {
 	n.members.mu.Lock()
-	delta := n.members.table.Leave(time.Now())
+	delta := n.members.table.Leave(n.registry.Targets(), time.Now())
 	n.members.mu.Unlock()
 	n.spreadMessage(&btpeer.Gossip{Members: delta.Members}, nil)
 	n.sleep(farewellTime)
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -23,6 +23,12 @@
 	e.mu.Lock()
 	e.heard = now
 	e.mu.Unlock()
+	if m.Hello != nil {
+		n.tellFormer(e, m.Members)
+	}
+	if len(m.Former) > 0 {
+		n.restoreTargets(m.Former)
+	}
 	n.mergeMembers(e, btmember.Delta{Members: m.Members, Statuses: m.Statuses}, now)
 	if m.Digests != nil {
 		n.answerDigests(e, m.Digests)
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -79,7 +79,8 @@
 
 	logUp      atomic.Bool
 	reader     atomic.Bool
-	draining   atomic.Bool
+	draining   atomic.Bool   // a planned stop has begun
+	refusing   atomic.Bool   // and takes no new work any more
 	behind     atomic.Bool   // the log ends before the configuration in force
 	snapshotAt atomicOffset  // offset of the last snapshot that this node knows of
 	drained    chan struct{} // closed once the planned stop has ended
@@ -264,6 +265,7 @@
 		Connections:     n.settings.Caller.MaxConnections,
 		DefaultCustomer: n.settings.Caller.DefaultCustomer,
 		Contract:        n.callerLimits,
+		Finish:          n.settings.Terms.Drain.Finish,
 	})
 	callers.Names = n.adapters.CallerNames
 	callers.Origin = n.origin
@@ -331,7 +333,7 @@
 func (n *Node) announceTargets() {
 	n.local.Update(n.registry.Servers())
 	targets := n.registry.Targets()
-	if n.draining.Load() {
+	if n.refusing.Load() {
 		for i := range targets {
 			targets[i].State = baobabtide.TargetDraining
 		}
--- a/btnode/outcomes.go
+++ b/btnode/outcomes.go
@@ -11,6 +11,7 @@
 const (
 	outcomeCheck  = 200 * time.Millisecond // how often the loop looks whether a rollout runs
 	outcomePeriod = 5 * time.Second        // between reads while a rollout runs; gossip tells of outcomes sooner
+	outcomeRetry  = 500 * time.Millisecond // after a read that failed
 	recordTries   = 4
 	recordPause   = 100 * time.Millisecond
 )
@@ -26,9 +27,11 @@
 	for n.ctx.Err() == nil {
 		due := last.IsZero() || time.Since(last) > outcomePeriod+n.jitter()
 		if due && len(n.config.State().Running()) > 0 {
-			if _, err := n.readOutcomes(); err == nil {
-				last = time.Now()
+			if _, err := n.readOutcomes(); err != nil {
+				n.sleep(outcomeRetry + n.jitter())
+				continue
 			}
+			last = time.Now()
 		}
 		n.sleep(outcomeCheck)
 	}
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -32,6 +32,7 @@
 	Wanted    []string                `cbor:"12,keyasint,omitempty"` // members whose records the sender lacks
 
 	Outcomes []baobabtide.OutcomeRecord `cbor:"13,keyasint,omitempty"` // that are kept apart from the configuration's log
+	Former   []baobabtide.Target        `cbor:"14,keyasint,omitempty"` // announced by the former process of the node that is told
 }
 
 // Hello names the node at the other end of a connection.
@@ -72,6 +73,11 @@
 			return baobabtide.WithinIndex("Statuses", i, err)
 		}
 	}
+	for i := range g.Former {
+		if err := g.Former[i].Check(); err != nil {
+			return baobabtide.WithinIndex("Former", i, err)
+		}
+	}
 	if g.Repair != nil && len(g.Repair.Versions) > maxMembers {
 		return baobabtide.Fieldf("Repair.Versions", "%d exceed %d", len(g.Repair.Versions), maxMembers)
 	}
