--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -73,7 +73,7 @@
 // under way have ended.
 func NewServer(handler baobabtide.Handler, limits Limits) (*Server, func()) {
 	s := &Server{Names: DefaultNames(), handler: handler, limits: limits, conns: make(map[*conn]struct{})}
-	return s, s.stop
+	return s, sync.OnceFunc(s.stop)
 }
 
 // Leave tells callers with each answer from now on to close their connections,
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -110,7 +110,12 @@
 	a.servers = next
 }
 
+// sameServer tells whether two announcements are of one server whose queue may
+// go on. The queue of a draining server is closed and does not open again.
 func sameServer(a, b *btbackend.Announcement) bool {
+	if a.State == baobabtide.TargetDraining && b.State != baobabtide.TargetDraining {
+		return false
+	}
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Slots == b.Slots && a.Connections == b.Connections
 }
 
--- a/btmember/detect.go
+++ b/btmember/detect.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	latenessWeight   = 8  // smoothing of the delay of ticks
-	latenessFactor   = 20 // a smoothed delay of 100 ms adds 2 s to the silence limit
-	maxSilenceFactor = 3  // the limit grows to four times its value at most
+	latenessWeight   = 8                // smoothing of the delay of ticks
+	latenessFactor   = 20               // a smoothed delay of 100 ms adds 2 s to the silence limit
+	rejoinFleet      = 32               // live members for which the interval between attempts to rejoin stands
+	rejoinLeft       = 30 * time.Second // in which a node that has left may start anew
+	maxSilenceFactor = 3                // the limit grows to four times its value at most
 )
 
 // Heard notes that a neighbor gave a sign of life. A message that arrives after
@@ -178,24 +180,29 @@
 	return &best.member
 }
 
-// Rejoin returns a failed member to try again, at most once per interval, so
-// that a partition heals on its own.
+// Rejoin returns a member to try again that has failed, or that has left a
+// short time ago and may have started anew, at most once per interval. So a
+// partition heals on its own and a node comes back where nothing tells it the
+// addresses of the others. The interval grows with the fleet, all of which
+// tries.
 func (t *Table) Rejoin(now time.Time) (baobabtide.Member, bool) {
-	if now.Sub(t.lastRejoin) < t.timing.RejoinInterval {
+	interval := t.timing.RejoinInterval * time.Duration(1+t.Live()/rejoinFleet)
+	if now.Sub(t.lastRejoin) < interval {
 		return baobabtide.Member{}, false
 	}
 	t.lastRejoin = now
-	var failed []baobabtide.Member
+	var gone []baobabtide.Member
 	for _, e := range t.entries {
-		if e.member.Status == baobabtide.Failed {
-			failed = append(failed, e.member)
+		recent := now.Sub(e.changed) < rejoinLeft
+		if e.member.Status == baobabtide.Failed || e.member.Status == baobabtide.Left && recent && e.member.Name != t.self {
+			gone = append(gone, e.member)
 		}
 	}
-	if len(failed) == 0 {
+	if len(gone) == 0 {
 		return baobabtide.Member{}, false
 	}
-	slices.SortFunc(failed, func(a, b baobabtide.Member) int { return strings.Compare(a.Name, b.Name) })
-	return failed[t.rng.IntN(len(failed))], true
+	slices.SortFunc(gone, func(a, b baobabtide.Member) int { return strings.Compare(a.Name, b.Name) })
+	return gone[t.rng.IntN(len(gone))], true
 }
 
 // Readers returns the names of the members of the node's zone that read the
--- a/btmember/table.go
+++ b/btmember/table.go
@@ -40,7 +40,7 @@
 		ConfirmQuorum:  time.Second,
 		ConfirmSingle:  3 * time.Second,
 		ForgetAfter:    time.Hour,
-		RejoinInterval: 5 * time.Second,
+		RejoinInterval: 500 * time.Millisecond,
 	}
 }
 
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -36,14 +36,14 @@
 func (n *Node) finishDrain() {
 	defer close(n.drained)
 	terms := drainTerms(n.config.State(), n.registry.Targets())
+	deadline := time.Now().Add(terms.Notice + terms.Finish)
 	n.callers.Leave()
 	n.sleep(terms.Notice)
-	n.callers.CloseIdle()
+	n.stopCallers()
 	n.refusing.Store(true)
 	n.announceTargets()
 	n.sleep(announceTime)
 	n.local.Drain()
-	deadline := time.Now().Add(terms.Finish)
 	for n.local.Active() > 0 && time.Now().Before(deadline) {
 		n.sleep(drainCheck)
 	}
@@ -54,12 +54,18 @@
 // contracts give to the services of some targets.
 func drainTerms(state *btconfig.State, targets []baobabtide.Target) baobabtide.DrainTerms {
 	terms := baobabtide.DrainTerms{Notice: defaultNotice, Finish: defaultFinish}
+	found := false
 	for customer := range state.Contracts {
 		for i := range targets {
-			if t, ok := state.Terms(customer, targets[i].Service); ok {
-				terms.Notice = min(terms.Notice, t.Drain.Notice)
-				terms.Finish = max(terms.Finish, t.Drain.Finish)
+			t, ok := state.Terms(customer, targets[i].Service)
+			if !ok {
+				continue
 			}
+			if !found {
+				terms, found = t.Drain, true
+			}
+			terms.Notice = min(terms.Notice, t.Drain.Notice)
+			terms.Finish = max(terms.Finish, t.Drain.Finish)
 		}
 	}
 	return terms
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -60,6 +60,8 @@
 	tls      *bttls.Loader    // nil for plaintext
 	callers  *btcaller.Server // set by Run
 
+	stopCallers func() // ends the requests of callers and their connections, set by Run
+
 	config    btconfig.Store
 	routes    atomic.Pointer[btroute.Table]
 	inForceAt atomic.Int64 // Unix time in microseconds of the last change of configuration
@@ -214,8 +216,8 @@
 	case <-n.drained:
 	}
 	<-n.drained
-	stopServers()
 	n.leave()
+	stopServers()
 	n.cancel()
 	n.wg.Wait()
 	n.log.Info().Str("event", "node.stopped").Send()
@@ -269,7 +271,7 @@
 	})
 	callers.Names = n.adapters.CallerNames
 	callers.Origin = n.origin
-	n.callers = callers
+	n.callers, n.stopCallers = callers, stopCallers
 	announce, stopAnnounce := n.adapters.Announce(&n.registry)
 	operators, stopOperators := btoperator.NewServer(operators{n})
 	listeners := []listener{
