--- a/baobabtided/run.go
+++ b/baobabtided/run.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/baobabtide/baobabtide/btflag"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btsettings"
 )
 
@@ -43,7 +44,9 @@
 		return err
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
-	log := zerolog.New(c.OutOrStdout()).Level(level).With().Timestamp().Logger()
+	out, flush := btlog.NewWriter(c.OutOrStdout())
+	defer flush()
+	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	node, free, err := newNode(settings, log)
 	if err != nil {
 		return err
--- a/btadmit/pace.go
+++ b/btadmit/pace.go
@@ -6,7 +6,7 @@
 	initialWork   = 50 * time.Millisecond // expected run before the first answer
 	workWeight    = 12                    // smoothing of run times: one part in 12 from the newest
 	failWeight    = 12                    // smoothing of the share of failures
-	slowAge       = 1.5                   // runs older, on average, than so many expected runs show a slow server
+	slowAge       = 1.2                   // runs older, on average, than so many expected runs show a slow server
 	maxPaceRoutes = 1 << 10               // routes with an estimate of their own
 )
 
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -9,6 +9,7 @@
 package btadmit
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -24,7 +25,7 @@
 	residualPart  = 0.7                    // part of a run that is left, on average, when one looks
 	onTimeMargin  = 1.3                    // expected runs that must fit before the objective, since half of all runs take longer than expected
 	expireMargin  = 0.7                    // part of the expected run that must fit before the deadline
-	urgentEvery   = 8                      // of so many grants one goes to the oldest waiter, so that no kind starves
+	lesserEvery   = 8                      // of so many grants one goes to a lesser kind, so that none starves
 	maxLateWait   = 0.35                   // part of the time left that a request waits at most once it can't meet its objective
 	minLatePart   = 0.1                    // part of the slots that is assumed for late work under any load
 )
@@ -37,19 +38,36 @@
 	Deadline  time.Time
 	Objective time.Time // time by which its answer is worth most, zero for the deadline
 	Late      bool      // wanted also where the objective can't be met
+	Call      bool      // made by work that runs, whose objective it is to get it in time
 }
 
 func (t *Ticket) objective() time.Time {
-	if t.Objective.IsZero() {
+	if t.Objective.IsZero() || t.Call {
 		return t.Deadline
 	}
 	return t.Objective
 }
 
+// rank is what goes first whatever its objective.
+type rank struct {
+	priority int
+	call     bool
+}
+
+func (t *Ticket) rank() rank { return rank{t.Priority, t.Call} }
+
+// above tells whether all of one rank goes before all of another.
+func (r rank) above(other rank) bool {
+	if r.priority != other.priority {
+		return r.priority > other.priority
+	}
+	return r.call && !other.call
+}
+
 // Waiter is a ticket that waits for a slot.
 type Waiter struct {
 	ticket  Ticket
-	arrived time.Time
+	onTime  bool                     // it could meet its objective when it came
 	ready   chan struct{}            // closed once decided
 	refusal *baobabtide.RequestError // set before ready is closed where the slot is denied
 }
@@ -74,13 +92,13 @@
 	waiting  []*Waiter // in order of arrival
 	running  map[string]int
 	grants   int
-	onTime   decayingSum // work granted to requests that can meet their objectives
-	closed   bool        // draining: nothing new is let in
+	offered  map[rank]*decayingSum // work of requests that could meet their objectives when they came
+	closed   bool                  // draining: nothing new is let in
 }
 
 // NewQueue returns a queue for a backend server with a number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int)}
+	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int), offered: make(map[rank]*decayingSum)}
 }
 
 // granted is the waiter of all tickets that get a slot at once.
@@ -104,6 +122,9 @@
 		return nil, q.refusal(baobabtide.ReasonDeadline, &t, 0, now)
 	}
 	work := q.work(t.Route, now)
+	if !t.Late {
+		q.offer(t.rank(), work, now)
+	}
 	if q.free() && len(q.waiting) == 0 {
 		if q.inFlight > 0 && now.Add(work).After(t.Deadline) {
 			return nil, q.refusal(baobabtide.ReasonTooSlow, &t, max(work, minRetryAfter), now)
@@ -111,19 +132,20 @@
 		q.grant(&t, now)
 		return granted, nil
 	}
-	w := &Waiter{ticket: t, arrived: now, ready: make(chan struct{})}
+	w := &Waiter{ticket: t, onTime: true, ready: make(chan struct{})}
 	wait := q.wait(w, now)
 	end := now.Add(wait + work)
 	late := now.Add(wait + time.Duration(onTimeMargin*float64(work))).After(t.objective())
-	if late {
-		wait = q.lateWait(wait, now)
+	if late && !t.Call {
+		wait = min(q.lateWait(wait, now), t.Deadline.Sub(now))
 		end = now.Add(wait + work)
 	}
 	tooLong := wait > time.Duration(maxLateWait*float64(t.Deadline.Sub(now)))
 	switch {
-	case end.After(t.Deadline), late && (!t.Late || tooLong), len(q.waiting) >= q.slots*maxPerSlot && !q.evict(&t, now):
-		return nil, q.refusal(baobabtide.ReasonOverload, &t, q.comeBack(&t, wait+work, now), now)
+	case end.After(t.Deadline), late && !t.Call && (!t.Late || tooLong), len(q.waiting) >= q.slots*maxPerSlot && !q.evict(&t, now):
+		return nil, q.refusal(baobabtide.ReasonOverload, &t, q.comeBack(&t, end.Sub(now), now), now)
 	}
+	w.onTime = !late
 	q.waiting = append(q.waiting, w)
 	return w, nil
 }
@@ -151,18 +173,42 @@
 	q.begun += now.Sub(q.epoch)
 	q.running[t.Customer]++
 	q.grants++
-	if work := q.pace.Work(t.Route); !now.Add(work).After(t.objective()) {
-		q.onTime.add(work.Seconds(), now)
-	}
 }
 
 // lateWait estimates the wait of a request that those with a chance to meet
 // their objectives overtake while it waits.
 func (q *Queue) lateWait(wait time.Duration, now time.Time) time.Duration {
-	used := q.onTime.perSecond(now) / max(1, q.limit)
+	used := 0.0
+	for _, sum := range q.offered {
+		used += sum.perSecond(now) / max(1, q.limit)
+	}
+	if used >= 1 {
+		return math.MaxInt64
+	}
 	return time.Duration(float64(wait) / max(minLatePart, 1-used))
 }
 
+// offer notes work of a rank, of which there are few.
+func (q *Queue) offer(r rank, work time.Duration, now time.Time) {
+	sum := q.offered[r]
+	if sum == nil {
+		sum = &decayingSum{}
+		q.offered[r] = sum
+	}
+	sum.add(work.Seconds(), now)
+}
+
+// room returns the slots that are left to a rank by what is offered above it.
+func (q *Queue) room(r rank, now time.Time) float64 {
+	left := q.limit
+	for other, sum := range q.offered {
+		if other.above(r) {
+			left -= sum.perSecond(now)
+		}
+	}
+	return max(left, minLatePart*q.limit, 1)
+}
+
 // work returns how long a run of a route is expected to take now.
 func (q *Queue) work(route string, now time.Time) time.Duration {
 	return time.Duration(float64(q.pace.Work(route)) * q.slowness(now))
@@ -189,11 +235,11 @@
 	slow := q.slowness(now)
 	ahead := residualPart * float64(q.pace.Mean())
 	for _, other := range q.waiting {
-		if !q.before(w, other, now) {
+		if !q.before(w, other) {
 			ahead += float64(q.pace.Work(other.ticket.Route))
 		}
 	}
-	return time.Duration(slow * ahead / max(1, q.limit))
+	return time.Duration(slow * ahead / q.room(w.ticket.rank(), now))
 }
 
 // evict refuses the newest waiter of the lowest priority below the ticket's.
@@ -275,7 +321,7 @@
 func (q *Queue) admit(now time.Time) {
 	q.expire(now)
 	for q.free() && len(q.waiting) > 0 {
-		i := q.next(now)
+		i := q.next()
 		w := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		q.grant(&w.ticket, now)
@@ -294,29 +340,40 @@
 }
 
 // next returns the waiter to let in.
-func (q *Queue) next(now time.Time) int {
-	if q.grants%urgentEvery == urgentEvery-1 {
-		return 0
+func (q *Queue) next() int {
+	best := q.first(nil)
+	if q.grants%lesserEvery == lesserEvery-1 {
+		if lesser := q.first(q.waiting[best]); lesser >= 0 {
+			return lesser
+		}
 	}
-	best := 0
-	for i := 1; i < len(q.waiting); i++ {
-		if q.before(q.waiting[i], q.waiting[best], now) {
+	return best
+}
+
+// first returns the waiter that goes before all others, or before all others of
+// a lower rank than a given one that can meet their objectives; -1 for none.
+func (q *Queue) first(above *Waiter) int {
+	best := -1
+	for i, w := range q.waiting {
+		if above != nil && (w.ticket.Priority >= above.ticket.Priority || !w.onTime) {
+			continue
+		}
+		if best < 0 || q.before(w, q.waiting[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
-// before tells whether a goes before b: the more urgent kind, then what can
-// still meet its objective, then the customer with the fewest running requests,
-// then the earlier objective. Calls of work that runs have the shortest
-// objectives and so go before new work of their rank.
-func (q *Queue) before(a, b *Waiter, now time.Time) bool {
-	if a.ticket.Priority != b.ticket.Priority {
-		return a.ticket.Priority > b.ticket.Priority
+// before tells whether a goes before b: the more urgent kind, then calls of work
+// that runs, then what could meet its objective when it came, then the customer with
+// the fewest running requests, then the earlier objective.
+func (q *Queue) before(a, b *Waiter) bool {
+	if ar, br := a.ticket.rank(), b.ticket.rank(); ar != br {
+		return ar.above(br)
 	}
-	if am, bm := q.meets(a, now), q.meets(b, now); am != bm {
-		return am
+	if a.onTime != b.onTime {
+		return a.onTime
 	}
 	if a.ticket.Customer != b.ticket.Customer {
 		ar, br := q.running[a.ticket.Customer], q.running[b.ticket.Customer]
@@ -327,11 +384,6 @@
 	return a.ticket.objective().Before(b.ticket.objective())
 }
 
-// meets tells whether a waiter let in now would meet its objective.
-func (q *Queue) meets(w *Waiter, now time.Time) bool {
-	return !now.Add(q.pace.Work(w.ticket.Route)).After(w.ticket.objective())
-}
-
 // Close refuses all waiters and whatever is offered from now on.
 func (q *Queue) Close() {
 	q.mu.Lock()
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btretry"
 	"github.com/baobabtide/baobabtide/btroute"
 )
@@ -58,6 +59,7 @@
 	Local       baobabtide.Admitter
 	Budgets     btretry.Budgets
 	Observer    Observer // nil for none
+	Log         *btlog.Decisions
 
 	sizes    btroute.Sizes
 	attempts atomic.Uint64
@@ -127,7 +129,9 @@
 		}
 		if !d.again(ctx, c, attemptErr) {
 			cancel()
-			return nil, c.final(attemptErr)
+			told := c.final(attemptErr)
+			d.logFinal(c, attemptErr, told)
+			return nil, told
 		}
 	}
 }
@@ -309,6 +313,7 @@
 		return err
 	}
 	d.Peers.Replace(target.Ref.Address, silentGrace)
+	d.Log.Request(btlog.RequestSettled, req).Str("node", target.Ref.Node).Stringer("verdict", verdict).Send()
 	settled := *err
 	settled.Verdict = verdict
 	return &settled
@@ -383,6 +388,8 @@
 		return false
 	}
 	d.Counters.Moves.Add(1)
+	d.Log.Request(btlog.RequestMoved, c.req).Str("from", c.tried[c.count-1].Ref.Node).Str("reason", string(err.Reason)).
+		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work).Send()
 	return true
 }
 
@@ -408,10 +415,26 @@
 		return false
 	}
 	d.Counters.Retries.Add(1)
+	d.Log.Request(btlog.RequestRetried, c.req).Str("from", c.tried[c.count-1].Ref.Node).Int("reached", c.reached).Send()
 	c.req.Retried = true
 	return true
 }
 
+// logFinal writes what a caller is told after the last attempt, and why.
+func (d *Dispatcher) logFinal(c *call, last, told *baobabtide.RequestError) {
+	event := btlog.RequestFailed
+	if told.Verdict == baobabtide.NotRun {
+		event = btlog.RequestRefused
+	}
+	line := d.Log.Request(event, c.req).Stringer("verdict", told.Verdict).Str("reason", string(told.Reason)).
+		Str("last", string(last.Reason)).Int("moves", c.moves).Int("reached", c.reached).Bool("late", c.req.Late).
+		Dur("took-ms", time.Since(c.began)).Dur("retry-after-ms", told.RetryAfter)
+	if last.Err != nil {
+		line = line.Str("cause", last.Err.Error())
+	}
+	line.Send()
+}
+
 func (c *call) rewind() bool { return c.req.Body == nil || c.req.Body.Rewind() }
 
 // final returns what the caller is told after the last attempt.
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -14,6 +14,7 @@
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btconn"
 	"github.com/baobabtide/baobabtide/btledger"
+	"github.com/baobabtide/baobabtide/btlog"
 )
 
 const (
@@ -44,8 +45,10 @@
 	Limiter *btadmit.RateLimiter
 	Partner baobabtide.KeyPartner
 	Names   btbackend.HeaderNames
+	Log     *btlog.Decisions
 
 	ledger btledger.Ledger
+	calls  btadmit.Calls
 
 	mu       sync.Mutex
 	servers  map[string]*server // by name
@@ -191,6 +194,7 @@
 	resp, refusal := a.admit(ctx, s, req)
 	if refusal != nil {
 		a.end()
+		a.logRefusal(s, req, refusal)
 		return nil, refusal
 	}
 	return resp, nil
@@ -218,6 +222,21 @@
 	return run.succeed(resp), nil
 }
 
+// logRefusal writes why a request has no answer of the backend server.
+func (a *Admitter) logRefusal(s *server, req *baobabtide.Request, err *baobabtide.RequestError) {
+	event := btlog.AdmitRefused
+	if err.Verdict != baobabtide.NotRun {
+		event = btlog.AdmitLost
+	}
+	line := a.Log.Request(event, req).Str("target", s.announcement.Name).Stringer("verdict", err.Verdict).Str("reason", string(err.Reason)).
+		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Int("limit", err.Load.Slots).Int("failing", err.Load.Failing).
+		Dur("work-ms", err.Load.Work).Bool("late", req.Late).Dur("retry-after-ms", err.RetryAfter)
+	if err.Err != nil {
+		line = line.Str("cause", err.Err.Error())
+	}
+	line.Send()
+}
+
 // acquire waits for a slot.
 func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request) *baobabtide.RequestError {
 	ticket := btadmit.Ticket{
@@ -227,6 +246,7 @@
 		Deadline:  req.Deadline,
 		Objective: req.Objective,
 		Late:      req.Late,
+		Call:      a.calls.Observe(req.Route, req.Origin),
 	}
 	w, refusal := s.queue.Offer(ticket, time.Now())
 	if refusal != nil {
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -27,6 +27,7 @@
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btdispatch"
 	"github.com/baobabtide/baobabtide/btlocal"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btoperator"
 	"github.com/baobabtide/baobabtide/btpeer"
@@ -50,6 +51,8 @@
 	incarnation uint64
 	started     time.Time
 
+	decisions *btlog.Decisions
+
 	workers  *ants.Pool
 	adapters Adapters
 	peers    *btpeer.Client
@@ -142,6 +145,8 @@
 	disconnect := n.connect()
 	local, closeLocal := btlocal.New(keyPartner{n})
 	local.Names = adapters.BackendNames
+	n.decisions = btlog.NewDecisions(n.log)
+	local.Log = n.decisions
 	n.local = local
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
@@ -154,6 +159,7 @@
 		Peers:       n.peers,
 		Local:       local,
 		Observer:    &n.rollouts,
+		Log:         n.decisions,
 	}
 	free := func() {
 		n.cancel()
@@ -206,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop} {
+	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop, n.summaryLoop} {
 		n.wg.Go(loop)
 	}
 	n.log.Info().Str("event", "node.started").Str("zone", n.place.Zone).Uint64("incarnation", n.incarnation).Send()
