btdispatch, btlocal: a run whose call failed says nothing of its version

Change: the node beside a backend server knows the calls that begin there; a failure during which one failed is excused and not observed. Ruled out: comparing with the old version at the same time (after the ramp there is none).

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,8 +61,10 @@
 	Budgets     btretry.Budgets
 	Observer    Observer // nil for none
 	Log         *btlog.Decisions
+	CallFailed  func(now time.Time) // told of failed calls of running work, nil for nobody
 
 	sizes    btroute.Sizes
+	calls    sync.Map // routes for calls of running work, by name
 	attempts atomic.Uint64
 	Counters Counters
 }
@@ -99,6 +102,9 @@
 func (d *Dispatcher) Serve(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
 	d.Counters.Requests.Add(1)
 	resp, err := d.serve(ctx, req)
+	if err != nil || resp.Status >= minFailure {
+		d.noteFailedCall(req.Route)
+	}
 	switch {
 	case err == nil:
 		d.Counters.Answered.Add(1)
@@ -147,6 +153,21 @@
 	return true
 }
 
+// noteLoad takes in the load of a target that came with an answer or a refusal.
+func (d *Dispatcher) noteLoad(target *btroute.Target, route string, load baobabtide.Load) {
+	if load.Call {
+		d.calls.Store(route, true)
+	}
+	target.Stats.Report(route, load, time.Now())
+}
+
+// noteFailedCall tells of a request that failed if its route is one for calls.
+func (d *Dispatcher) noteFailedCall(route string) {
+	if _, call := d.calls.Load(route); call && d.CallFailed != nil {
+		d.CallFailed(time.Now())
+	}
+}
+
 // prepare matches a request to its route and chooses the version.
 func (d *Dispatcher) prepare(req *baobabtide.Request) (*call, *baobabtide.RequestError) {
 	table := d.Table()
@@ -219,7 +240,7 @@
 		d.noteFailure(target, *c.req, re, started)
 		return nil, re
 	}
-	target.Stats.Report(c.req.Route, resp.Load, time.Now())
+	d.noteLoad(target, c.req.Route, resp.Load)
 	if resp.Length >= 0 {
 		d.sizes.Learn(c.req.Route, resp.Length)
 	}
@@ -228,7 +249,9 @@
 	body := &answerBody{ReadCloser: resp.Body}
 	body.end = func() {
 		target.Stats.End(time.Now(), took, false)
-		d.observe(&shown, resp.Took, body.broken || resp.Status >= minFailure)
+		if !resp.Excused {
+			d.observe(&shown, resp.Took, body.broken || resp.Status >= minFailure)
+		}
 	}
 	resp.Body = body
 	return resp, nil
@@ -251,7 +274,7 @@
 		target.Stats.Silent(now)
 		return
 	}
-	target.Stats.Report(shown.Route, err.Load, now)
+	d.noteLoad(target, shown.Route, err.Load)
 }
 
 func (c *call) target() *btroute.Target {
--- a/btdispatch/dispatcher_test.go
+++ b/btdispatch/dispatcher_test.go
@@ -127,3 +127,59 @@
 		t.Errorf("homes (-want +got):\n%s", diff)
 	}
 }
+
+// observed counts what the dispatcher shows of versions.
+type observed struct{ passed, failed int }
+
+func (o *observed) Observe(_ *baobabtide.Request, _ time.Duration, failed bool) {
+	if failed {
+		o.failed++
+		return
+	}
+	o.passed++
+}
+
+// answering gives the same answer to every attempt.
+type answering struct {
+	fakePeers
+	status  int
+	excused bool
+	call    bool
+}
+
+func (p *answering) Forward(context.Context, baobabtide.TargetRef, *baobabtide.Request) (*baobabtide.Response, error) {
+	resp := btfixture.Text("x")
+	resp.Status, resp.Excused, resp.Load = p.status, p.excused, baobabtide.Load{Slots: 1, Call: p.call}
+	return resp, nil
+}
+
+// A good version was taken back while the servers that it calls were failing.
+func TestFailuresOfCallsSayNothingOfTheVersion(t *testing.T) {
+	tests := map[string]struct {
+		peers  answering
+		want   observed
+		failed bool // a call is told to have failed
+	}{
+		"sound":               {answering{status: 200}, observed{passed: 1}, false},
+		"failed":              {answering{status: 500}, observed{failed: 1}, false},
+		"failed with a call":  {answering{status: 500, excused: true}, observed{}, false},
+		"a call that fails":   {answering{status: 500, call: true}, observed{failed: 1}, true},
+		"a call that is well": {answering{status: 200, call: true}, observed{passed: 1}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			routes := table()
+			var got observed
+			told := false
+			d := &Dispatcher{Node: "self", Table: func() *btroute.Table { return routes }, Peers: &tt.peers, Observer: &got, CallFailed: func(time.Time) { told = true }}
+			resp, err := d.Serve(context.Background(), request("POST", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if got != tt.want || told != tt.failed {
+				t.Errorf("observed %+v, told of a failed call: %v", got, told)
+			}
+		})
+	}
+}
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -47,8 +47,9 @@
 	Names   btbackend.HeaderNames
 	Log     *btlog.Decisions
 
-	ledger btledger.Ledger
-	calls  btadmit.Calls
+	ledger     btledger.Ledger
+	calls      btadmit.Calls
+	callFailed atomic.Int64 // Unix time in nanoseconds of the last call that began beside the node and failed
 
 	mu       sync.Mutex
 	servers  map[string]*server // by name
@@ -133,6 +134,10 @@
 	}
 }
 
+// NoteFailedCall notes that a call which began beside the node has failed. Runs
+// of the time may have failed for no fault of their own.
+func (a *Admitter) NoteFailedCall(now time.Time) { a.callFailed.Store(now.UnixNano()) }
+
 // Drain refuses all new work and returns the number of requests under way.
 func (a *Admitter) Drain() int {
 	a.mu.Lock()
@@ -207,10 +212,12 @@
 	if left := s.down(time.Now()); left > 0 {
 		return nil, baobabtide.Refuse(baobabtide.ReasonUnreached, left, nil)
 	}
-	if refusal := a.acquire(ctx, s, req); refusal != nil {
+	call := a.calls.Observe(req.Route, req.Origin)
+	if refusal := a.acquire(ctx, s, req, call); refusal != nil {
+		refusal.Load.Call = call
 		return nil, refusal
 	}
-	run := &run{admitter: a, server: s, req: req, started: time.Now()}
+	run := &run{admitter: a, server: s, req: req, call: call, started: time.Now()}
 	if answer, refusal := run.enter(ctx); answer != nil || refusal != nil {
 		run.release()
 		return replay(answer, a), refusal
@@ -238,7 +245,7 @@
 }
 
 // acquire waits for a slot.
-func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request) *baobabtide.RequestError {
+func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request, call bool) *baobabtide.RequestError {
 	ticket := btadmit.Ticket{
 		Customer:  req.Customer,
 		Route:     req.Route,
@@ -246,7 +253,7 @@
 		Deadline:  req.Deadline,
 		Objective: req.Objective,
 		Late:      req.Late,
-		Call:      a.calls.Observe(req.Route, req.Origin),
+		Call:      call,
 	}
 	w, refusal := s.queue.Offer(ticket, time.Now())
 	if refusal != nil {
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -11,13 +11,17 @@
 	"github.com/baobabtide/baobabtide/btledger"
 )
 
-const partnerRetry = time.Second
+const (
+	partnerRetry = time.Second
+	minFailure   = 500 // lowest status of an answer that counts as a failure
+)
 
 // run is one request that holds a slot.
 type run struct {
 	admitter *Admitter
 	server   *server
 	req      *baobabtide.Request
+	call     bool // the route is one for calls of running work
 	started  time.Time
 	keyName  string
 	recorded bool // the ledger knows the attempt
@@ -107,6 +111,8 @@
 func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
 	resp.Took = time.Since(r.started)
 	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
+	resp.Load.Call = r.call
+	resp.Excused = resp.Status >= minFailure && r.admitter.callFailed.Load() >= r.started.UnixNano()
 	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp}
 	return resp
 }
@@ -150,7 +156,7 @@
 	if r.recorded {
 		r.conclude(baobabtide.Ran, b.answer())
 	}
-	r.server.queue.Learn(r.req.Route, time.Since(r.started), b.failed || b.resp.Status >= 500)
+	r.server.queue.Learn(r.req.Route, time.Since(r.started), b.failed || b.resp.Status >= minFailure)
 	r.release()
 	r.admitter.end()
 	return err
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -160,6 +160,7 @@
 		Local:       local,
 		Observer:    &n.rollouts,
 		Log:         n.decisions,
+		CallFailed:  local.NoteFailedCall,
 	}
 	free := func() {
 		n.cancel()
--- a/btpeer/body.go
+++ b/btpeer/body.go
@@ -57,6 +57,7 @@
 		Version: resp.Version,
 		Load:    resp.Load,
 
+		Excused:    resp.Excused,
 		TookMicros: resp.Took.Microseconds(),
 	}
 	for {
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -411,6 +411,7 @@
 		Length:  frame.Head.Length,
 		Version: frame.Head.Version,
 		Load:    frame.Head.Load,
+		Excused: frame.Head.Excused,
 		Took:    time.Duration(frame.Head.TookMicros) * time.Microsecond,
 	}, nil
 }
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -167,6 +167,7 @@
 	Version string                   `cbor:"4,keyasint,omitempty"`
 	Load    baobabtide.Load          `cbor:"5,keyasint"`
 
+	Excused    bool  `cbor:"7,keyasint,omitempty"`
 	TookMicros int64 `cbor:"6,keyasint"` // that the backend server took to begin its answer
 }
 
--- a/request.go
+++ b/request.go
@@ -78,6 +78,7 @@
 	Node    string
 	Load    Load
 	Took    time.Duration // that the backend server took to begin its answer
+	Excused bool          // the answer is a failure, and a call that began beside the backend server failed while it ran
 }
 
 // Load is what an admitting node reports with each response.
@@ -87,6 +88,7 @@
 	Slots    int           `cbor:"3,keyasint"`           // in use at most, 0 for an unknown load
 	Work     time.Duration `cbor:"4,keyasint,omitempty"` // that a run of the request's route is expected to take
 	Failing  int           `cbor:"5,keyasint,omitempty"` // thousandths of the runs that fail
+	Call     bool          `cbor:"6,keyasint,omitempty"` // the request's route is one for calls of running work
 }
 
 // Backend carries one request to a local backend server.
