--- a/baobabtided/adapters.go
+++ b/baobabtided/adapters.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbackend"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btnode"
 	"github.com/baobabtide/baobabtide/btsettings"
 	"github.com/baobabtide/baobabtide/platform"
@@ -29,7 +30,7 @@
 		Outcomes:     client,
 		Directory:    client,
 		Calls:        client.Calls,
-		Announce:     heartbeats(settings, log),
+		Announce:     heartbeats(log),
 		CallerNames:  platform.CallerNames(),
 		BackendNames: platform.BackendNames(),
 	})
@@ -45,14 +46,14 @@
 
 // heartbeats returns the constructor of the server that takes the heartbeats of
 // the backend server beside the node.
-func heartbeats(settings *btsettings.Settings, log zerolog.Logger) func(*btbackend.Registry) (*fasthttp.Server, func()) {
-	return func(registry *btbackend.Registry) (*fasthttp.Server, func()) {
+func heartbeats(log zerolog.Logger) btnode.Announcer {
+	return func(registry *btbackend.Registry, backend func() btsettings.Backend) (*fasthttp.Server, func()) {
 		s := &platform.HeartbeatServer{
 			Registry: registry,
-			Lease:    settings.Backend.Lease,
-			Expected: func() (string, string) { return settings.Backend.Service, settings.Backend.Address },
+			Lease:    backend().Lease,
+			Expected: func() (string, string) { return backend().Service, backend().Address },
 			Refused: func(id string, err error) {
-				log.Warn().Str("event", "heartbeat.refused").Str("target", id).Err(err).Send()
+				log.Warn().Str("event", string(btlog.HeartbeatRefused)).Str("target", id).Err(err).Send()
 			},
 		}
 		return s.NewServer()
--- a/baobabtided/run.go
+++ b/baobabtided/run.go
@@ -32,6 +32,7 @@
 }
 
 func run(c *cobra.Command, path string, options *runOptions) error {
+	known := stampOf(path)
 	settings, err := btsettings.Load(path)
 	if err != nil {
 		return err
@@ -54,5 +55,7 @@
 	defer free()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	signal.Ignore(syscall.SIGPIPE)
+	go followSettings(ctx, path, known, node, log)
 	return node.Run(ctx)
 }
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -45,7 +45,8 @@
 
 // Node is one process of the system.
 type Node struct {
-	settings    *btsettings.Settings
+	settings    *btsettings.Settings               // as the process started, but for what Reload takes
+	backend     atomic.Pointer[btsettings.Backend] // in force
 	log         zerolog.Logger
 	place       btroute.Place
 	incarnation uint64
@@ -141,6 +142,7 @@
 		drained:     make(chan struct{}),
 		found:       make(chan []string),
 	}
+	n.backend.Store(&settings.Backend)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	disconnect := n.connect()
 	local, closeLocal := btlocal.New(keyPartner{n})
@@ -279,7 +281,7 @@
 	callers.Names = n.adapters.CallerNames
 	callers.Origin = n.origin
 	n.callers, n.stopCallers = callers, stopCallers
-	announce, stopAnnounce := n.adapters.Announce(&n.registry)
+	announce, stopAnnounce := n.adapters.Announce(&n.registry, n.backendSettings)
 	operators, stopOperators := btoperator.NewServer(operators{n})
 	listeners := []listener{
 		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, stopCallers},
--- a/btnode/restore.go
+++ b/btnode/restore.go
@@ -33,7 +33,7 @@
 // short time and where the settings say the address. A server that is not the
 // expected one refuses the requests that name it.
 func (n *Node) restoreTargets(former []baobabtide.Target) {
-	backend := &n.settings.Backend
+	backend := n.backendSettings()
 	now := time.Now()
 	if backend.Address == "" || now.Sub(n.started) > restoreWindow {
 		return
