btlog, baobabtidectl: explain a request from the logs; OPERATIONS page

Change: explain ID FILE... joins the lines of a request, orders them and names the cause; every event stands on docs/OPERATIONS.md, which a test compares; rejected records, backend servers and rollout phases are logged.

--- a/btconfig/state.go
+++ b/btconfig/state.go
@@ -129,6 +129,15 @@
 	return baobabtide.AuditEntry{}, false
 }
 
+// Last returns the newest entry.
+func (l AuditLog) Last() (baobabtide.AuditEntry, bool) {
+	if len(l.Chunks) == 0 {
+		return baobabtide.AuditEntry{}, false
+	}
+	chunk := l.Chunks[len(l.Chunks)-1]
+	return chunk[len(chunk)-1], true
+}
+
 // Entries returns all entries, oldest first.
 func (l AuditLog) Entries() []baobabtide.AuditEntry {
 	return slices.Concat(l.Chunks...)
--- /dev/null
+++ b/btlog/events_test.go
@@ -0,0 +1,69 @@
+package btlog
+
+import (
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// Operators find each event on their page.
+func TestEventsAreExplained(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, event := range Events() {
+		if !strings.Contains(string(page), string(event)) {
+			t.Errorf("docs/OPERATIONS.md does not explain %q", event)
+		}
+	}
+}
+
+// A reader that has stopped costs lines and holds nobody up.
+func TestStalledOutputBlocksNobody(t *testing.T) {
+	reader, writer := io.Pipe()
+	out, closeOut := NewWriter(writer)
+	log := zerolog.New(out)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10 * bufferedLines {
+			log.Info().Str("event", "x").Send()
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the log waits for its output")
+	}
+	_ = reader.Close()
+	closeOut()
+}
+
+func TestLinesAboutRequestsAreBounded(t *testing.T) {
+	d := NewDecisions(zerolog.Nop())
+	req := &baobabtide.Request{ID: "r", Deadline: time.Now().Add(time.Second)}
+	for range 10 * lineBurst {
+		d.Request(RequestMoved, req).Send()
+	}
+	if dropped := d.Dropped(); dropped < 8*lineBurst {
+		t.Errorf("only %d of %d lines were dropped", dropped, 10*lineBurst)
+	}
+	var none *Decisions
+	none.Request(RequestMoved, req).Send()
+}
+
+func BenchmarkDecision(b *testing.B) {
+	d := NewDecisions(zerolog.New(io.Discard))
+	req := &baobabtide.Request{ID: "9c41d07be2a35f68", Route: "r", Service: "s", Attempt: "n.1.1", Deadline: time.Now().Add(time.Second)}
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Request(RequestMoved, req).Int("running", 6).Send()
+	}
+}
--- /dev/null
+++ b/btlog/explain_test.go
@@ -0,0 +1,54 @@
+package btlog
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const (
+	refusedCaller = `{"level":"info","node":"b-5","event":"request.refused","request":"r1","verdict":"not-run","reason":"overload","moves":1,"time":1775550542368057}`
+	refusedTarget = `  11.33 b-2 {"level":"info","node":"b-2","event":"admit.refused","request":"r1","reason":"overload","running":13,"waiting":4,"limit":13,"work-ms":104.7,"time":1775550542367537}`
+	lostCaller    = `{"level":"info","node":"c-1","event":"request.failed","request":"r2","verdict":"may-have-run","reason":"connection-lost","cause":"the node does not answer on this connection","time":1775550532407899}`
+	lateTarget    = `{"level":"info","node":"b-2","event":"admit.lost","request":"r3","reason":"deadline","cause":"read answer: timeout","time":1775550531458000}`
+	lateCaller    = `{"level":"info","node":"b-2","event":"request.failed","request":"r3","reason":"deadline","time":1775550531458962}`
+	torn          = `{"level":"info","node":"b-2","event":"req`
+)
+
+// The logs of several nodes, in any order and with torn and foreign lines, name
+// the cause of each kind of failure.
+func TestExplain(t *testing.T) {
+	logs := []string{
+		strings.Join([]string{refusedCaller, "panic: something else", lostCaller}, "\n"),
+		strings.Join([]string{lateCaller, refusedTarget, torn, lateTarget}, "\n"),
+	}
+	tests := map[string]struct {
+		steps int
+		cause string
+	}{
+		"r1": {2, "b-2 did not let it in: overload (running 13 of 13, waiting 4, a run takes 104.7 ms)"},
+		"r2": {1, "connection-lost: the node does not answer on this connection"},
+		"r3": {2, "the backend server beside b-2 gave no whole answer: deadline: read answer: timeout"},
+		"r4": {0, "the logs hold no failure of this request"},
+	}
+	for id, tt := range tests {
+		t.Run(id, func(t *testing.T) {
+			story := &Story{Request: id}
+			for _, log := range logs {
+				if err := story.Read(strings.NewReader(log)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if diff := cmp.Diff(tt.cause, story.Cause()); diff != "" {
+				t.Errorf("cause (-want +got):\n%s", diff)
+			}
+			if len(story.Steps) != tt.steps || story.Foreign != 2 || story.Lines != 7 {
+				t.Errorf("%d steps, %d of %d lines foreign", len(story.Steps), story.Foreign, story.Lines)
+			}
+			if tt.steps == 2 && story.Steps[0].Time.After(story.Steps[1].Time) {
+				t.Error("the steps are out of order")
+			}
+		})
+	}
+}
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -344,6 +344,13 @@
 func (n *Node) announceTargets() {
 	n.local.Update(n.registry.Servers())
 	targets := n.registry.Targets()
+	for i := range targets {
+		n.log.Info().Str("event", string(btlog.TargetChanged)).Str("target", targets[i].Name).Str("service", targets[i].Service).
+			Str("version", targets[i].Version).Stringer("state", targets[i].State).Int("slots", targets[i].Slots).Uint64("incarnation", targets[i].Incarnation).Send()
+	}
+	if len(targets) == 0 {
+		n.log.Info().Str("event", string(btlog.TargetChanged)).Bool("none", true).Send()
+	}
 	if n.refusing.Load() {
 		for i := range targets {
 			targets[i].State = baobabtide.TargetDraining
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -9,6 +9,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btlog"
 )
 
 const (
@@ -98,6 +99,9 @@
 			break
 		}
 		changed = changed || applied
+		if applied {
+			n.noteRejected(entry.Offset)
+		}
 		prev = entry.Offset
 	}
 	if changed {
@@ -105,6 +109,16 @@
 	}
 }
 
+// noteRejected logs the record that was just folded if it had no effect.
+func (n *Node) noteRejected(offset baobabtide.Offset) {
+	entry, ok := n.config.State().Audit.Last()
+	if !ok || entry.Offset != offset || entry.Accepted {
+		return
+	}
+	n.log.Warn().Str("event", string(btlog.RecordRejected)).Uint64("offset", uint64(offset)).Str("kind", entry.Kind).
+		Str("subject", entry.Subject).Str("reason", entry.Reason).Send()
+}
+
 // restore adopts the newest whole snapshot, because the log has dropped the
 // records that this node lacks.
 func (n *Node) restore() error {
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -6,6 +6,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btrollout"
 	"github.com/baobabtide/baobabtide/btroute"
@@ -36,6 +37,7 @@
 type progress struct {
 	cleared  time.Time // when the evidence first cleared the version here
 	decision btrollout.Decision
+	logged   btrollout.Phase // last one that was logged
 	reported time.Time
 	urgent   bool // the new version has failed since the last report
 	proposed time.Time
@@ -112,6 +114,11 @@
 	if tripped {
 		p.decision.Reason = trip.Reason
 	}
+	if p.decision.Phase != p.logged {
+		p.logged = p.decision.Phase
+		r.node.log.Info().Str("event", string(btlog.RolloutShare)).Uint64("rollout", uint64(rollout.Offset)).Str("service", rollout.Service).
+			Str("version", rollout.To).Str("phase", string(p.logged)).Float64("share", p.decision.Share).Str("reason", p.decision.Reason).Send()
+	}
 	return p.decision, raised
 }
 
