btbackend: a caller that leaves does not make its backend server unreachable

Ruled out: the rollouts (same outcomes), restarts. Change: canceled and late requests are told apart from unreachable servers. Test: TestCallerThatLeavesDoesNotBlameTheServer failed first.

--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -144,7 +144,7 @@
 	}
 	c, err := p.get(ctx, maxIdle)
 	if err != nil {
-		return nil, baobabtide.Refuse(baobabtide.ReasonUnreached, shedRetryAfter, err)
+		return nil, notSent(ctx, req.Deadline, err)
 	}
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		p.drop(c)
@@ -160,6 +160,19 @@
 	return p.response(c, req, resp, stop)
 }
 
+// notSent reports a request of which nothing was sent. One that its caller gave
+// up says nothing of the backend server.
+func notSent(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
+	switch {
+	case !time.Now().Before(deadline):
+		return baobabtide.Refuse(baobabtide.ReasonDeadline, 0, err)
+	case ctx.Err() != nil:
+		return baobabtide.Refuse(baobabtide.ReasonCanceled, 0, err)
+	default:
+		return baobabtide.Refuse(baobabtide.ReasonUnreached, shedRetryAfter, err)
+	}
+}
+
 // lostBackend reports a request that was sent at least in part.
 func lostBackend(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
 	re := &baobabtide.RequestError{Reason: baobabtide.ReasonBackend, Reached: true, Err: err}
--- a/btbackend/pool_test.go
+++ b/btbackend/pool_test.go
@@ -150,6 +150,37 @@
 	}
 }
 
+// A caller that left while its request waited for a connection made the backend
+// server count as unreachable, and all others were refused for a while.
+func TestCallerThatLeavesDoesNotBlameTheServer(t *testing.T) {
+	release := make(chan struct{})
+	address, _ := rawServer(t, func(c net.Conn, _, _ int) {
+		<-release
+		write(c, okAnswer)
+	})
+	p, closePool := NewPool(address, 1)
+	defer closePool()
+	busy := make(chan outcome, 1)
+	go func() { busy <- do(context.Background(), p, request(time.Minute)) }()
+	for len(p.tokens) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	want := outcome{Verdict: baobabtide.NotRun, Reason: baobabtide.ReasonCanceled}
+	if diff := cmp.Diff(want, do(ctx, p, request(time.Minute))); diff != "" {
+		t.Errorf("left (-want +got):\n%s", diff)
+	}
+	want.Reason = baobabtide.ReasonDeadline
+	if diff := cmp.Diff(want, do(context.Background(), p, request(20*time.Millisecond))); diff != "" {
+		t.Errorf("out of time (-want +got):\n%s", diff)
+	}
+	close(release)
+	if diff := cmp.Diff(outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}, <-busy); diff != "" {
+		t.Errorf("the other one (-want +got):\n%s", diff)
+	}
+}
+
 // An answer that comes after its request was given up must never reach the
 // next request.
 func TestLateAnswerReachesNobody(t *testing.T) {
