--- a/btbackend/pool_test.go
+++ b/btbackend/pool_test.go
@@ -172,7 +172,9 @@
 		t.Errorf("left (-want +got):\n%s", diff)
 	}
 	want.Reason = baobabtide.ReasonDeadline
-	if diff := cmp.Diff(want, do(context.Background(), p, request(20*time.Millisecond))); diff != "" {
+	late, cancelLate := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancelLate()
+	if diff := cmp.Diff(want, do(late, p, request(20*time.Millisecond))); diff != "" {
 		t.Errorf("out of time (-want +got):\n%s", diff)
 	}
 	close(release)
