btadmit: lesser ranks get the room that was not let in above them

Cause: work that is refused is offered to up to four servers and was counted at each, which left lesser ranks no room anywhere under overload.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -92,13 +92,14 @@
 	waiting  []*Waiter // in order of arrival
 	running  map[string]int
 	grants   int
-	offered  map[rank]*decayingSum // work of requests that could meet their objectives when they came
+	asked    decayingSum           // work that was offered and could meet its objective
+	accepted map[rank]*decayingSum // work that was let in and could meet its objective
 	closed   bool                  // draining: nothing new is let in
 }
 
 // NewQueue returns a queue for a backend server with a number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int), offered: make(map[rank]*decayingSum)}
+	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int), accepted: make(map[rank]*decayingSum)}
 }
 
 // granted is the waiter of all tickets that get a slot at once.
@@ -123,12 +124,13 @@
 	}
 	work := q.work(t.Route, now)
 	if !t.Late {
-		q.offer(t.rank(), work, now)
+		q.asked.add(work.Seconds(), now)
 	}
 	if q.free() && len(q.waiting) == 0 {
 		if q.inFlight > 0 && now.Add(work).After(t.Deadline) {
 			return nil, q.refusal(baobabtide.ReasonTooSlow, &t, max(work, minRetryAfter), now)
 		}
+		q.accept(t.rank(), work, now)
 		q.grant(&t, now)
 		return granted, nil
 	}
@@ -146,6 +148,9 @@
 		return nil, q.refusal(baobabtide.ReasonOverload, &t, q.comeBack(&t, end.Sub(now), now), now)
 	}
 	w.onTime = !late
+	if w.onTime {
+		q.accept(t.rank(), work, now)
+	}
 	q.waiting = append(q.waiting, w)
 	return w, nil
 }
@@ -178,30 +183,29 @@
 // lateWait estimates the wait of a request that those with a chance to meet
 // their objectives overtake while it waits.
 func (q *Queue) lateWait(wait time.Duration, now time.Time) time.Duration {
-	used := 0.0
-	for _, sum := range q.offered {
-		used += sum.perSecond(now) / max(1, q.limit)
-	}
+	used := q.asked.perSecond(now) / max(1, q.limit)
 	if used >= 1 {
 		return math.MaxInt64
 	}
 	return time.Duration(float64(wait) / max(minLatePart, 1-used))
 }
 
-// offer notes work of a rank, of which there are few.
-func (q *Queue) offer(r rank, work time.Duration, now time.Time) {
-	sum := q.offered[r]
+// accept notes work of a rank, of which there are few. Work that is refused does
+// not count: it is offered to other servers too, and counted at each it would
+// leave no room to lesser ranks anywhere.
+func (q *Queue) accept(r rank, work time.Duration, now time.Time) {
+	sum := q.accepted[r]
 	if sum == nil {
 		sum = &decayingSum{}
-		q.offered[r] = sum
+		q.accepted[r] = sum
 	}
 	sum.add(work.Seconds(), now)
 }
 
-// room returns the slots that are left to a rank by what is offered above it.
+// room returns the slots that are left to a rank by what is let in above it.
 func (q *Queue) room(r rank, now time.Time) float64 {
 	left := q.limit
-	for other, sum := range q.offered {
+	for other, sum := range q.accepted {
 		if other.above(r) {
 			left -= sum.perSecond(now)
 		}
