btdispatch, btadmit, btpeer, btcaller: split large files by job

No change of behavior. The dispatcher's call, its verdicts, the queue's estimates and forwarding each have a file of their own; open connections are listed in one place.

--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -136,11 +136,8 @@
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
 	s.mu.Unlock()
+	conns := s.openConns()
 	for _, c := range conns {
 		c.closeIfIdle()
 	}
@@ -168,15 +165,19 @@
 
 // CloseIdle closes the connections on which nothing is under way.
 func (s *Server) CloseIdle() {
+	for _, c := range s.openConns() {
+		c.closeIfIdle()
+	}
+}
+
+func (s *Server) openConns() []*conn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	conns := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
-	s.mu.Unlock()
-	for _, c := range conns {
-		c.closeIfIdle()
-	}
+	return conns
 }
 
 var errStopped = errors.New("the node has stopped")
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -80,24 +79,6 @@
 // IntN implements btroute.Random.
 func (globalRandom) IntN(n int) int { return rand.IntN(n) }
 
-// call is one request on its way.
-type call struct {
-	req     *baobabtide.Request
-	line    *btroute.Line
-	want    btroute.Want
-	version *btroute.Version
-	home    *btroute.Target // the only target allowed, nil for any
-	began   time.Time
-	reach   int // targets that the request may reach
-
-	tried   [maxTargets]*btroute.Target
-	count   int                      // targets tried in this round
-	reached int                      // targets that may have seen the request
-	moves   int                      // refusals that cost no target anything
-	doubt   *baobabtide.RequestError // latest attempt that may have run, nil for none
-	back    time.Duration            // shortest Retry-After of the refusals, 0 for none
-}
-
 // Serve implements baobabtide.Handler.
 func (d *Dispatcher) Serve(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
 	d.Counters.Requests.Add(1)
@@ -142,17 +123,6 @@
 	}
 }
 
-// discard gives up an answer of failure to an idempotent request in favor of
-// another attempt, where one is allowed.
-func (d *Dispatcher) discard(c *call, resp *baobabtide.Response) bool {
-	failed := resp.Status >= minFailure && resp.Status != timedOut
-	if !failed || !c.req.Idempotent || time.Until(c.req.Deadline) < minRetryTime || !d.retry(c) {
-		return false
-	}
-	_ = resp.Body.Close()
-	return true
-}
-
 // noteLoad takes in the load of a target that came with an answer or a refusal.
 func (d *Dispatcher) noteLoad(target *btroute.Target, route string, load baobabtide.Load) {
 	if load.Call {
@@ -168,59 +138,6 @@
 	}
 }
 
-// prepare matches a request to its route and chooses the version.
-func (d *Dispatcher) prepare(req *baobabtide.Request) (*call, *baobabtide.RequestError) {
-	table := d.Table()
-	if table == nil || table.Offset == 0 {
-		return nil, baobabtide.Refuse(baobabtide.ReasonNoConfig, noConfigRetry, nil)
-	}
-	if !table.HasCustomer(req.Customer) {
-		return nil, baobabtide.Refuse(baobabtide.ReasonNoCustomer, 0, fmt.Errorf("customer %q has no contract", req.Customer))
-	}
-	route := table.Match(req.Customer, req.Host, req.Method, req.Target)
-	if route == nil {
-		return nil, baobabtide.Refuse(baobabtide.ReasonNoRoute, 0, nil)
-	}
-	if req.Depth > maxDepth {
-		return nil, baobabtide.Refuse(baobabtide.ReasonTooDeep, 0, fmt.Errorf("depth %d exceeds %d", req.Depth, maxDepth))
-	}
-	c := &call{req: req, line: route.Choose(), began: time.Now(), reach: route.Terms.MaxAttempts}
-	if c.reach == 0 {
-		c.reach = defaultAttempts
-	}
-	req.Service = c.line.Service
-	req.Route = route.Terms.Name
-	req.Idempotent = route.Terms.Idempotent
-	req.Priority = route.Terms.Priority
-	if limit := c.began.Add(route.Terms.Timeout); limit.Before(req.Deadline) {
-		req.Deadline = limit
-	}
-	if route.Terms.Objective > 0 {
-		req.Objective = c.began.Add(route.Terms.Objective)
-	}
-	if c.line.Rollout != nil {
-		req.Rollout = c.line.Rollout.Offset
-	}
-	c.want = btroute.Want{Route: req.Route, Bytes: d.sizes.Expect(req.Route)}
-	c.choose()
-	return c, nil
-}
-
-// choose sets the version and, for a keyed request that must not run twice,
-// the one node that knows its key.
-func (c *call) choose() {
-	if c.req.Key == "" || c.req.Idempotent {
-		c.version = c.line.Choose(rand.Float64())
-		return
-	}
-	hash := btroute.KeyHash(c.req.Key)
-	c.version = c.line.Choose(float64(hash>>11) / (1 << 53))
-	c.home = c.line.Home(hash, c.version)
-	if c.home != nil && c.home.Version != c.version.Name {
-		c.version = &c.line.Current
-	}
-}
-
 // attempt sends the request to one target.
 func (d *Dispatcher) attempt(ctx context.Context, c *call) (*baobabtide.Response, *baobabtide.RequestError) {
 	target := c.target()
@@ -277,21 +194,6 @@
 	d.noteLoad(target, shown.Route, err.Load)
 }
 
-func (c *call) target() *btroute.Target {
-	if c.home != nil {
-		return c.home
-	}
-	now := time.Now()
-	if t := c.version.Pool.Pick(now, globalRandom{}, c.want, c.tried[:c.count]); t != nil {
-		return t
-	}
-	if c.version == &c.line.Current {
-		return nil
-	}
-	c.version = &c.line.Current
-	return c.version.Pool.Pick(now, globalRandom{}, c.want, c.tried[:c.count])
-}
-
 func (d *Dispatcher) attemptID() string {
 	return d.Node + "." + strconv.FormatUint(d.Incarnation, 36) + "." + strconv.FormatUint(d.attempts.Add(1), 36)
 }
@@ -306,185 +208,3 @@
 	}
 	return resp, err
 }
-
-// blames tells whether an error counts against the target's health.
-func blames(err *baobabtide.RequestError) bool {
-	switch err.Reason {
-	case baobabtide.ReasonLost, baobabtide.ReasonBackend, baobabtide.ReasonTruncated:
-		return true
-	default:
-		return false
-	}
-}
-
-// settle asks the admitting node what became of a non-idempotent attempt whose
-// answer was lost. It also replaces the connection that may have gone silent.
-func (d *Dispatcher) settle(ctx context.Context, target *btroute.Target, req *baobabtide.Request, err *baobabtide.RequestError) *baobabtide.RequestError {
-	lost := err.Verdict == baobabtide.MayHaveRun && (err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonDeadline)
-	if !lost || target.Ref.Node == d.Node {
-		return err
-	}
-	if btretry.Decide(btretry.EventLost, req.Idempotent).Action != btretry.Settle {
-		return err
-	}
-	d.Counters.Settled.Add(1)
-	window := max(time.Until(req.Deadline)/settlePart, minSettleWindow)
-	ask, cancel := context.WithTimeout(context.WithoutCancel(ctx), window)
-	defer cancel()
-	verdict, askErr := d.Peers.Settle(ask, target.Ref, req.Attempt)
-	if askErr != nil {
-		return err
-	}
-	d.Peers.Replace(target.Ref.Address, silentGrace)
-	d.Log.Request(btlog.RequestSettled, req).Str("node", target.Ref.Node).Stringer("verdict", verdict).Send()
-	settled := *err
-	settled.Verdict = verdict
-	return &settled
-}
-
-// event classifies how an attempt ended, after settle.
-func event(err *baobabtide.RequestError) btretry.Event {
-	lost := err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonDeadline
-	switch {
-	case err.Verdict == baobabtide.Ran && lost:
-		return btretry.EventLostRan
-	case err.Verdict == baobabtide.Ran:
-		return btretry.EventTruncated
-	case err.Verdict == baobabtide.NotRun && err.Reason == baobabtide.ReasonDeadline:
-		return btretry.EventTimeoutUnrun
-	case err.Verdict == baobabtide.NotRun && err.Reason == baobabtide.ReasonLost:
-		return btretry.EventNotSent
-	case err.Verdict == baobabtide.NotRun:
-		return btretry.EventRefused
-	case err.Reason == baobabtide.ReasonDeadline:
-		return btretry.EventTimeout
-	case err.Reason == baobabtide.ReasonBackend:
-		return btretry.EventBackendLost
-	default:
-		return btretry.EventLost
-	}
-}
-
-// again tells whether another attempt is made.
-func (d *Dispatcher) again(ctx context.Context, c *call, err *baobabtide.RequestError) bool {
-	if err.Verdict != baobabtide.NotRun {
-		c.doubt = err
-	}
-	if err.RetryAfter > 0 && (c.back == 0 || err.RetryAfter < c.back) {
-		c.back = err.RetryAfter
-	}
-	row := btretry.Decide(event(err), c.req.Idempotent)
-	if row.Action != btretry.Retry || ctx.Err() != nil {
-		return false
-	}
-	if c.home != nil {
-		err.RetryAfter = max(err.RetryAfter, keyHomeRetry)
-		return false
-	}
-	if err.Reason == baobabtide.ReasonNoTarget {
-		return c.late()
-	}
-	if final(err.Reason) {
-		return false
-	}
-	if err.Verdict == baobabtide.NotRun && !err.Reached {
-		return d.move(c, err)
-	}
-	return d.retry(c)
-}
-
-// move tells whether a request that touched no target goes to another one.
-func (d *Dispatcher) move(c *call, err *baobabtide.RequestError) bool {
-	c.moves++
-	window := minDecideWindow
-	if !c.req.Objective.IsZero() {
-		window = max(window, c.req.Objective.Sub(c.began)/decidePart)
-	}
-	crowded := err.Reason == baobabtide.ReasonOverload || err.Reason == baobabtide.ReasonTooSlow
-	if crowded && c.req.Late {
-		return false
-	}
-	if c.moves >= maxMoves || c.count >= len(c.tried) || (crowded && time.Since(c.began) > window) {
-		return c.late()
-	}
-	if !c.rewind() {
-		return false
-	}
-	d.Counters.Moves.Add(1)
-	d.Log.Request(btlog.RequestMoved, c.req).Str("from", c.tried[c.count-1].Ref.Node).Str("reason", string(err.Reason)).
-		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work).Send()
-	return true
-}
-
-// late gives a request that has found no room to meet its objective one more
-// chance, in which the objective no longer counts.
-func (c *call) late() bool {
-	if c.req.Objective.IsZero() || c.req.Late || c.moves == 0 || !c.rewind() {
-		return false
-	}
-	c.req.Late = true
-	c.count = 0
-	return true
-}
-
-// retry tells whether a request that may have reached a target is sent to
-// another one, which draws on the service's budget.
-func (d *Dispatcher) retry(c *call) bool {
-	c.reached++
-	if c.reached >= c.reach || c.count >= len(c.tried) || (c.req.Retried && c.req.Depth > 0) {
-		return false
-	}
-	if !c.rewind() || !d.Budgets.Spend(c.line.Service) {
-		return false
-	}
-	d.Counters.Retries.Add(1)
-	d.Log.Request(btlog.RequestRetried, c.req).Str("from", c.tried[c.count-1].Ref.Node).Int("reached", c.reached).Send()
-	c.req.Retried = true
-	return true
-}
-
-// logFinal writes what a caller is told after the last attempt, and why.
-func (d *Dispatcher) logFinal(c *call, last, told *baobabtide.RequestError) {
-	event := btlog.RequestFailed
-	if told.Verdict == baobabtide.NotRun {
-		event = btlog.RequestRefused
-	}
-	line := d.Log.Request(event, c.req).Stringer("verdict", told.Verdict).Str("reason", string(told.Reason)).
-		Str("last", string(last.Reason)).Int("moves", c.moves).Int("reached", c.reached).Bool("late", c.req.Late).
-		Dur("took-ms", time.Since(c.began)).Dur("retry-after-ms", told.RetryAfter)
-	if last.Err != nil {
-		line = line.Str("cause", last.Err.Error())
-	}
-	line.Send()
-}
-
-func (c *call) rewind() bool { return c.req.Body == nil || c.req.Body.Rewind() }
-
-// final returns what the caller is told after the last attempt.
-func (c *call) final(err *baobabtide.RequestError) *baobabtide.RequestError {
-	if c.doubt != nil && err.Verdict == baobabtide.NotRun {
-		return c.doubt
-	}
-	if err.Verdict != baobabtide.NotRun {
-		return err
-	}
-	told := *err
-	if c.moves > 0 && err.Reason == baobabtide.ReasonNoTarget {
-		told.Reason = baobabtide.ReasonOverload
-		told.Err = errors.New("no target has room")
-	}
-	if c.back > 0 {
-		told.RetryAfter = c.back + time.Duration(rand.Float64()*retrySpread*float64(c.back))
-	}
-	return &told
-}
-
-// final tells reasons that another target would give too.
-func final(reason baobabtide.Reason) bool {
-	switch reason {
-	case baobabtide.ReasonNoTarget, baobabtide.ReasonBadRequest, baobabtide.ReasonRateLimit, baobabtide.ReasonDuplicateKey, baobabtide.ReasonCanceled:
-		return true
-	default:
-		return false
-	}
-}
--- /dev/null
+++ b/btpeer/forward.go
@@ -0,0 +1,189 @@
+package btpeer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// Forward implements baobabtide.Forwarder.
+func (c *Client) Forward(ctx context.Context, target baobabtide.TargetRef, req *baobabtide.Request) (*baobabtide.Response, error) {
+	l, err := c.link(target.Address)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	raw, err := c.open(ctx, l, cancel)
+	if err != nil {
+		cancel(err)
+		return nil, notSent(err)
+	}
+	landed := l.begin(cancel, func() { c.replaceLink(target.Address, l) })
+	end := func() {
+		landed()
+		cancel(nil)
+	}
+	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw, heard: l.note}
+	first, err := firstFrame(target, req)
+	if err != nil {
+		end()
+		return nil, baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
+	}
+	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
+		end()
+		return nil, lost(ctx, req.Deadline, err)
+	}
+	if first.Last {
+		_ = raw.CloseSend()
+	} else {
+		go sendBody(stream, raw, req.Body, end)
+	}
+	resp, err := receiveResponse(stream, end)
+	if err != nil {
+		re := baobabtide.AsRequestError(err)
+		if re.Verdict == baobabtide.MayHaveRun {
+			re = lost(ctx, req.Deadline, err)
+		}
+		end()
+		return nil, re
+	}
+	resp.Node = target.Node
+	return resp, nil
+}
+
+// open opens a stream. Nothing of the request has left before it returns.
+func (c *Client) open(ctx context.Context, l *link, cancel context.CancelCauseFunc) (grpc.ClientStream, error) {
+	timer := time.AfterFunc(openTimeout, func() { cancel(errSilent) })
+	raw, err := l.conn.NewStream(ctx, &serviceDesc.Streams[1], forwardMethod)
+	if err != nil {
+		return nil, err
+	}
+	if !timer.Stop() {
+		return nil, errSilent
+	}
+	return raw, nil
+}
+
+// notSent reports a request of which nothing has left this node.
+func notSent(err error) *baobabtide.RequestError {
+	return baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
+}
+
+// lost reports a request that was sent and got no answer.
+func lost(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
+	re := &baobabtide.RequestError{Reason: baobabtide.ReasonLost, Err: err}
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		re.Err = errSilent
+	case errors.Is(cause, context.DeadlineExceeded), !time.Now().Before(deadline):
+		re.Reason = baobabtide.ReasonDeadline
+	case ctx.Err() != nil, status.Code(err) == codes.Canceled:
+		re.Reason = baobabtide.ReasonCanceled
+	}
+	return re
+}
+
+// firstFrame returns the head with the first part of the body.
+func firstFrame(target baobabtide.TargetRef, req *baobabtide.Request) (*RequestFrame, error) {
+	frame := &RequestFrame{Head: &RequestHead{
+		ID:                req.ID,
+		Origin:            req.Origin,
+		Host:              req.Host,
+		Attempt:           req.Attempt,
+		Target:            target.Name,
+		TargetIncarnation: target.Incarnation,
+		Customer:          req.Customer,
+		Service:           req.Service,
+		Version:           req.Version,
+		Route:             req.Route,
+		Key:               req.Key,
+		Idempotent:        req.Idempotent,
+		Priority:          req.Priority,
+		Rollout:           req.Rollout,
+		Method:            req.Method,
+		Path:              req.Target,
+		Header:            req.Header,
+		BodyLength:        req.BodyLength,
+		TimeoutMicros:     time.Until(req.Deadline).Microseconds(),
+		Depth:             req.Depth,
+		Retried:           req.Retried,
+		Late:              req.Late,
+	}, Last: true}
+	if !req.Objective.IsZero() {
+		frame.Head.ObjectiveMicros = time.Until(req.Objective).Microseconds()
+	}
+	if req.Body == nil {
+		return frame, nil
+	}
+	part := make([]byte, firstBodyPart)
+	n, err := readPart(req.Body, part)
+	frame.Body = part[:n]
+	frame.Last = errors.Is(err, io.EOF)
+	if err != nil && !frame.Last {
+		return nil, fmt.Errorf("read caller's body: %w", err)
+	}
+	return frame, nil
+}
+
+// sendBody sends what follows the first part. A body that breaks off cancels
+// the call, so that it never passes for whole.
+func sendBody(stream *Stream[ResponseFrame, RequestFrame], raw grpc.ClientStream, body io.Reader, cancel func()) {
+	part := make([]byte, maxBodyPart)
+	for {
+		n, err := readPart(body, part)
+		last := errors.Is(err, io.EOF)
+		if err != nil && !last {
+			cancel()
+			return
+		}
+		if err := stream.Send(&RequestFrame{Body: part[:n], Last: last}); err != nil {
+			return
+		}
+		if last {
+			_ = raw.CloseSend()
+			return
+		}
+	}
+}
+
+func receiveResponse(stream *Stream[ResponseFrame, RequestFrame], cancel func()) (*baobabtide.Response, error) {
+	frame, err := stream.Recv()
+	if err != nil {
+		return nil, noEOF(err)
+	}
+	if r := frame.Refusal; r != nil {
+		re := &baobabtide.RequestError{
+			Verdict:    r.Verdict,
+			Reason:     r.Reason,
+			RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond,
+			Load:       r.Load,
+			Reached:    r.Reached,
+		}
+		if r.Message != "" {
+			re.Err = errors.New(r.Message)
+		}
+		return nil, re
+	}
+	if frame.Head == nil {
+		return nil, errors.New("first frame of an answer has no head")
+	}
+	return &baobabtide.Response{
+		Status:  frame.Head.Status,
+		Header:  frame.Head.Header,
+		Body:    &responseBody{conn: stream, part: frame.Body, last: frame.Last, end: cancel},
+		Length:  frame.Head.Length,
+		Version: frame.Head.Version,
+		Load:    frame.Head.Load,
+		Excused: frame.Head.Excused,
+		Took:    time.Duration(frame.Head.TookMicros) * time.Microsecond,
+	}, nil
+}
