--- a/btbackend/announce.go
+++ b/btbackend/announce.go
@@ -16,6 +16,7 @@
 const (
 	maxAnnouncement = 16 << 10 // bytes
 	announceTimeout = time.Second
+	stopTimeout     = 200 * time.Millisecond // announcements are repeated, none is waited for
 )
 
 // NewAnnounceServer returns the HTTP server that takes announcements, and a
@@ -29,7 +30,7 @@
 		Logger:                btconn.QuietLogger{},
 	}
 	return s, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
 		_ = s.ShutdownWithContext(ctx)
 	}
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -20,7 +20,7 @@
 	profilePath = "/debug/pprof"
 )
 
-const metricsStopTimeout = 500 * time.Millisecond
+const metricsStopTimeout = 200 * time.Millisecond
 
 // metricsServer returns the server of metrics, health and readiness, and a
 // function that stops it.
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -241,7 +241,8 @@
 	stop    func()
 }
 
-// serve opens all listeners and returns a function that stops them in order.
+// serve opens all listeners and returns a function that stops them side by side:
+// a node that has drained should be gone, so that its successor can start.
 func (n *Node) serve() (func(), error) {
 	listeners := n.listeners()
 	opened := make([]net.Listener, 0, len(listeners))
@@ -263,9 +264,11 @@
 		}()
 	}
 	return func() {
+		var stopping sync.WaitGroup
 		for _, l := range listeners {
-			l.stop()
+			stopping.Go(l.stop)
 		}
+		stopping.Wait()
 	}, nil
 }
 
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -19,7 +19,7 @@
 	keepaliveTime     = 10 * time.Second
 	keepaliveTimeout  = 3 * time.Second
 	minKeepaliveTime  = 5 * time.Second
-	stopTimeout       = 2 * time.Second
+	stopTimeout       = 200 * time.Millisecond // a node that stops has no requests left
 	maxServerStreams  = 1 << 14
 	maxHeaderListSize = 64 << 10
 )
