btpeer, btnode: report connections that are given up, with the evidence

The time of the last byte is recorded under gRPC, so that a message that arrives in part counts. No decision changes.

--- a/btlog/events.go
+++ b/btlog/events.go
@@ -39,6 +39,7 @@
 	HeartbeatRefused Event = "heartbeat.refused"
 	MemberStatus     Event = "member.status"
 	MemberAccused    Event = "member.accused"
+	PeerUnresponsive Event = "peer.unresponsive" // the requests on a connection to another node were given up
 	RolloutShare     Event = "rollout.share"
 	RolloutTripped   Event = "rollout.tripped"
 	RolloutEnded     Event = "rollout.ended"
@@ -54,6 +55,6 @@
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
 		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, HeartbeatRefused, MemberStatus,
-		MemberAccused, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
+		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -186,6 +186,7 @@
 		config = n.tls.Client()
 	}
 	peers, closePeers := btpeer.NewClient(config, &n.bytes, n.settings.Peer.SourceIP())
+	peers.Unresponsive = n.recordUnresponsive
 	n.peers = peers
 	return closePeers
 }
--- /dev/null
+++ b/btnode/unresponsive.go
@@ -0,0 +1,17 @@
+package btnode
+
+import (
+	"fmt"
+
+	"github.com/baobabtide/baobabtide/btlog"
+	"github.com/baobabtide/baobabtide/btpeer"
+)
+
+// recordUnresponsive logs and counts a connection to another node that was given up. The
+// label "heard" tells whether the node turned out to be alive.
+func (n *Node) recordUnresponsive(c btpeer.UnresponsiveConn) {
+	n.metrics.GetOrCreateCounter(fmt.Sprintf(`baobabtide_peer_unresponsive_total{heard="%t"}`, c.HeardLater)).Inc()
+	n.metrics.GetOrCreateCounter(fmt.Sprintf(`baobabtide_peer_unresponsive_requests_total{heard="%t"}`, c.HeardLater)).Add(c.Requests)
+	n.log.Info().Str("event", string(btlog.PeerUnresponsive)).Str("address", c.Address).Dur("silence-ms", c.Silence).
+		Int("requests", c.Requests).Bool("heard-later", c.HeardLater).Send()
+}
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btclock"
 )
 
 const (
@@ -33,9 +34,12 @@
 // each gossip stream and each settle call has a connection of its own. It is safe
 // for concurrent use.
 type Client struct {
+	// Unresponsive is called for each shared connection that is given up, nil for none.
+	Unresponsive func(UnresponsiveConn)
+
 	credentials credentials.TransportCredentials
 	bytes       *ByteCounter
-	source      net.IP
+	dialer      func(ctx context.Context, address string) (net.Conn, error)
 
 	mu          sync.Mutex
 	sharedConns map[string]*sharedConn // by address
@@ -46,7 +50,7 @@
 // connections.
 func NewClient(config *tls.Config, bytes *ByteCounter, source net.IP) (*Client, func()) {
 	c := &Client{
-		source:      source,
+		dialer:      tcpDialer(source),
 		credentials: insecure.NewCredentials(),
 		bytes:       bytes,
 		sharedConns: make(map[string]*sharedConn),
@@ -66,8 +70,19 @@
 	}
 }
 
-// dial returns a new connection, which is established by its first call.
-func (c *Client) dial(address string) (*grpc.ClientConn, error) {
+// dial returns a new connection, which is established by its first call. If lastRead is
+// not nil, it is set whenever data arrives.
+func (c *Client) dial(address string, lastRead *btclock.Instant) (*grpc.ClientConn, error) {
+	dialer := c.dialer
+	if lastRead != nil {
+		dialer = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := c.dialer(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return monitoredConn{Conn: conn, lastRead: lastRead}, nil
+		}
+	}
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(codec{}), grpc.MaxCallRecvMsgSize(maxMessage)),
@@ -76,7 +91,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
-		grpc.WithContextDialer(c.dialTCP),
+		grpc.WithContextDialer(dialer),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithStatsHandler(c.bytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
@@ -91,12 +106,16 @@
 	return conn, nil
 }
 
-func (c *Client) dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{}
-	if c.source != nil {
-		d.LocalAddr = &net.TCPAddr{IP: c.source}
+// tcpDialer returns a function that opens TCP connections from a local address, nil for
+// any.
+func tcpDialer(source net.IP) func(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{}
+	if source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: source}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
 	}
-	return d.DialContext(ctx, "tcp", address)
 }
 
 // IsConnRefused reports whether err shows that the connection was refused because no
@@ -123,11 +142,12 @@
 	if s, ok := c.sharedConns[address]; ok {
 		return s, nil
 	}
-	conn, err := c.dial(address)
+	s := newSharedConn(address)
+	conn, err := c.dial(address, &s.lastRead)
 	if err != nil {
 		return nil, err
 	}
-	s := newSharedConn(conn)
+	s.conn = conn
 	c.sharedConns[address] = s
 	return s, nil
 }
@@ -145,15 +165,22 @@
 	}
 }
 
-// closeSharedConn closes a connection on which the node does not respond. It removes the
-// connection from the shared ones unless it has already been replaced there.
-func (c *Client) closeSharedConn(address string, unresponsive *sharedConn) {
+// giveUp removes a connection on which the node does not respond from the shared ones,
+// unless it has already been replaced there. It reports the connection and closes it
+// after lateWatch, so that data that arrives late is noticed.
+func (c *Client) giveUp(s *sharedConn, report UnresponsiveConn) {
 	c.mu.Lock()
-	if c.sharedConns[address] == unresponsive {
-		delete(c.sharedConns, address)
+	if c.sharedConns[s.address] == s {
+		delete(c.sharedConns, s.address)
 	}
 	c.mu.Unlock()
-	_ = unresponsive.conn.Close()
+	givenUpAt := time.Now()
+	time.Sleep(lateWatch)
+	report.HeardLater = s.lastRead.After(givenUpAt)
+	_ = s.conn.Close()
+	if c.Unresponsive != nil {
+		c.Unresponsive(report)
+	}
 }
 
 // GossipConn is the stream of a gossip connection that this node has opened.
@@ -162,7 +189,7 @@
 // Gossip opens a gossip stream on a separate connection to an address and returns it
 // with a function that closes both.
 func (c *Client) Gossip(ctx context.Context, address string) (*GossipConn, func(), error) {
-	conn, err := c.dial(address)
+	conn, err := c.dial(address, nil)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -237,7 +264,7 @@
 // on which the response was lost may no longer carry data. On errors the verdict is
 // MayHaveRun.
 func (c *Client) Settle(ctx context.Context, target baobabtide.TargetRef, attempt string) (baobabtide.Verdict, error) {
-	conn, err := c.dial(target.Address)
+	conn, err := c.dial(target.Address, nil)
 	if err != nil {
 		return baobabtide.MayHaveRun, err
 	}
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -26,7 +26,7 @@
 		cancel(err)
 		return nil, notSentError(err)
 	}
-	untrack := s.track(cancel, func() { c.closeSharedConn(target.Address, s) })
+	untrack := s.track(cancel, func(report UnresponsiveConn) { c.giveUp(s, report) })
 	end := func() {
 		untrack()
 		cancel(nil)
