--- /dev/null
+++ b/btpeer/slowlink_test.go
@@ -0,0 +1,118 @@
+package btpeer
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfixture"
+)
+
+var testTarget = baobabtide.TargetRef{Node: "n", Address: "server"}
+
+// workingNode admits each request and responds after the given work.
+func workingNode(work time.Duration) *fakeNode {
+	return &fakeNode{admit: func(ctx context.Context, _ *baobabtide.Request) (*baobabtide.Response, error) {
+		select {
+		case <-time.After(work):
+			return btfixture.OKResponse("done"), nil
+		case <-ctx.Done():
+			return nil, &baobabtide.RequestError{Reason: baobabtide.ReasonCanceled, Err: context.Cause(ctx)}
+		}
+	}}
+}
+
+// forward sends a request and returns the body of its response or the reason of its
+// error.
+func forward(c *Client, timeout time.Duration) string {
+	resp, err := c.Forward(context.Background(), testTarget, request("", timeout))
+	if err != nil {
+		return string(baobabtide.AsRequestError(err).Reason)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+// Pings and their responses that wait behind other data on a full link do not end the
+// requests of a node that is alive.
+func TestFullLinkDoesNotEndRequests(t *testing.T) {
+	const queued = 1.2 * linkRate // bytes that take 1.2 s
+	tests := map[string]func(n *testNetwork) *testLink{
+		"link of the node with the server": func(n *testNetwork) *testLink { return &n.serverLink },
+		"link of the forwarding node":      func(n *testNetwork) *testLink { return &n.clientLink },
+	}
+	for name, link := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, c := newTestNetwork(t, workingNode(100*time.Millisecond))
+				if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
+					t.Fatalf("idle link (-want +got):\n%s", diff)
+				}
+				link(n).occupy(queued)
+				if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
+					t.Errorf("full link (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// A connection that has gone silent for good is given up, while new ones work.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, workingNode(100*time.Millisecond))
+		if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
+			t.Fatalf("before (-want +got):\n%s", diff)
+		}
+		n.silence()
+		began := time.Now()
+		if diff := cmp.Diff("connection-lost", forward(c, 5*time.Second)); diff != "" {
+			t.Errorf("silent connection (-want +got):\n%s", diff)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("given up after %s", took)
+		}
+		if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
+			t.Errorf("next request (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(2, n.dialed()); diff != "" {
+			t.Errorf("connections (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A node that was cut off gets no new request, and those in flight end before their
+// deadline.
+func TestCutOffNodeIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, workingNode(100*time.Millisecond))
+		if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
+			t.Fatalf("before (-want +got):\n%s", diff)
+		}
+		n.cut()
+		began := time.Now()
+		if diff := cmp.Diff("connection-lost", forward(c, time.Minute)); diff != "" {
+			t.Errorf("cut off (-want +got):\n%s", diff)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("given up after %s", took)
+		}
+		began = time.Now()
+		_, err := c.Forward(context.Background(), testTarget, request("", time.Minute))
+		if diff := cmp.Diff(baobabtide.NotRun, baobabtide.AsRequestError(err).Verdict); diff != "" {
+			t.Errorf("verdict of the next request (-want +got):\n%s", diff)
+		}
+		if took := time.Since(began); took > openTimeout {
+			t.Errorf("the next request was refused after %s", took)
+		}
+	})
+}
