btpeer: end requests in flight only on proof that their connection is dead

Cause: a ping that was not answered within 300 ms was taken for proof that the connection is dead, and ended every request on it.

Now data in any amount shows that a connection is alive. A missing response makes the connection suspect, and new requests open another one; before, they joined the connection already under suspicion. The requests in flight go on until the node has responded on the new connection and this one stays silent for 300 ms more, or nothing has arrived for Peer.SilenceLimit, the limit that failure detection uses for neighbors.

A silent connection is given up after 0.8 s (0.5 s before), a node that was cut off after SilenceLimit; new requests to it are refused as before.

--- a/btnode/node.go
+++ b/btnode/node.go
@@ -185,7 +185,7 @@
 	if n.tls != nil {
 		config = n.tls.Client()
 	}
-	peers, closePeers := btpeer.NewClient(config, &n.bytes, n.settings.Peer.SourceIP())
+	peers, closePeers := btpeer.NewClient(config, &n.bytes, n.settings.Peer.SourceIP(), n.settings.Peer.SilenceLimit)
 	peers.Unresponsive = n.recordUnresponsive
 	n.peers = peers
 	return closePeers
--- a/btnode/unresponsive.go
+++ b/btnode/unresponsive.go
@@ -13,5 +13,5 @@
 	n.metrics.GetOrCreateCounter(fmt.Sprintf(`baobabtide_peer_unresponsive_total{heard="%t"}`, c.HeardLater)).Inc()
 	n.metrics.GetOrCreateCounter(fmt.Sprintf(`baobabtide_peer_unresponsive_requests_total{heard="%t"}`, c.HeardLater)).Add(c.Requests)
 	n.log.Info().Str("event", string(btlog.PeerUnresponsive)).Str("address", c.Address).Dur("silence-ms", c.Silence).
-		Int("requests", c.Requests).Bool("heard-later", c.HeardLater).Send()
+		Int("requests", c.Requests).Bool("reachable", c.Reachable).Bool("heard-later", c.HeardLater).Send()
 }
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -41,19 +41,23 @@
 	bytes       *ByteCounter
 	dialer      func(ctx context.Context, address string) (net.Conn, error)
 
+	silenceLimit time.Duration // without data before requests in flight are given up
+
 	mu          sync.Mutex
 	sharedConns map[string]*sharedConn // by address
 }
 
 // NewClient returns a client and a function that closes its shared connections. A
 // nil config means plaintext. A non-nil source is the local IP address of all
-// connections.
-func NewClient(config *tls.Config, bytes *ByteCounter, source net.IP) (*Client, func()) {
+// connections. The requests in flight on a connection are given up when no data has
+// arrived on it for silenceLimit.
+func NewClient(config *tls.Config, bytes *ByteCounter, source net.IP, silenceLimit time.Duration) (*Client, func()) {
 	c := &Client{
-		dialer:      tcpDialer(source),
-		credentials: insecure.NewCredentials(),
-		bytes:       bytes,
-		sharedConns: make(map[string]*sharedConn),
+		dialer:       tcpDialer(source),
+		silenceLimit: silenceLimit,
+		credentials:  insecure.NewCredentials(),
+		bytes:        bytes,
+		sharedConns:  make(map[string]*sharedConn),
 	}
 	if config != nil {
 		c.credentials = credentials.NewTLS(config)
@@ -127,6 +131,8 @@
 
 // conn returns the gRPC connection of the shared connection to an address.
 func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	s, err := c.sharedConn(address)
 	if err != nil {
 		return nil, err
@@ -134,15 +140,25 @@
 	return s.conn, nil
 }
 
-// sharedConn returns the shared connection to an address with its state, and creates it
-// if there is none.
-func (c *Client) sharedConn(address string) (*sharedConn, error) {
+// track adds a request to those in flight on the shared connection to an address. It
+// returns the connection and a function that removes the request.
+func (c *Client) track(address string, cancel context.CancelCauseFunc) (*grpc.ClientConn, func(), error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s, err := c.sharedConn(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return s.conn, s.track(cancel), nil
+}
+
+// sharedConn returns the shared connection to an address with its state, and creates it
+// if there is none. The caller holds c.mu.
+func (c *Client) sharedConn(address string) (*sharedConn, error) {
 	if s, ok := c.sharedConns[address]; ok {
 		return s, nil
 	}
-	s := newSharedConn(address)
+	s := newSharedConn(c, address)
 	conn, err := c.dial(address, &s.lastRead)
 	if err != nil {
 		return nil, err
@@ -165,22 +181,24 @@
 	}
 }
 
-// giveUp removes a connection on which the node does not respond from the shared ones,
-// unless it has already been replaced there. It reports the connection and closes it
-// after lateWatch, so that data that arrives late is noticed.
-func (c *Client) giveUp(s *sharedConn, report UnresponsiveConn) {
+// removeSharedConn makes new calls open another connection than s.
+func (c *Client) removeSharedConn(s *sharedConn) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.sharedConns[s.address] == s {
 		delete(c.sharedConns, s.address)
 	}
-	c.mu.Unlock()
-	givenUpAt := time.Now()
-	time.Sleep(lateWatch)
-	report.HeardLater = s.lastRead.After(givenUpAt)
-	_ = s.conn.Close()
-	if c.Unresponsive != nil {
-		c.Unresponsive(report)
+}
+
+// ping returns nil once the node at an address has responded to a ping on its shared
+// connection.
+func (c *Client) ping(ctx context.Context, address string) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
 	}
+	_, err = call[PingRequest, PingResponse](ctx, conn, pingMethod, &PingRequest{}, grpc.WaitForReady(true))
+	return err
 }
 
 // GossipConn is the stream of a gossip connection that this node has opened.
@@ -207,9 +225,9 @@
 }
 
 // call makes a unary call on a connection and returns the response.
-func call[In, Out any](ctx context.Context, conn *grpc.ClientConn, method string, in *In) (*Out, error) {
+func call[In, Out any](ctx context.Context, conn *grpc.ClientConn, method string, in *In, options ...grpc.CallOption) (*Out, error) {
 	out := new(Out)
-	if err := conn.Invoke(ctx, method, in, out); err != nil {
+	if err := conn.Invoke(ctx, method, in, out, options...); err != nil {
 		return nil, fmt.Errorf("call %s: %w", method, err)
 	}
 	return out, nil
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -16,22 +16,22 @@
 
 // Forward implements baobabtide.Forwarder. Closing the response's body ends the call.
 func (c *Client) Forward(ctx context.Context, target baobabtide.TargetRef, req *baobabtide.Request) (*baobabtide.Response, error) {
-	s, err := c.sharedConn(target.Address)
-	if err != nil {
-		return nil, notSentError(err)
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	raw, err := c.open(ctx, s, cancel)
+	conn, untrack, err := c.track(target.Address, cancel)
 	if err != nil {
 		cancel(err)
 		return nil, notSentError(err)
 	}
-	untrack := s.track(cancel, func(report UnresponsiveConn) { c.giveUp(s, report) })
 	end := func() {
 		untrack()
 		cancel(nil)
 	}
-	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw, onRecv: s.recordMessage}
+	raw, err := open(ctx, conn, cancel)
+	if err != nil {
+		end()
+		return nil, notSentError(err)
+	}
+	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw}
 	first, err := firstFrame(target, req)
 	if err != nil {
 		end()
@@ -59,11 +59,11 @@
 	return resp, nil
 }
 
-// open opens a stream on a shared connection and gives up after openTimeout. No part of
-// the request has been sent when it returns.
-func (c *Client) open(ctx context.Context, s *sharedConn, cancel context.CancelCauseFunc) (grpc.ClientStream, error) {
+// open opens a stream on a connection and gives up after openTimeout. No part of the
+// request has been sent when it returns.
+func open(ctx context.Context, conn *grpc.ClientConn, cancel context.CancelCauseFunc) (grpc.ClientStream, error) {
 	timer := time.AfterFunc(openTimeout, func() { cancel(errUnresponsive) })
-	raw, err := s.conn.NewStream(ctx, &serviceDesc.Streams[1], forwardMethod)
+	raw, err := conn.NewStream(ctx, &serviceDesc.Streams[1], forwardMethod)
 	if err != nil {
 		return nil, err
 	}
--- a/btpeer/peer_test.go
+++ b/btpeer/peer_test.go
@@ -18,6 +18,8 @@
 	"github.com/baobabtide/baobabtide/btfixture"
 )
 
+const testSilenceLimit = 1500 * time.Millisecond
+
 // fakeNode implements Node with the given functions and echoes gossip.
 type fakeNode struct {
 	admit  func(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error)
@@ -61,7 +63,7 @@
 
 func client(t *testing.T) *Client {
 	t.Helper()
-	c, closeClient := NewClient(nil, &ByteCounter{}, nil)
+	c, closeClient := NewClient(nil, &ByteCounter{}, nil, testSilenceLimit)
 	t.Cleanup(closeClient)
 	return c
 }
@@ -265,7 +267,7 @@
 
 func TestGossipBytesAreCounted(t *testing.T) {
 	var bytes ByteCounter
-	c, closeClient := NewClient(nil, &bytes, nil)
+	c, closeClient := NewClient(nil, &bytes, nil, testSilenceLimit)
 	defer closeClient()
 	conn, end, err := c.Gossip(context.Background(), serve(t, &fakeNode{}))
 	if err != nil {
--- a/btpeer/service.go
+++ b/btpeer/service.go
@@ -85,8 +85,7 @@
 // Stream is a bidirectional gRPC stream that receives messages of type In and sends
 // messages of type Out.
 type Stream[In, Out any] struct {
-	raw    rawStream
-	onRecv func() // called for each received message, may be nil
+	raw rawStream
 }
 
 // Context returns the stream's context.
@@ -102,8 +101,5 @@
 	if err := s.raw.RecvMsg(m); err != nil {
 		return nil, err
 	}
-	if s.onRecv != nil {
-		s.onRecv()
-	}
 	return m, nil
 }
--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -14,37 +14,44 @@
 const (
 	openTimeout   = 150 * time.Millisecond // to open a stream including the connection; zones are 3 ms apart and regions 24 ms
 	probePeriod   = 100 * time.Millisecond // between checks of a connection with requests in flight
-	probeIdleTime = 200 * time.Millisecond // without a message before the node is pinged
-	probeTimeout  = 300 * time.Millisecond // to respond to a ping; a node may get no processor time for 100 ms
+	probeIdleTime = 200 * time.Millisecond // without data before the node is pinged
+	probeTimeout  = 300 * time.Millisecond // to respond to a ping before the connection is suspect; a node may get no processor time for 100 ms
+	silentGrace   = 300 * time.Millisecond // for data to arrive on a suspect connection after the node has responded on a new one
 	lateWatch     = 2 * time.Second        // for data to arrive on a connection after it was given up
 )
 
+// errUnresponsive is the cause with which a request is canceled if its connection is
+// given up or if its stream can't be opened within openTimeout.
+var errUnresponsive = errors.New("the node does not answer on this connection")
+
 // UnresponsiveConn describes a shared connection that was given up and the evidence for
 // that.
 type UnresponsiveConn struct {
 	Address    string
 	Silence    time.Duration // since data last arrived
 	Requests   int           // in flight when the connection was given up
+	Reachable  bool          // the node responded on a new connection in the meantime
 	HeardLater bool          // data arrived within lateWatch: the node was alive
 }
 
-// errUnresponsive is the cause with which a request is canceled if its node does not
-// respond to a ping or if its stream can't be opened within openTimeout.
-var errUnresponsive = errors.New("the node does not answer on this connection")
-
 // sharedConn is the shared connection to one node with its requests in flight. While
-// there are any, an idle connection is probed, because a connection can stop carrying
-// data for good without an error.
+// there are any, a connection without data is probed, because a connection can stop
+// carrying data for good without an error.
+//
+// A missing response to a ping makes the connection suspect: new requests open another
+// one. It does not end the requests in flight, because on a full link a ping waits behind
+// other data for longer than any useful timeout. They are given up once the node has
+// responded on a new connection while this one stayed silent, or after silenceLimit.
 type sharedConn struct {
-	address   string
-	conn      *grpc.ClientConn
-	lastRead  btclock.Instant // last arrival of data
-	lastHeard btclock.Instant // last message or response to a ping
+	client   *Client
+	address  string
+	conn     *grpc.ClientConn
+	lastRead btclock.Instant // last arrival of data, or the start of the probe
 
 	mu       sync.Mutex
 	inflight map[*inflightRequest]struct{}
 	probing  bool // the goroutine of probe is running
-	failed   bool // the node did not respond to a ping
+	suspect  bool // no longer shared; closed when its last request ends
 }
 
 // inflightRequest is one request in flight on a shared connection.
@@ -53,30 +60,21 @@
 }
 
 // newSharedConn returns the state of a connection whose conn the caller sets.
-func newSharedConn(address string) *sharedConn {
-	return &sharedConn{address: address, inflight: make(map[*inflightRequest]struct{})}
+func newSharedConn(c *Client, address string) *sharedConn {
+	return &sharedConn{client: c, address: address, inflight: make(map[*inflightRequest]struct{})}
 }
 
-// recordMessage records that the node sent a message now.
-func (s *sharedConn) recordMessage() { s.lastHeard.Set(time.Now()) }
-
-// track adds a request in flight and returns a function that removes it. The request
-// is canceled with errUnresponsive when the connection fails, at once if it has failed
-// already. onUnresponsive is called with a report when the connection fails, but only if
-// this call of track starts the probe.
-func (s *sharedConn) track(cancel context.CancelCauseFunc, onUnresponsive func(UnresponsiveConn)) func() {
+// track adds a request in flight and returns a function that removes it. The request is
+// canceled with errUnresponsive when the connection is given up.
+func (s *sharedConn) track(cancel context.CancelCauseFunc) func() {
 	r := &inflightRequest{cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.failed {
-		cancel(errUnresponsive)
-		return func() {}
-	}
 	s.inflight[r] = struct{}{}
 	if !s.probing {
 		s.probing = true
-		s.recordMessage()
-		go s.probe(onUnresponsive)
+		s.lastRead.Set(time.Now())
+		go s.probe()
 	}
 	return func() {
 		s.mu.Lock()
@@ -85,52 +83,122 @@
 	}
 }
 
-// probe pings the node whenever the connection has been idle for probeIdleTime. It
-// returns when no request is in flight. If the node does not respond to a ping, it
-// cancels all requests and calls onUnresponsive.
-func (s *sharedConn) probe(onUnresponsive func(UnresponsiveConn)) {
+// probe pings the node whenever no data has arrived for probeIdleTime. It returns when no
+// request is in flight, and closes the connection then if it is suspect.
+func (s *sharedConn) probe() {
 	ticker := time.NewTicker(probePeriod)
 	defer ticker.Stop()
 	for range ticker.C {
-		s.mu.Lock()
-		if len(s.inflight) == 0 || s.failed {
-			s.probing = false
-			s.mu.Unlock()
+		if s.stopIfIdle() {
 			return
 		}
-		s.mu.Unlock()
-		if idle, _ := s.lastHeard.Since(time.Now()); idle < probeIdleTime {
+		if s.silence() < probeIdleTime || s.ping() {
 			continue
 		}
-		if s.ping() {
-			s.recordMessage()
-			continue
+		s.stopSharing()
+		if reachable, alive := s.awaitData(ticker); !alive {
+			s.giveUp(reachable)
+			return
 		}
-		onUnresponsive(s.fail())
-		return
 	}
 }
 
-// ping returns false only if the node does not respond within probeTimeout. Any earlier
-// error is one of the connection, which the requests on it receive themselves.
+// stopIfIdle reports whether no request is in flight, and then ends the probe.
+func (s *sharedConn) stopIfIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.inflight) > 0 {
+		return false
+	}
+	s.probing = false
+	if s.suspect {
+		_ = s.conn.Close()
+	}
+	return true
+}
+
+// silence returns the time since data last arrived.
+func (s *sharedConn) silence() time.Duration {
+	silence, _ := s.lastRead.Since(time.Now())
+	return silence
+}
+
+// ping returns false only if neither a response nor any other data arrives within
+// probeTimeout. Any earlier error is one of the connection, which the requests on it
+// receive themselves.
 func (s *sharedConn) ping() bool {
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	_, err := call[PingRequest, PingResponse](ctx, s.conn, pingMethod, &PingRequest{})
-	return err == nil || ctx.Err() == nil
+	return err == nil || ctx.Err() == nil || s.lastRead.After(sent)
 }
 
-// fail marks the connection as failed, cancels all its requests with errUnresponsive and
-// returns a report.
-func (s *sharedConn) fail() UnresponsiveConn {
+// stopSharing makes the connection suspect, so that new requests open another one.
+func (s *sharedConn) stopSharing() {
+	s.client.removeSharedConn(s)
+	s.mu.Lock()
+	s.suspect = true
+	s.mu.Unlock()
+}
+
+// awaitData waits until data arrives on a suspect connection or its last request ends,
+// but not beyond silenceLimit, and not for longer than silentGrace after the node has
+// responded on a new connection. It returns whether the node responded there, and whether
+// the requests in flight may go on.
+func (s *sharedConn) awaitData(ticker *time.Ticker) (bool, bool) {
+	suspectAt := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	responded := make(chan struct{})
+	go func() {
+		if s.client.ping(ctx, s.address) == nil {
+			close(responded)
+		}
+	}()
+	reachable := false
+	var grace <-chan time.Time
+	for {
+		select {
+		case <-ticker.C:
+		case <-responded:
+			reachable, responded = true, nil
+			grace = time.After(silentGrace)
+			continue
+		case <-grace:
+			return reachable, s.lastRead.After(suspectAt)
+		}
+		switch {
+		case s.lastRead.After(suspectAt), s.unused():
+			return reachable, true
+		case s.silence() >= s.client.silenceLimit:
+			return reachable, false
+		}
+	}
+}
+
+// unused reports whether no request is in flight.
+func (s *sharedConn) unused() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failed = true
-	silence, _ := s.lastRead.Since(time.Now())
-	report := UnresponsiveConn{Address: s.address, Silence: silence, Requests: len(s.inflight)}
+	return len(s.inflight) == 0
+}
+
+// giveUp cancels all requests in flight with errUnresponsive. It closes the connection
+// after lateWatch, so that data that arrives late is noticed and reported.
+func (s *sharedConn) giveUp(reachable bool) {
+	s.mu.Lock()
+	report := UnresponsiveConn{Address: s.address, Silence: s.silence(), Requests: len(s.inflight), Reachable: reachable}
 	for r := range s.inflight {
 		r.cancel(errUnresponsive)
 	}
 	clear(s.inflight)
-	return report
+	s.mu.Unlock()
+	givenUpAt := time.Now()
+	time.Sleep(lateWatch)
+	report.HeardLater = s.lastRead.After(givenUpAt)
+	_ = s.conn.Close()
+	if s.client.Unresponsive != nil {
+		s.client.Unresponsive(report)
+	}
 }
--- a/btpeer/slowlink_test.go
+++ b/btpeer/slowlink_test.go
@@ -103,7 +103,7 @@
 		if diff := cmp.Diff("connection-lost", forward(c, time.Minute)); diff != "" {
 			t.Errorf("cut off (-want +got):\n%s", diff)
 		}
-		if took := time.Since(began); took > 5*time.Second {
+		if took := time.Since(began); took > testSilenceLimit+probePeriod {
 			t.Errorf("given up after %s", took)
 		}
 		began = time.Now()
