btpeer, btsettings: send bodies at a little less than the rate of the link

Bodies of responses filled the link of their node, and all that the node sent waited behind them: pings, gossip, short responses, requests of its own callers. A bound for silence can't mend that.

A body that waits holds its slot, so admission and load reports count the wait.

--- a/btnode/node.go
+++ b/btnode/node.go
@@ -187,6 +187,7 @@
 	}
 	peers, closePeers := btpeer.NewClient(config, &n.bytes, n.settings.Peer.SourceIP(), n.settings.Peer.SilenceLimit)
 	peers.Unresponsive = n.recordUnresponsive
+	peers.Pacer = btpeer.NewPacer(n.settings.Peer.LinkMegabits)
 	n.peers = peers
 	return closePeers
 }
--- a/btpeer/body.go
+++ b/btpeer/body.go
@@ -48,9 +48,9 @@
 
 var bodyPartPool = sync.Pool{New: func() any { return new([maxBodyPart]byte) }}
 
-// sendResponse sends a response in frames of at most maxBodyPart bytes of body. A
-// short response takes a single frame.
-func sendResponse(stream *Stream[RequestFrame, ResponseFrame], resp *baobabtide.Response) error {
+// sendResponse sends a response in frames of at most maxBodyPart bytes of body, at the
+// pace of pacer. A short response takes a single frame.
+func sendResponse(stream *Stream[RequestFrame, ResponseFrame], resp *baobabtide.Response, pacer *Pacer) error {
 	buf := bodyPartPool.Get().(*[maxBodyPart]byte)
 	defer bodyPartPool.Put(buf)
 	head := &ResponseHead{
@@ -69,6 +69,9 @@
 		if err != nil && !last {
 			return fmt.Errorf("read response body of backend server: %w", err)
 		}
+		if err := pacer.wait(stream.Context(), n); err != nil {
+			return fmt.Errorf("wait for the link: %w", err)
+		}
 		if err := stream.Send(&ResponseFrame{Head: head, Body: buf[:n], Last: last}); err != nil {
 			return fmt.Errorf("send response: %w", err)
 		}
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -36,6 +36,8 @@
 type Client struct {
 	// Unresponsive is called for each shared connection that is given up, nil for none.
 	Unresponsive func(UnresponsiveConn)
+	// Pacer delays the bodies of requests. It must be set before the first call.
+	Pacer *Pacer
 
 	credentials credentials.TransportCredentials
 	bytes       *ByteCounter
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -37,6 +37,10 @@
 		end()
 		return nil, baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
 	}
+	if err := c.Pacer.wait(ctx, len(first.Body)); err != nil {
+		end()
+		return nil, notSentError(err)
+	}
 	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
 		end()
 		return nil, lostError(ctx, req.Deadline, err)
@@ -44,7 +48,7 @@
 	if first.Last {
 		_ = raw.CloseSend()
 	} else {
-		go sendBody(stream, raw, req.Body, end)
+		go sendBody(stream, raw, req.Body, c.Pacer, end)
 	}
 	resp, err := receiveResponse(stream, end)
 	if err != nil {
@@ -136,10 +140,10 @@
 	return frame, nil
 }
 
-// sendBody sends the rest of the body after the first frame. If reading the body
-// fails, it cancels the call, so that a truncated body is not taken for a complete
+// sendBody sends the rest of the body after the first frame, at the pace of pacer. If
+// reading the body fails, it cancels the call, so that a truncated body is not taken for a complete
 // one.
-func sendBody(stream *Stream[ResponseFrame, RequestFrame], raw grpc.ClientStream, body io.Reader, cancel func()) {
+func sendBody(stream *Stream[ResponseFrame, RequestFrame], raw grpc.ClientStream, body io.Reader, pacer *Pacer, cancel func()) {
 	part := make([]byte, maxBodyPart)
 	for {
 		n, err := readPart(body, part)
@@ -148,6 +152,9 @@
 			cancel()
 			return
 		}
+		if pacer.wait(stream.Context(), n) != nil {
+			return // the call has ended
+		}
 		if err := stream.Send(&RequestFrame{Body: part[:n], Last: last}); err != nil {
 			return
 		}
--- a/btpeer/link_test.go
+++ b/btpeer/link_test.go
@@ -162,12 +162,13 @@
 }
 
 // newTestNetwork serves node and returns a client for it, which calls the address
-// "server".
-func newTestNetwork(t *testing.T, node Node) (*testNetwork, *Client) {
+// "server". The server sends bodies at the pace of pacer.
+func newTestNetwork(t *testing.T, node Node, pacer *Pacer) (*testNetwork, *Client) {
 	t.Helper()
 	t.Cleanup(func() { time.Sleep(settleAfterTest) }) // runs last
 	n := &testNetwork{incoming: make(chan net.Conn), closed: make(chan struct{})}
 	server, stop := NewServer(node, nil, &ByteCounter{})
+	server.Pacer = pacer
 	go func() { _ = server.Serve(n) }()
 	t.Cleanup(stop)
 	return n, n.client(t)
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -47,6 +47,8 @@
 
 // Server is the gRPC server for calls of other nodes.
 type Server struct {
+	Pacer *Pacer // for the bodies of responses, set before Serve
+
 	grpc  *grpc.Server
 	node  Node
 	bytes *ByteCounter
@@ -146,7 +148,7 @@
 		return stream.Send(&ResponseFrame{Refusal: refusalOf(err), Last: true})
 	}
 	defer resp.Body.Close()
-	return sendResponse(stream, resp)
+	return sendResponse(stream, resp, s.Pacer)
 }
 
 // refusalOf returns the refusal that reports an error of Admit.
--- a/btpeer/slowlink_test.go
+++ b/btpeer/slowlink_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,7 +55,7 @@
 	for name, link := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n, c := newTestNetwork(t, workingNode(100*time.Millisecond))
+				n, c := newTestNetwork(t, workingNode(100*time.Millisecond), nil)
 				if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
 					t.Fatalf("idle link (-want +got):\n%s", diff)
 				}
@@ -69,7 +71,7 @@
 // A connection that has gone silent for good is given up, while new ones work.
 func TestSilentConnectionIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, c := newTestNetwork(t, workingNode(100*time.Millisecond))
+		n, c := newTestNetwork(t, workingNode(100*time.Millisecond), nil)
 		if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
 			t.Fatalf("before (-want +got):\n%s", diff)
 		}
@@ -94,7 +96,7 @@
 // deadline.
 func TestCutOffNodeIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n, c := newTestNetwork(t, workingNode(100*time.Millisecond))
+		n, c := newTestNetwork(t, workingNode(100*time.Millisecond), nil)
 		if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
 			t.Fatalf("before (-want +got):\n%s", diff)
 		}
@@ -116,3 +118,58 @@
 		}
 	})
 }
+
+// Large bodies leave the link free for small messages, on any connection of the node, and
+// arrive whole at almost the rate of the link.
+func TestBodiesDoNotDelaySmallMessages(t *testing.T) {
+	const (
+		bodies   = 13
+		bodySize = 540 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		node := &fakeNode{admit: func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+			if req.Target == "/small" {
+				return btfixture.OKResponse("done"), nil
+			}
+			return btfixture.OKResponse(strings.Repeat("x", bodySize)), nil
+		}}
+		n, small := newTestNetwork(t, node, NewPacer(linkRate*bitsPerByte/bitsPerMega))
+		began := time.Now()
+		var received sync.WaitGroup
+		for range bodies {
+			c := n.client(t)
+			received.Go(func() {
+				if got := len(forward(c, time.Minute)); got != bodySize {
+					t.Errorf("received %d bytes", got)
+				}
+			})
+		}
+		allReceived := make(chan struct{})
+		go func() {
+			received.Wait()
+			close(allReceived)
+		}()
+		for done := false; !done; {
+			sent := time.Now()
+			req := request("", 3*time.Second)
+			req.Target = "/small"
+			resp, err := small.Forward(context.Background(), testTarget, req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if took := time.Since(sent); took > probeTimeout/2 {
+				t.Errorf("small response after %s", took)
+			}
+			select {
+			case <-allReceived:
+				done = true
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		full := time.Duration(bodies * bodySize / linkRate * float64(time.Second))
+		if took := time.Since(began); took > full*13/10 {
+			t.Errorf("all bodies took %s, %s at the rate of the link", took, full)
+		}
+	})
+}
--- a/btsettings/peer.go
+++ b/btsettings/peer.go
@@ -14,6 +14,7 @@
 	minSilenceHeartbeats = 2 // smallest SilenceLimit, in heartbeats
 	maxSilenceLimit      = time.Minute
 	maxSeeds             = 64
+	maxLinkMegabits      = 1e6
 )
 
 // Peer holds the settings of the connections to other nodes.
@@ -22,7 +23,8 @@
 	Advertise    string        `json:",omitempty"` // host:port that other nodes connect to, empty for Listen
 	Seeds        []string      `json:",omitempty"` // peer addresses of nodes through which the node joins the others
 	Heartbeat    time.Duration // interval of heartbeats between neighbors
-	SilenceLimit time.Duration // time without a message after which a neighbor is suspected
+	SilenceLimit time.Duration // time without a message after which a neighbor is suspected, and without data after which the requests in flight on a connection are given up
+	LinkMegabits float64       // rate in Mbit/s at which the VM can send, bodies are sent at a little less; 0 for no limit
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
@@ -48,6 +50,9 @@
 	if p.SilenceLimit < minSilenceHeartbeats*p.Heartbeat || p.SilenceLimit > maxSilenceLimit {
 		return baobabtide.Fieldf("SilenceLimit", "%s, %s to %s are allowed", p.SilenceLimit, minSilenceHeartbeats*p.Heartbeat, maxSilenceLimit)
 	}
+	if p.LinkMegabits < 0 || p.LinkMegabits > maxLinkMegabits {
+		return baobabtide.Fieldf("LinkMegabits", "%g, 0 to %g are allowed", p.LinkMegabits, float64(maxLinkMegabits))
+	}
 	return nil
 }
 
