btdispatch: request.settled names the settling node in the field to

Cause: the logger adds the field node to each line, and request.settled added one of the same name with the node that was asked. Readers of JSON take the latter, so explain showed the line as written by the node that was asked, and nothing named the node that did ask. Change: the node that was asked is in the field to. A search of all calls found no other line that adds node, event, request, time or level a second time. Result: TestFieldsAreUnique fails before (node occurs 2 times) and passes now.

--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	d.Peers.Replace(target.Ref.Address, replaceGrace)
-	d.Log.Request(btlog.RequestSettled, req).Str("node", target.Ref.Node).Stringer("verdict", verdict).Send()
+	d.Log.Request(btlog.RequestSettled, req).Str("to", target.Ref.Node).Stringer("verdict", verdict).Send()
 	settled := *err
 	settled.Verdict = verdict
 	return &settled
