btdispatch: log lines name the node that was given up and the cause

Change: request.refused and request.failed hold the node of the last attempt (to), and reason-from if the caller gets the error of an earlier attempt at another node. request.moved has the cause with connection-lost and backend-unreached, the others have it always. request.settled tells how long the node took to answer on a new connection, or why it did not. Error texts are cut at 256 bytes in all lines about requests, as they may come from other nodes and had no bound. Result: TestLinesNameNodeAndCause (6 of 7 cases) and TestRetryAfterFailedResponseIsLogged fail without the change.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -179,6 +179,7 @@
 	}
 	s.tried[s.triedCount] = target
 	s.triedCount++
+	s.last = target
 	s.req.Attempt = d.attemptID()
 	s.req.Version = target.Version
 	started := time.Now()
--- a/btdispatch/log_test.go
+++ b/btdispatch/log_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtide/baobabtide"
@@ -40,3 +43,84 @@
 		}
 	}
 }
+
+// The lines must tell which node was given up and why. In the wanted lines, 1 to 3 stand
+// for the nodes in the order in which they were tried.
+func TestLinesNameNodeAndCause(t *testing.T) {
+	silent := errors.New("no answer")
+	notSent := baobabtide.Refuse(baobabtide.ReasonLost, 0, silent)
+	lost := &baobabtide.RequestError{Reason: baobabtide.ReasonLost, Err: silent}
+	unreached := baobabtide.Refuse(baobabtide.ReasonUnreached, 0, errors.New(strings.Repeat("x", 1000)))
+	refused := baobabtide.Refuse(baobabtide.ReasonOverload, 0, errors.New("queue is full"))
+	limited := baobabtide.Refuse(baobabtide.ReasonRateLimit, 0, nil)
+	tests := map[string]struct {
+		method string
+		peers  fakePeers
+		want   []string
+	}{
+		"not sent":  {"POST", fakePeers{errs: []error{notSent, nil}}, []string{"request.moved from=1 reason=connection-lost cause=no answer"}},
+		"unreached": {"POST", fakePeers{errs: []error{unreached, nil}}, []string{"request.moved from=1 reason=backend-unreached cause=" + strings.Repeat("x", 256)}},
+		"refused":   {"POST", fakePeers{errs: []error{refused, nil}}, []string{"request.moved from=1 reason=overload"}},
+		"lost, then fenced": {"POST", fakePeers{errs: []error{lost, nil}, settleVerdict: baobabtide.NotRun}, []string{
+			"request.settled to=1 reason=connection-lost cause=no answer",
+			"request.moved from=1 reason=connection-lost cause=no answer",
+		}},
+		"lost, and the node can't be asked": {"POST", fakePeers{errs: []error{lost}, settleErr: errors.New("down")}, []string{
+			"request.settled to=1 reason=connection-lost cause=no answer settle-error=down",
+			"request.failed to=1 reason=connection-lost cause=no answer",
+		}},
+		"lost, then refused for good": {"GET", fakePeers{errs: []error{lost, limited}}, []string{
+			"request.retried from=1 reason=connection-lost cause=no answer",
+			"request.failed to=2 reason=connection-lost reason-from=1",
+		}},
+		"refused by all": {"POST", fakePeers{errs: []error{refused}}, []string{
+			"request.moved from=1 reason=overload",
+			"request.moved from=2 reason=overload",
+			"request.moved from=3 reason=overload",
+			`request.refused to=3 reason=overload cause=no target for version "v1" of service "service-0" is left`,
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			for _, line := range serveLogged(t, &tt.peers, tt.method) {
+				got = append(got, abridge(t, line, tt.peers.calls))
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("lines (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A retry after a failed response has a reason as well.
+func TestRetryAfterFailedResponseIsLogged(t *testing.T) {
+	lines := serveLogged(t, &fixedPeers{status: 500}, "GET")
+	if !strings.Contains(lines[0], `"reason":"failed-response","cause":"status 500"`) {
+		t.Errorf("line %s", lines[0])
+	}
+}
+
+// abridge returns the event of a line and its fields about nodes and causes. It replaces a
+// node by its position in calls.
+func abridge(t *testing.T, line string, calls []string) string {
+	t.Helper()
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(line), &fields); err != nil {
+		t.Fatal(err)
+	}
+	text := fields["event"].(string)
+	for _, name := range []string{"from", "to", "reason", "reason-from", "cause", "settle-error"} {
+		value, ok := fields[name].(string)
+		if !ok {
+			continue
+		}
+		for i, node := range calls {
+			if value == node {
+				value = string(rune('1' + i))
+			}
+		}
+		text += " " + name + "=" + value
+	}
+	return text
+}
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -23,9 +23,11 @@
 
 	tried         [maxTargets]*btroute.Target
 	triedCount    int                      // number of targets tried in the present round
+	last          *btroute.Target          // target of the latest attempt, nil before the first
 	reached       int                      // number of attempts that may have reached a backend server
 	moves         int                      // number of attempts refused before they reached a backend server
 	mayHaveRunErr *baobabtide.RequestError // error of the latest attempt that ran or may have run, nil for none
+	mayHaveRunAt  *btroute.Target          // target of that attempt
 	minRetryAfter time.Duration            // shortest RetryAfter of the failed attempts, 0 for none
 }
 
@@ -115,8 +117,9 @@
 	return true
 }
 
-// logFinal logs the error that the caller gets with the reason of the last attempt's error
-// and with that error as the cause.
+// logFinal logs the error that the caller gets with the reason of the last attempt's error,
+// with that error as the cause and with the node that the attempt went to. If the caller
+// gets the error of an earlier attempt, the line holds the node of that one too.
 func (d *Dispatcher) logFinal(s *requestState, last, final *baobabtide.RequestError) {
 	event := btlog.RequestFailed
 	if final.Verdict == baobabtide.NotRun {
@@ -125,10 +128,13 @@
 	line := d.Log.Request(event, s.req).Stringer("verdict", final.Verdict).Str("reason", string(final.Reason)).
 		Str("last", string(last.Reason)).Int("moves", s.moves).Int("reached", s.reached).Bool("late", s.req.Late).
 		Dur("took-ms", time.Since(s.began)).Dur("retry-after-ms", final.RetryAfter)
-	if last.Err != nil {
-		line = line.Str("cause", last.Err.Error())
+	if s.last != nil {
+		line = line.Str("to", s.last.Ref.Node)
 	}
-	line.Send()
+	if final == s.mayHaveRunErr && s.mayHaveRunAt != s.last {
+		line = line.Str("reason-from", s.mayHaveRunAt.Ref.Node)
+	}
+	btlog.AddError(line, "cause", last.Err).Send()
 }
 
 // rewind prepares the body for another attempt. It returns false if the body can't be
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -10,11 +11,18 @@
 	"github.com/baobabtide/baobabtide/btroute"
 )
 
+// reasonFailedResponse is the reason of a retry after a response with a status of
+// minFailureStatus or more. No caller gets it.
+const reasonFailedResponse baobabtide.Reason = "failed-response"
+
 // discard reports whether another attempt replaces a failed response to an idempotent
 // request, and then closes the response. Otherwise the response goes to the caller.
 func (d *Dispatcher) discard(s *requestState, resp *baobabtide.Response) bool {
 	failed := resp.Status >= minFailureStatus && resp.Status != gatewayTimeout
-	if !failed || !s.req.Idempotent || time.Until(s.req.Deadline) < minRetryTime || !d.retry(s) {
+	if !failed || !s.req.Idempotent || time.Until(s.req.Deadline) < minRetryTime {
+		return false
+	}
+	if !d.retry(s, reasonFailedResponse, fmt.Errorf("status %d", resp.Status)) {
 		return false
 	}
 	_ = resp.Body.Close()
@@ -47,12 +55,16 @@
 	window := max(time.Until(req.Deadline)/settleWindowDivisor, minSettleWindow)
 	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), window)
 	defer cancel()
+	started := time.Now()
 	verdict, settleErr := d.Peers.Settle(settleCtx, target.Ref, req.Attempt)
+	line := d.Log.Request(btlog.RequestSettled, req).Str("to", target.Ref.Node).Stringer("verdict", verdict).
+		Str("reason", string(err.Reason)).Dur("took-ms", time.Since(started))
+	line = btlog.AddError(line, "cause", err.Err)
+	btlog.AddError(line, "settle-error", settleErr).Send()
 	if settleErr != nil {
 		return err
 	}
 	d.Peers.Replace(target.Ref.Address, replaceGrace)
-	d.Log.Request(btlog.RequestSettled, req).Str("to", target.Ref.Node).Stringer("verdict", verdict).Send()
 	settled := *err
 	settled.Verdict = verdict
 	return &settled
@@ -86,7 +98,7 @@
 // target, because only its home target may run it.
 func (d *Dispatcher) nextAttempt(ctx context.Context, s *requestState, err *baobabtide.RequestError) bool {
 	if err.Verdict != baobabtide.NotRun {
-		s.mayHaveRunErr = err
+		s.mayHaveRunErr, s.mayHaveRunAt = err, s.last
 	}
 	if err.RetryAfter > 0 && (s.minRetryAfter == 0 || err.RetryAfter < s.minRetryAfter) {
 		s.minRetryAfter = err.RetryAfter
@@ -108,7 +120,7 @@
 	if err.Verdict == baobabtide.NotRun && !err.Reached {
 		return d.move(s, err)
 	}
-	return d.retry(s)
+	return d.retry(s, err.Reason, err.Err)
 }
 
 // move reports whether a request that reached no backend server is sent to another
@@ -132,15 +144,20 @@
 		return false
 	}
 	d.Counters.Moves.Add(1)
-	d.Log.Request(btlog.RequestMoved, s.req).Str("from", s.tried[s.triedCount-1].Ref.Node).Str("reason", string(err.Reason)).
-		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work).Send()
+	line := d.Log.Request(btlog.RequestMoved, s.req).Str("from", s.last.Ref.Node).Str("reason", string(err.Reason)).
+		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work)
+	if err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonUnreached {
+		line = btlog.AddError(line, "cause", err.Err) // the other reasons say it all
+	}
+	line.Send()
 	return true
 }
 
 // retry reports whether a request that may have reached a backend server is sent to
 // another target. Each retry draws on the retry budget of the service. A call (depth above
-// 0) is retried at most once, counting retries by other layers.
-func (d *Dispatcher) retry(s *requestState) bool {
+// 0) is retried at most once, counting retries by other layers. The reason and the cause
+// are those of the failed attempt, for the log.
+func (d *Dispatcher) retry(s *requestState, reason baobabtide.Reason, cause error) bool {
 	s.reached++
 	if s.reached >= s.maxReached || s.triedCount >= len(s.tried) || (s.req.Retried && s.req.Depth > 0) {
 		return false
@@ -149,7 +166,8 @@
 		return false
 	}
 	d.Counters.Retries.Add(1)
-	d.Log.Request(btlog.RequestRetried, s.req).Str("from", s.tried[s.triedCount-1].Ref.Node).Int("reached", s.reached).Send()
+	line := d.Log.Request(btlog.RequestRetried, s.req).Str("from", s.last.Ref.Node).Int("reached", s.reached).Str("reason", string(reason))
+	btlog.AddError(line, "cause", cause).Send()
 	s.req.Retried = true
 	return true
 }
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -265,10 +265,7 @@
 	line := a.Log.Request(event, req).Str("target", s.announcement.Name).Stringer("verdict", err.Verdict).Str("reason", string(err.Reason)).
 		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Int("limit", err.Load.Slots).Int("failing", err.Load.Failing).
 		Dur("work-ms", err.Load.Work).Bool("late", req.Late).Dur("retry-after-ms", err.RetryAfter)
-	if err.Err != nil {
-		line = line.Str("cause", err.Err.Error())
-	}
-	line.Send()
+	btlog.AddError(line, "cause", err.Err).Send()
 }
 
 // acquire waits for a slot of the server. It returns an error if the queue refuses the
--- a/btlog/decision_log.go
+++ b/btlog/decision_log.go
@@ -14,8 +14,9 @@
 
 const (
 	bufferedLines  = 1000 // lines buffered for the output; further ones overwrite the oldest
-	linesPerSecond = 40   // average rate of lines about requests, of 100 to 400 bytes each
+	linesPerSecond = 40   // average rate of lines about requests, of 250 to 450 bytes each
 	lineBurst      = 120  // lines about requests in a burst
+	maxErrorBytes  = 256  // bytes of an error's text in a line; errors of other nodes and of libraries have any length
 )
 
 // NewWriter returns a Writer for out and a function that writes the buffered lines
@@ -68,6 +69,15 @@
 		Str("service", req.Service).Str("attempt", req.Attempt).Int64("left-ms", time.Until(req.Deadline).Milliseconds())
 }
 
+// AddError adds the text of err to a line, cut to maxErrorBytes, unless err is nil.
+func AddError(line *zerolog.Event, field string, err error) *zerolog.Event {
+	if !line.Enabled() || err == nil {
+		return line
+	}
+	text := err.Error()
+	return line.Str(field, text[:min(len(text), maxErrorBytes)])
+}
+
 // Dropped returns the number of lines that were not written since the last call because
 // they were over the rate.
 func (d *DecisionLog) Dropped() int64 { return d.dropped.Swap(0) }
