btdispatch, btnode: count moves and retries by reason

Cause: lines about requests are limited to 40 a second and node, and moves and retries were counted without their reasons, so in a bad time no figure told how many attempts were lost with a node that was given up. Failures by reason have been a metric before (request_failures_total), but requests.served did not say how many were connection-lost.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -59,6 +59,10 @@
 	// RecordResult records the result of a request, either an error or the header of a
 	// response, and the time until then; the reason is empty for a response.
 	RecordResult(req *baobabtide.Request, verdict baobabtide.Verdict, reason baobabtide.Reason, took time.Duration)
+	// RecordMove records that a request is moved because an attempt failed for the reason.
+	RecordMove(reason baobabtide.Reason)
+	// RecordRetry records that a request is retried because an attempt failed for the reason.
+	RecordRetry(reason baobabtide.Reason)
 }
 
 // Dispatcher implements baobabtide.Handler: it sends each request to targets until one
@@ -83,9 +87,12 @@
 }
 
 // Counters counts requests, their verdicts, their moves and retries, and the attempts
-// that were settled. No field ever decreases.
+// that were settled. FailedLost, MovesLost and RetriesLost count the failed requests
+// (those that are not NotRun), moves and retries with the reason connection-lost. No field
+// ever decreases.
 type Counters struct {
 	Requests, Answered, NotRun, MayHaveRun, Moves, Retries, Settled atomic.Int64
+	FailedLost, MovesLost, RetriesLost                              atomic.Int64
 }
 
 // globalRandom uses the global source of math/rand/v2.
@@ -112,6 +119,9 @@
 	case err.Verdict == baobabtide.MayHaveRun:
 		d.Counters.MayHaveRun.Add(1)
 	}
+	if err.Verdict != baobabtide.NotRun && err.Reason == baobabtide.ReasonLost {
+		d.Counters.FailedLost.Add(1)
+	}
 	return nil, err
 }
 
@@ -126,6 +136,28 @@
 	}
 }
 
+// countMove counts a move that follows an attempt that failed for the reason.
+func (d *Dispatcher) countMove(reason baobabtide.Reason) {
+	d.Counters.Moves.Add(1)
+	if reason == baobabtide.ReasonLost {
+		d.Counters.MovesLost.Add(1)
+	}
+	if d.Recorder != nil {
+		d.Recorder.RecordMove(reason)
+	}
+}
+
+// countRetry is like countMove, for a retry.
+func (d *Dispatcher) countRetry(reason baobabtide.Reason) {
+	d.Counters.Retries.Add(1)
+	if reason == baobabtide.ReasonLost {
+		d.Counters.RetriesLost.Add(1)
+	}
+	if d.Recorder != nil {
+		d.Recorder.RecordRetry(reason)
+	}
+}
+
 // serve makes attempts until one succeeds or no other is allowed.
 func (d *Dispatcher) serve(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, *baobabtide.RequestError) {
 	s, err := d.prepare(req)
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -143,7 +143,7 @@
 	if !s.rewind() {
 		return false
 	}
-	d.Counters.Moves.Add(1)
+	d.countMove(err.Reason)
 	line := d.Log.Request(btlog.RequestMoved, s.req).Str("from", s.last.Ref.Node).Str("reason", string(err.Reason)).
 		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work)
 	if err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonUnreached {
@@ -165,7 +165,7 @@
 	if !s.rewind() || !d.Budgets.Spend(s.destination.Service) {
 		return false
 	}
-	d.Counters.Retries.Add(1)
+	d.countRetry(reason)
 	line := d.Log.Request(btlog.RequestRetried, s.req).Str("from", s.last.Ref.Node).Int("reached", s.reached).Str("reason", string(reason))
 	btlog.AddError(line, "cause", cause).Send()
 	s.req.Retried = true
--- a/btnode/metrics_test.go
+++ b/btnode/metrics_test.go
@@ -15,27 +15,38 @@
 
 var metricName = regexp.MustCompile(`^baobabtide_[a-z_]+(_total|_seconds|_seconds_(bucket|sum|count))?$`)
 
-// The metrics of requests have a fixed set of labels, in particular none per route,
-// and all metric names follow the conventions of Prometheus.
-func TestMetrics(t *testing.T) {
+// idleNode returns a node that does not run.
+func idleNode(t *testing.T, log zerolog.Logger) *Node {
+	t.Helper()
 	s := btsettings.Default()
 	s.Node.Name, s.Peer.Listen, s.Platform.Addresses, s.TLS.Plaintext = "n", "127.0.0.1:1", []string{"127.0.0.1:2"}, true
-	n, free, err := New(s, zerolog.Nop())
+	n, free, err := New(s, log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer free()
+	t.Cleanup(free)
+	return n
+}
+
+// The metrics of requests have a fixed set of labels, in particular none per route,
+// and all metric names follow the conventions of Prometheus.
+func TestMetrics(t *testing.T) {
+	n := idleNode(t, zerolog.Nop())
 	recorder := n.dispatch.Recorder
 	for _, id := range []string{"a", "b", "c"} {
 		req := &baobabtide.Request{ID: id, Route: id, Idempotent: true}
 		recorder.RecordResult(req, baobabtide.Ran, "", 30*time.Millisecond)
 		recorder.RecordResult(req, baobabtide.NotRun, baobabtide.ReasonOverload, time.Millisecond)
 	}
+	recorder.RecordMove(baobabtide.ReasonLost)
+	recorder.RecordRetry(baobabtide.ReasonBackend)
 	var text bytes.Buffer
 	n.metrics.WritePrometheus(&text)
 	for _, want := range []string{
 		`baobabtide_request_seconds_count{kind="repeatable",verdict="ran"} 3`,
 		`baobabtide_request_failures_total{verdict="not-run",reason="overload"} 3`,
+		`baobabtide_request_moves_total{reason="connection-lost"} 1`,
+		`baobabtide_request_retries_total{reason="backend-refused"} 1`,
 		`baobabtide_queue_limit 0`,
 	} {
 		if !strings.Contains(text.String(), want+"\n") {
--- a/btnode/requestmetrics.go
+++ b/btnode/requestmetrics.go
@@ -10,8 +10,8 @@
 )
 
 // requestMetrics is a btdispatch.Recorder that records the durations of requests and
-// counts the failed ones. Its labels have few values: two kinds of requests, three
-// verdicts and the reasons of failures.
+// counts the failed, moved and retried ones. Its labels have few values: two kinds of
+// requests, three verdicts and the reasons of failures.
 type requestMetrics struct {
 	set *metrics.Set
 }
@@ -27,3 +27,13 @@
 		m.set.GetOrCreateCounter(fmt.Sprintf(`baobabtide_request_failures_total{verdict=%q,reason=%q}`, verdict, reason)).Inc()
 	}
 }
+
+// RecordMove implements btdispatch.Recorder.
+func (m *requestMetrics) RecordMove(reason baobabtide.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabtide_request_moves_total{reason=%q}`, reason)).Inc()
+}
+
+// RecordRetry implements btdispatch.Recorder.
+func (m *requestMetrics) RecordRetry(reason baobabtide.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`baobabtide_request_retries_total{reason=%q}`, reason)).Inc()
+}
