btdispatch: log and count the move that begins a late round

Cause: the attempt after which a request begins its late round (the fourth refusal, or an overloaded target past an eighth of the objective) left neither a request.moved line nor a count, though the request goes to another target; so one lost attempt in four of such a request was hidden. Change: it is logged and counted like the moves before it, with late true. moves_total and the number of request.moved lines rise by these; the limit on lines is as before. Result: TestMoveIntoLateRoundIsLogged fails before (three lines) and passes now; 20 runs of the package's tests with the race detector pass.

--- a/btdispatch/log_test.go
+++ b/btdispatch/log_test.go
@@ -7,20 +7,28 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btfixture"
 	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btroute"
 )
 
 // serveLogged serves a request and returns the log lines.
 func serveLogged(t *testing.T, peers Peers, method string) []string {
+	t.Helper()
+	return serveLoggedWith(t, table(), peers, method)
+}
+
+// serveLoggedWith is serveLogged with a route table.
+func serveLoggedWith(t *testing.T, routes *btroute.Table, peers Peers, method string) []string {
 	t.Helper()
 	var out bytes.Buffer
-	routes := table()
 	d := &Dispatcher{
 		Node:  "self",
 		Table: func() *btroute.Table { return routes },
@@ -101,6 +109,28 @@
 	}
 }
 
+// The attempt that ends the first round of a request is logged and counted like those
+// before it.
+func TestMoveIntoLateRoundIsLogged(t *testing.T) {
+	contract := btfixture.Contract("c", "service-0")
+	contract.Services[0].Routes[1].Objective = time.Second
+	state := &btconfig.State{
+		Offset:      1,
+		Contracts:   map[string]btconfig.ContractState{"c": {Contract: *contract}},
+		Assignments: map[string]baobabtide.Assignment{"c/service-0": {Customer: "c", Service: "service-0", Current: "v1"}},
+	}
+	routes := btroute.Build(state, btfixture.Members(maxMoves+1, 1, 1, "v1"), btroute.Locality{Node: "self", Zone: "zone-0"}, nil)
+	notSent := baobabtide.Refuse(baobabtide.ReasonLost, 0, nil)
+	peers := &fakePeers{errs: []error{notSent, notSent, notSent, notSent, nil}}
+	var late []bool
+	for _, line := range serveLoggedWith(t, routes, peers, "POST") {
+		late = append(late, strings.Contains(line, `"event":"request.moved"`) && strings.Contains(line, `"late":true`))
+	}
+	if diff := cmp.Diff([]bool{false, false, false, true}, late); diff != "" {
+		t.Errorf("late moves (-want +got):\n%s", diff)
+	}
+}
+
 // abridge returns the event of a line and its fields about nodes and causes. It replaces a
 // node by its position in calls.
 func abridge(t *testing.T, line string, calls []string) string {
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -138,14 +138,15 @@
 		return false
 	}
 	if s.moves >= maxMoves || s.triedCount >= len(s.tried) || (overloaded && time.Since(s.began) > window) {
-		return s.startLateRound()
-	}
-	if !s.rewind() {
+		if !s.startLateRound() {
+			return false
+		}
+	} else if !s.rewind() {
 		return false
 	}
 	d.countMove(err.Reason)
 	line := d.Log.Request(btlog.RequestMoved, s.req).Str("from", s.last.Ref.Node).Str("reason", string(err.Reason)).
-		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work)
+		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Dur("work-ms", err.Load.Work).Bool("late", s.req.Late)
 	if err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonUnreached {
 		line = btlog.AddError(line, "cause", err.Err) // the other reasons say it all
 	}
