btlog: explain and logs summary name the nodes that were given up

Cause: for a request that failed with connection-lost, explain gave the canceled run at the node given up as the cause ("the backend server beside c-19 sent no complete answer: canceled"), which is an effect of giving up; logs summary did not tell few nodes given up by many from many given up by few. Change: explain names both nodes and what the logs hold against the finding: the request had reached the node, or it answered on a new connection. logs summary has a table of nodes given up (JSON: GivenUp, GivenUpBy) and the counts of requests.served that the limit on lines does not touch. TestExplain and TestSummary are as they were.

--- a/baobabtidectl/logs.go
+++ b/baobabtidectl/logs.go
@@ -31,7 +31,7 @@
 	logs := &cobra.Command{Use: "logs", Short: "Read the logs of nodes"}
 	summary := &cobra.Command{
 		Use:   "summary FILE...",
-		Short: "Summarize the outcomes of requests over time, the reasons of failures and how fast configurations came into force",
+		Short: "Summarize the outcomes of requests over time, the reasons of failures, the nodes given up and how fast configurations came into force",
 		Args:  cobra.MinimumNArgs(1),
 		RunE:  summarize,
 	}
@@ -42,10 +42,12 @@
 
 // summaryView is the JSON output of the summary command.
 type summaryView struct {
-	Lines   int
-	Foreign int
-	Periods []btlog.Period
-	Spreads []btlog.Spread
+	Lines     int
+	Foreign   int
+	Periods   []btlog.Period
+	GivenUp   []btlog.GivenUp
+	GivenUpBy int // number of nodes that gave any of them up
+	Spreads   []btlog.Spread
 }
 
 // summarize prints a summary of the logs at paths and writes the page if --page
@@ -62,7 +64,8 @@
 			return err
 		}
 	}
-	view := summaryView{Lines: s.Lines, Foreign: s.Foreign, Periods: s.Periods(), Spreads: s.Spreads()}
+	givenUp, by := s.GivenUp()
+	view := summaryView{Lines: s.Lines, Foreign: s.Foreign, Periods: s.Periods(), GivenUp: givenUp, GivenUpBy: by, Spreads: s.Spreads()}
 	var printErr error
 	if err := global.print(c, view, func(w io.Writer) { printErr = s.Print(w) }); err != nil {
 		return err
--- a/btlog/explain.go
+++ b/btlog/explain.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 const maxLineBytes = 64 << 10 // bytes of a line; scan fails on a longer one
@@ -91,41 +94,111 @@
 
 // Cause returns a sentence that says why the request failed: the failure that the
 // node beside the target logged for the last attempt, or else the latest failure
-// in the logs.
+// in the logs. A run that was canceled by the node that sent it is no cause of its own.
 func (t *RequestTrace) Cause() string {
-	attempt := t.lastAttempt()
-	for _, step := range slices.Backward(t.Steps) {
-		if step.atTarget() && attempt != nil && step.Fields["attempt"] == attempt {
-			return step.cause()
-		}
+	final := t.latest(func(s *Step) bool { return s.Event == RequestFailed || s.Event == RequestRefused })
+	var step *Step
+	if final != nil {
+		step = t.lastAttempt(final)
 	}
-	for _, step := range slices.Backward(t.Steps) {
-		if text := step.cause(); text != "" {
-			return text
-		}
+	if step == nil && final != nil {
+		step = t.latest(func(s *Step) bool { return s.cause() != "" && !s.canceledAtTarget() })
+	}
+	if step == nil {
+		step = t.latest(func(s *Step) bool { return s.cause() != "" && s.Event != RequestMoved && s.Event != RequestRetried })
 	}
-	return "the logs hold no failure of this request"
+	if step == nil {
+		return "the logs hold no failure of this request"
+	}
+	return step.cause() + t.signsOfLife(step.givenUp())
 }
 
-// lastAttempt returns the attempt in the last line about an error response to the
-// caller, nil if there is none.
-func (t *RequestTrace) lastAttempt() any {
-	for _, step := range slices.Backward(t.Steps) {
-		if step.Event == RequestFailed || step.Event == RequestRefused {
-			return step.Fields["attempt"]
+// latest returns the latest step that matches, nil if none does.
+func (t *RequestTrace) latest(matches func(s *Step) bool) *Step {
+	for i := range slices.Backward(t.Steps) {
+		if matches(&t.Steps[i]) {
+			return &t.Steps[i]
 		}
 	}
 	return nil
 }
 
+// lastAttempt returns the line of the node beside the target about the last attempt before
+// an error response to the caller. It returns nil if there is none or if the response
+// holds the error of an earlier attempt.
+func (t *RequestTrace) lastAttempt(final *Step) *Step {
+	attempt := final.Fields["attempt"]
+	if attempt == nil || final.text("reason-from") != "" {
+		return nil
+	}
+	return t.latest(func(s *Step) bool {
+		return s.atTarget() && !s.canceledAtTarget() && s.Fields["attempt"] == attempt
+	})
+}
+
+// signsOfLife returns what the logs hold against the finding that a node does not answer,
+// as further parts of a sentence. It is empty if they hold nothing or node is empty.
+func (t *RequestTrace) signsOfLife(node string) string {
+	if node == "" {
+		return ""
+	}
+	text := ""
+	if t.latest(func(s *Step) bool { return s.atTarget() && s.Node == node }) != nil {
+		text += fmt.Sprintf("; the request had reached %s", node)
+	}
+	settled := t.latest(func(s *Step) bool { return s.Event == RequestSettled && s.text("to") == node })
+	switch {
+	case settled == nil:
+	case settled.text("settle-error") == "":
+		text += fmt.Sprintf("; %s answered on a new connection after %v ms: %s", node, settled.Fields["took-ms"], settled.text("verdict"))
+	default:
+		text += fmt.Sprintf("; nor did %s answer on a new connection: %s", node, settled.text("settle-error"))
+	}
+	return text
+}
+
+// text returns the value of a text field, empty if the line has none.
+func (s *Step) text(field string) string {
+	value, _ := s.Fields[field].(string)
+	return value
+}
+
+// canceledAtTarget reports whether the node beside a target logged that the attempt was
+// canceled, which the node that sent it does when it gives up.
+func (s *Step) canceledAtTarget() bool {
+	return s.atTarget() && s.text("reason") == string(baobabtide.ReasonCanceled)
+}
+
+// givenUp returns the node whose connection was lost, according to a line of the node that
+// had sent it the request. It is empty if the line reports no such failure, or if it
+// was written before nodes were named.
+func (s *Step) givenUp() string {
+	if s.text("reason") != string(baobabtide.ReasonLost) {
+		return ""
+	}
+	switch s.Event {
+	case RequestFailed, RequestRefused:
+		return cmp.Or(s.text("reason-from"), s.text("to"))
+	case RequestMoved, RequestRetried:
+		return s.text("from")
+	default:
+		return ""
+	}
+}
+
 // atTarget reports whether the node beside a target wrote the line.
 func (s *Step) atTarget() bool { return s.Event == AdmitRefused || s.Event == AdmitLost }
 
 // cause describes the failure that a line reports. It is empty if the line reports
 // none.
 func (s *Step) cause() string {
-	reason, _ := s.Fields["reason"].(string)
-	cause, _ := s.Fields["cause"].(string)
+	reason, cause := s.text("reason"), s.text("cause")
+	if node := s.givenUp(); node != "" {
+		if s.text("reason-from") != "" {
+			cause = "" // of the last attempt, not of the one at this node
+		}
+		return strings.TrimSuffix(fmt.Sprintf("%s gave up %s: %s: %s", s.Node, node, reason, cause), ": ")
+	}
 	switch s.Event {
 	case AdmitRefused:
 		return fmt.Sprintf("%s refused it: %s (running %v of %v, waiting %v, a run takes %v ms)",
--- a/btlog/explain_test.go
+++ b/btlog/explain_test.go
@@ -58,3 +58,44 @@
 		})
 	}
 }
+
+// If the caller's node gave up another node, Cause must name both, and what speaks against
+// the finding: the run that the node given up was told to cancel is not the cause.
+func TestExplainNodeGivenUp(t *testing.T) {
+	const (
+		failed   = `{"node":"c-3","event":"request.failed","attempt":"c-3.1","to":"c-19","verdict":"may-have-run","reason":"connection-lost","cause":"no answer","time":3}`
+		earlier  = `{"node":"c-3","event":"request.failed","attempt":"c-3.2","to":"b-2","reason-from":"c-19","reason":"connection-lost","last":"overload","cause":"queue is full","time":5}`
+		overload = `{"node":"c-3","event":"request.refused","attempt":"c-3.1","to":"c-19","reason":"overload","cause":"no target is left","time":3}`
+		moved    = `{"node":"c-3","event":"request.moved","attempt":"c-3.1","from":"c-19","reason":"connection-lost","cause":"no answer","time":2}`
+		retried  = `{"node":"c-3","event":"request.retried","attempt":"c-3.1","from":"c-19","reason":"connection-lost","cause":"no answer","time":2}`
+		settled  = `{"node":"c-3","event":"request.settled","attempt":"c-3.1","to":"c-19","verdict":"may-have-run","reason":"connection-lost","took-ms":80.5,"time":2}`
+		silent   = `{"node":"c-3","event":"request.settled","attempt":"c-3.1","to":"c-19","verdict":"may-have-run","reason":"connection-lost","took-ms":900,"settle-error":"dial: timeout","time":2}`
+		canceled = `{"node":"c-19","event":"admit.lost","attempt":"c-3.1","verdict":"may-have-run","reason":"canceled","cause":"context canceled","time":4}`
+		refused  = `{"node":"b-2","event":"admit.refused","attempt":"c-3.2","reason":"overload","time":4}`
+	)
+	const gaveUp = "c-3 gave up c-19: connection-lost"
+	tests := map[string]struct {
+		lines []string
+		cause string
+	}{
+		"at work":                  {[]string{failed, canceled}, gaveUp + ": no answer; the request had reached c-19"},
+		"answers when asked again": {[]string{settled, failed, canceled}, gaveUp + ": no answer; the request had reached c-19; c-19 answered on a new connection after 80.5 ms: may-have-run"},
+		"does not answer at all":   {[]string{silent, failed}, gaveUp + ": no answer; nor did c-19 answer on a new connection: dial: timeout"},
+		"error of earlier attempt": {[]string{retried, earlier, refused}, gaveUp},
+		"moved, then no target":    {[]string{moved, overload}, gaveUp + ": no answer"},
+		"moved and answered":       {[]string{moved}, "the logs hold no failure of this request"},
+		"only the target's line":   {[]string{canceled}, "the backend server beside c-19 sent no complete answer: canceled: context canceled"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			trace := &RequestTrace{Request: "r"}
+			log := strings.ReplaceAll(strings.Join(tt.lines, "\n"), `,"attempt"`, `,"request":"r","attempt"`)
+			if err := trace.Read(strings.NewReader(log)); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.cause, trace.Cause()); diff != "" {
+				t.Errorf("cause (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/btlog/summary_test.go
+++ b/btlog/summary_test.go
@@ -52,3 +52,40 @@
 		t.Errorf("error %v, text\n%s", err, text.String())
 	}
 }
+
+// The summary must show whether few nodes are given up by many or many by few, and the
+// counts that the limit on lines does not touch.
+func TestSummaryOfNodesGivenUp(t *testing.T) {
+	log := strings.Join([]string{
+		`{"node":"a","event":"requests.served","asked":9,"may-have-run":3,"failed-lost":3,"moves-lost":4,"retries-lost":1,"time":1700000001000000}`,
+		`{"node":"a","event":"request.moved","from":"x","reason":"connection-lost","time":1700000001000000}`,
+		`{"node":"b","event":"request.retried","from":"x","reason":"connection-lost","time":1700000001000000}`,
+		`{"node":"b","event":"request.settled","to":"x","reason":"connection-lost","time":1700000001000000}`,
+		`{"node":"b","event":"request.settled","to":"x","reason":"connection-lost","settle-error":"timeout","time":1700000001000000}`,
+		`{"node":"b","event":"request.failed","to":"x","reason":"connection-lost","time":1700000001000000}`,
+		`{"node":"c","event":"request.failed","to":"b","reason-from":"y","reason":"connection-lost","time":1700000001000000}`,
+		`{"node":"c","event":"request.refused","reason":"connection-lost","time":1700000001000000}`,
+		`{"node":"d","event":"request.failed","to":"x","reason":"deadline","time":1700000001000000}`,
+		`{"node":"d","event":"request.moved","from":"x","reason":"overload","time":1700000001000000}`,
+	}, "\n")
+	var s Summary
+	if err := s.Read(strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	nodes, by := s.GivenUp()
+	want := []GivenUp{{Node: "x", By: 2, Failed: 1, Moved: 2, Answered: 1}, {By: 1, Failed: 1}, {Node: "y", By: 1, Failed: 1}}
+	if diff := cmp.Diff(want, nodes); diff != "" || by != 3 {
+		t.Errorf("given up by %d nodes (-want +got):\n%s", by, diff)
+	}
+	periods := []Period{{
+		From: time.Unix(1700000000, 0).UTC(), Asked: 9, MayHaveRun: 3, FailedLost: 3, MovesLost: 4, RetriesLost: 1,
+		Reasons: map[string]int{"connection-lost": 3, "deadline": 1},
+	}}
+	if diff := cmp.Diff(periods, s.Periods()); diff != "" {
+		t.Errorf("periods (-want +got):\n%s", diff)
+	}
+	var text strings.Builder
+	if err := s.Print(&text); err != nil || !strings.Contains(text.String(), "connection-lost: 3 nodes were given up by 3\n") {
+		t.Errorf("error %v, text\n%s", err, text.String())
+	}
+}
