btpeer, btdispatch: notice a silent connection from short requests too

Requests that end within 200 ms at a connection that has gone silent failed one after another: each time a request came after a pause, the silence was counted anew. Settling hid it for non-idempotent requests, because it replaced the connection after each lost response and each deadline, healthy connections included, and ended the requests still on it after 30 s.

Silence now counts from the first request since data last arrived. The probe alone replaces connections; Replace is gone.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -25,8 +25,7 @@
 	noTargetRetryAfter  = time.Second
 	noConfigRetryAfter  = time.Second
 	keyHomeRetryAfter   = 2 * time.Second
-	replaceGrace        = 30 * time.Second // time for the calls on a replaced connection to finish
-	settleWindowDivisor = 4                // an attempt whose response was lost is settled within 1/4 of the time left
+	settleWindowDivisor = 4 // an attempt whose response was lost is settled within 1/4 of the time left
 	minSettleWindow     = 20 * time.Millisecond
 	moveWindowDivisor   = 8                      // a request that overloaded targets refuse is moved only within 1/8 of its objective
 	minMoveWindow       = 20 * time.Millisecond  // lower bound of that time, enough for one or two moves between zones
@@ -36,14 +35,6 @@
 	retryJitter         = 0.5                    // maximum relative random increase of RetryAfter, spreads the retries of callers over time
 )
 
-// Peers forwards requests to other nodes and settles attempts there.
-type Peers interface {
-	baobabtide.Forwarder
-	// Replace removes the shared connection to a node, so that new calls open a
-	// new one. Calls on the old connection may finish within the grace period.
-	Replace(address string, grace time.Duration)
-}
-
 // Observer collects the results of requests as evidence on versions. It must be safe
 // for concurrent use.
 type Observer interface {
@@ -72,7 +63,7 @@
 	Node        string
 	Incarnation uint64
 	Table       func() *btroute.Table // nil before the first configuration
-	Peers       Peers
+	Peers       baobabtide.Forwarder
 	Local       baobabtide.Admitter
 	Budgets     btretry.Budgets
 	Observer    Observer // nil for none
--- a/btdispatch/dispatcher_test.go
+++ b/btdispatch/dispatcher_test.go
@@ -22,7 +22,6 @@
 	settleErr     error
 	calls         []string // nodes of the forwarded attempts, in order
 	settles       int
-	replaced      int
 }
 
 func (p *fakePeers) Forward(_ context.Context, target baobabtide.TargetRef, _ *baobabtide.Request) (*baobabtide.Response, error) {
@@ -39,8 +38,6 @@
 	return p.settleVerdict, p.settleErr
 }
 
-func (p *fakePeers) Replace(string, time.Duration) { p.replaced++ }
-
 // table returns a route table with one service and three nodes, none of them the
 // dispatcher's own.
 func table() *btroute.Table {
--- a/btdispatch/log_test.go
+++ b/btdispatch/log_test.go
@@ -20,13 +20,13 @@
 )
 
 // serveLogged serves a request and returns the log lines.
-func serveLogged(t *testing.T, peers Peers, method string) []string {
+func serveLogged(t *testing.T, peers baobabtide.Forwarder, method string) []string {
 	t.Helper()
 	return serveLoggedWith(t, table(), peers, method)
 }
 
 // serveLoggedWith is serveLogged with a route table.
-func serveLoggedWith(t *testing.T, routes *btroute.Table, peers Peers, method string) []string {
+func serveLoggedWith(t *testing.T, routes *btroute.Table, peers baobabtide.Forwarder, method string) []string {
 	t.Helper()
 	var out bytes.Buffer
 	d := &Dispatcher{
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -40,9 +40,8 @@
 }
 
 // settle asks the admitting node whether a non-idempotent attempt ran whose response was
-// lost, and returns the error with the verdict of that node. It then also replaces the
-// shared connection to the node, which may no longer carry data. It returns err unchanged
-// if there is nothing to settle or the node can't be reached.
+// lost, and returns the error with the verdict of that node. It returns err unchanged if
+// there is nothing to settle or the node can't be reached.
 func (d *Dispatcher) settle(ctx context.Context, target *btroute.Target, req *baobabtide.Request, err *baobabtide.RequestError) *baobabtide.RequestError {
 	lost := err.Verdict == baobabtide.MayHaveRun && (err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonDeadline)
 	if !lost || target.Ref.Node == d.Node {
@@ -64,7 +63,6 @@
 	if settleErr != nil {
 		return err
 	}
-	d.Peers.Replace(target.Ref.Address, replaceGrace)
 	settled := *err
 	settled.Verdict = verdict
 	return &settled
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -170,19 +170,6 @@
 	return s, nil
 }
 
-// Replace removes the shared connection to an address, so that new calls open a new
-// one. The old connection is closed after the grace period, which ends the calls that
-// still use it.
-func (c *Client) Replace(address string, grace time.Duration) {
-	c.mu.Lock()
-	s, ok := c.sharedConns[address]
-	delete(c.sharedConns, address)
-	c.mu.Unlock()
-	if ok {
-		time.AfterFunc(grace, func() { _ = s.conn.Close() })
-	}
-}
-
 // removeSharedConn makes new calls open another connection than s.
 func (c *Client) removeSharedConn(s *sharedConn) {
 	c.mu.Lock()
--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -46,12 +46,13 @@
 	client   *Client
 	address  string
 	conn     *grpc.ClientConn
-	lastRead btclock.Instant // last arrival of data, or the start of the probe
+	lastRead btclock.Instant // last arrival of data
 
-	mu       sync.Mutex
-	inflight map[*inflightRequest]struct{}
-	probing  bool // the goroutine of probe is running
-	suspect  bool // no longer shared; closed when its last request ends
+	mu           sync.Mutex
+	inflight     map[*inflightRequest]struct{}
+	waitingSince time.Time // first request since data last arrived
+	probing      bool      // the goroutine of probe is running
+	suspect      bool      // no longer shared; closed when its last request ends
 }
 
 // inflightRequest is one request in flight on a shared connection.
@@ -71,9 +72,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight[r] = struct{}{}
+	if s.waitingSince.IsZero() || s.lastRead.After(s.waitingSince) {
+		s.waitingSince = time.Now()
+	}
 	if !s.probing {
 		s.probing = true
-		s.lastRead.Set(time.Now())
 		go s.probe()
 	}
 	return func() {
@@ -117,10 +120,17 @@
 	return true
 }
 
-// silence returns the time since data last arrived.
+// silence returns the time since data last arrived, or since the first request after
+// that if there was one.
 func (s *sharedConn) silence() time.Duration {
-	silence, _ := s.lastRead.Since(time.Now())
-	return silence
+	s.mu.Lock()
+	waitingSince := s.waitingSince
+	s.mu.Unlock()
+	now := time.Now()
+	if sinceRead, ok := s.lastRead.Since(now); ok {
+		return min(sinceRead, now.Sub(waitingSince))
+	}
+	return now.Sub(waitingSince)
 }
 
 // ping returns false only if neither a response nor any other data arrives within
@@ -187,8 +197,9 @@
 // giveUp cancels all requests in flight with errUnresponsive. It closes the connection
 // after lateWatch, so that data that arrives late is noticed and reported.
 func (s *sharedConn) giveUp(reachable bool) {
+	report := UnresponsiveConn{Address: s.address, Silence: s.silence(), Reachable: reachable}
 	s.mu.Lock()
-	report := UnresponsiveConn{Address: s.address, Silence: s.silence(), Requests: len(s.inflight), Reachable: reachable}
+	report.Requests = len(s.inflight)
 	for r := range s.inflight {
 		r.cancel(errUnresponsive)
 	}
--- a/btpeer/slowlink_test.go
+++ b/btpeer/slowlink_test.go
@@ -32,7 +32,10 @@
 // forward sends a request and returns the body of its response or the reason of its
 // error.
 func forward(c *Client, timeout time.Duration) string {
-	resp, err := c.Forward(context.Background(), testTarget, request("", timeout))
+	req := request("", timeout)
+	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	defer cancel()
+	resp, err := c.Forward(ctx, testTarget, req)
 	if err != nil {
 		return string(baobabtide.AsRequestError(err).Reason)
 	}
@@ -173,3 +176,22 @@
 		}
 	})
 }
+
+// A silent connection is replaced also where each request on it ends before the probe has
+// seen enough silence.
+func TestShortRequestsNoticeSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, workingNode(time.Millisecond), nil)
+		if diff := cmp.Diff("done", forward(c, time.Second)); diff != "" {
+			t.Fatalf("before (-want +got):\n%s", diff)
+		}
+		n.silence()
+		began := time.Now()
+		for forward(c, 150*time.Millisecond) != "done" {
+			if took := time.Since(began); took > 2*time.Second {
+				t.Fatalf("requests still fail after %s", took)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
