btpeer, btnode: a node that stops delivers its responses first

A request forwarded to a node that stops got no response (Unavailable, may have run) although the node had answered it.

Cause: the drain counts a request as ended when its handler has handed the response to gRPC. Up to 64 kB of each response then still wait for the link, and the stop closes all connections 200 ms later. A link that is full needs a second for that.

Change: a call stays open until the forwarding node has ended it, which it does when it has received the response. The drain waits for these calls too, until the end of the drain terms; node.drained reports how many are left as undelivered.

TestStopDeliversResponses failed before: "Unavailable: error reading from server: EOF" in place of the refusal. With the drain alone reverted it fails the same way.

--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -25,7 +25,8 @@
 //
 // The node reports itself as not ready, but serves requests for the notice period, so
 // that callers can go elsewhere. Then it announces its targets as draining, refuses
-// new requests, waits for those in flight and leaves.
+// new requests, waits until those in flight have ended and the other nodes have received
+// the responses, and leaves.
 func (n *Node) Drain(reason string) int {
 	n.stopOnce.Do(func() {
 		n.log.Info().Str("event", "node.draining").Str("reason", reason).Send()
@@ -35,8 +36,8 @@
 	return n.local.Active()
 }
 
-// finishDrain runs a planned stop until no request is in flight or the deadline of the
-// drain terms has passed, and closes n.drained.
+// finishDrain runs a planned stop until no request is in flight and no response is
+// undelivered, or the deadline of the drain terms has passed, and closes n.drained.
 func (n *Node) finishDrain() {
 	defer close(n.drained)
 	terms := drainTerms(n.config.State(), n.registry.Targets())
@@ -48,10 +49,10 @@
 	n.announceTargets()
 	n.sleep(disseminationTime)
 	n.local.Drain()
-	for n.local.Active() > 0 && time.Now().Before(deadline) {
+	for n.local.Active()+n.server.Undelivered() > 0 && time.Now().Before(deadline) {
 		n.sleep(drainCheckPeriod)
 	}
-	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Send()
+	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Int("undelivered", n.server.Undelivered()).Send()
 }
 
 // drainTerms returns the shortest notice and the longest time to finish in the
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -55,6 +55,7 @@
 	workers  *ants.Pool
 	adapters Adapters
 	peers    *btpeer.Client
+	server   *btpeer.Server // of the other nodes' calls, set by Run
 	bytes    btpeer.ByteCounter
 	metrics  *metrics.Set
 	registry btbackend.Registry
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -119,6 +119,7 @@
 		listeners = append(listeners, listener{"readiness", n.settings.Metrics.Ready, ready.Serve, stopReady})
 	}
 	peers, stopPeers := btpeer.NewServer(n, n.serverTLS(), &n.bytes)
+	n.server = peers
 	return append(listeners, listener{"peers", n.settings.Peer.Listen, peers.Serve, func() {
 		n.edges.closeAll()
 		stopPeers()
--- /dev/null
+++ b/btnode/stop_test.go
@@ -0,0 +1,112 @@
+package btnode
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/mem"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btpeer"
+	"github.com/baobabtide/baobabtide/btsettings"
+)
+
+const closeTime = 60 * time.Second // for the goroutines of connections to end, longer than the calls
+
+// cborCodec encodes messages as btpeer does.
+type cborCodec struct{}
+
+func (cborCodec) Name() string { return "cbor" }
+
+func (cborCodec) Marshal(v any) (mem.BufferSlice, error) {
+	data, err := btcodec.EncodeCBOR(v)
+	return mem.BufferSlice{mem.SliceBuffer(data)}, err
+}
+
+func (cborCodec) Unmarshal(data mem.BufferSlice, v any) error {
+	return btcodec.DecodeCBOR(data.Materialize(), v)
+}
+
+// forward sends a request to a node over a link that carries the given number of bytes
+// per second, and returns the reason of the node's refusal.
+func forward(l *btfixture.Listener, bytesPerSecond int) (baobabtide.Reason, error) {
+	conn, err := grpc.NewClient("passthrough:///node",
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(cborCodec{})),
+		grpc.WithContextDialer(func(context.Context, string) (net.Conn, error) { return l.Dial(bytesPerSecond) }))
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	stream, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, "/baobabtide.Peer/Forward")
+	if err != nil {
+		return "", err
+	}
+	head := &btpeer.RequestHead{Attempt: "a", Target: "gone", Method: "GET", Path: "/", TimeoutMicros: closeTime.Microseconds()}
+	if err := stream.SendMsg(&btpeer.RequestFrame{Head: head, Last: true}); err != nil {
+		return "", err
+	}
+	frame := new(btpeer.ResponseFrame)
+	if err := stream.RecvMsg(frame); err != nil {
+		return "", err
+	}
+	return frame.Refusal.Reason, nil
+}
+
+// idleNode returns a node that serves other nodes on a listener, and a function that
+// drains and stops it.
+func idleNode(t *testing.T, l net.Listener) func() {
+	t.Helper()
+	s := btsettings.Default()
+	s.Node.Name, s.Peer.Listen, s.Platform.Addresses, s.TLS.Plaintext = "n", "127.0.0.1:1", []string{"127.0.0.1:2"}, true
+	n, free, err := New(s, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listeners := n.listeners()
+	peers := listeners[len(listeners)-1]
+	go func() { _ = peers.serve(l) }()
+	return func() {
+		n.Drain("test")
+		<-n.drained
+		n.leave()
+		peers.stop()
+		n.wg.Wait()
+		free()
+	}
+}
+
+// A node that stops doesn't exit before the other nodes have received its responses.
+func TestStopDeliversResponses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(closeTime)
+		l := btfixture.NewListener()
+		stop := idleNode(t, l)
+		type outcome struct {
+			reason baobabtide.Reason
+			err    error
+		}
+		received := make(chan outcome)
+		go func() {
+			reason, err := forward(l, 50)
+			received <- outcome{reason, err}
+		}()
+		time.Sleep(3 * time.Second) // the request has arrived, the response takes 5 s more
+		stop()
+		got := <-received
+		if diff := cmp.Diff(baobabtide.ReasonDraining, got.reason); diff != "" || got.err != nil {
+			t.Errorf("error %v, reason (-want +got):\n%s", got.err, diff)
+		}
+	})
+}
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -50,6 +51,8 @@
 	grpc  *grpc.Server
 	node  Node
 	bytes *ByteCounter
+
+	undelivered atomic.Int64 // see Undelivered
 }
 
 // NewServer returns a server and a function that stops it. A nil config means
--- a/btpeer/service.go
+++ b/btpeer/service.go
@@ -23,7 +23,7 @@
 // handler has one method per RPC of the gRPC service.
 type handler interface {
 	gossip(s *Stream[Gossip, Gossip]) error
-	forward(s *Stream[RequestFrame, ResponseFrame]) error
+	deliverForward(s *Stream[RequestFrame, ResponseFrame]) error
 	settle(req *SettleRequest) *SettleResponse
 	ping(req *PingRequest) *PingResponse
 	info(req *InfoRequest) *Info
@@ -45,7 +45,7 @@
 	},
 	Streams: []grpc.StreamDesc{
 		stream("Gossip", handler.gossip),
-		stream("Forward", handler.forward),
+		stream("Forward", handler.deliverForward),
 	},
 }
 
