btnode, btcaller: a caller doesn't use up the time of a drain

One connection of a caller that didn't finish, such as one with half a request, kept a stopping node admitting requests of other nodes until the time to finish was over. The requests that were then in flight were cut within 350 ms. If the contract gave less than 30 s, the stop took longer than the contract allows; if it gave more, requests of callers were cut after 30 s.

Cause: the drain waited for its callers first and without regard to the contract: the limit came from the settings, 30 s if they had none.

Change: the drain waits for its callers for half of the time to finish, then refuses requests of other nodes while it waits for both. The limit for callers is the end of the drain terms.

--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -46,8 +46,6 @@
 	Connections     int    // open connections, further ones are closed on arrival
 	DefaultCustomer string // for requests without a customer header, empty for none
 
-	Finish time.Duration // wait for running requests when the server stops, 0 for drainTimeout
-
 	// Overrides returns the limits of the configuration in force, or nil. Its
 	// non-zero limits override the others. The function may be nil.
 	Overrides func() *baobabtide.CallerLimits
@@ -72,10 +70,10 @@
 }
 
 // NewServer returns a server and a function that stops it. The function waits for
-// running requests, for Limits.Finish at most.
+// running requests, for drainTimeout at most.
 func NewServer(handler baobabtide.Handler, limits Limits) (*Server, func()) {
 	s := &Server{Names: DefaultNames(), handler: handler, limits: limits, conns: make(map[*conn]struct{})}
-	return s, sync.OnceFunc(s.stop)
+	return s, sync.OnceFunc(func() { s.Stop(drainTimeout) })
 }
 
 // StartDraining starts draining: from now on a connection is closed after its last
@@ -131,9 +129,9 @@
 	}()
 }
 
-// stop closes the listener and idle connections and waits for the others. After
-// finishTimeout it cancels their requests and closes them.
-func (s *Server) stop() {
+// Stop closes the listener and idle connections and waits for the others. After the
+// given time it cancels their requests and closes them.
+func (s *Server) Stop(finish time.Duration) {
 	s.StartDraining()
 	s.stopping.Store(true) // before the loop over the connections: one that becomes idle after its turn closes itself
 	s.mu.Lock()
@@ -153,7 +151,7 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(s.finishTimeout()):
+	case <-time.After(finish):
 		for _, c := range conns {
 			c.cancel(errStopped)
 			_ = c.socket.Close()
@@ -161,13 +159,6 @@
 	}
 }
 
-func (s *Server) finishTimeout() time.Duration {
-	if s.limits.Finish > 0 {
-		return s.limits.Finish
-	}
-	return drainTimeout
-}
-
 // CloseIdle closes the idle connections: those without a pending or partly read
 // request.
 func (s *Server) CloseIdle() {
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -14,6 +14,7 @@
 	defaultNotice = time.Second      // time in which the node still accepts requests, until callers go elsewhere
 	defaultFinish = 20 * time.Second // time for the requests in flight after the notice; both apply if no contract covers the targets
 
+	callerTimeDivisor = 2                      // new requests are refused after 1/2 of the time to finish, even if callers of the node have not finished
 	drainCheckPeriod  = 20 * time.Millisecond  // between checks whether requests are still in flight
 	disseminationTime = 50 * time.Millisecond  // for the other nodes to learn that the targets are draining, before the node refuses requests
 	leaveFlushTime    = 100 * time.Millisecond // for the last messages to be sent before the edges close
@@ -24,9 +25,9 @@
 // servers beside the node.
 //
 // The node reports itself as not ready, but serves requests for the notice period, so
-// that callers can go elsewhere. Then it announces its targets as draining, refuses
-// new requests, waits until those in flight have ended and the other nodes have received
-// the responses, and leaves.
+// that callers can go elsewhere. When its own callers have finished, or half of the time
+// to finish has passed, it announces its targets as draining and refuses new requests. It
+// leaves when those in flight have ended and the other nodes have received the responses.
 func (n *Node) Drain(reason string) int {
 	n.stopOnce.Do(func() {
 		n.log.Info().Str("event", "node.draining").Str("reason", reason).Send()
@@ -37,14 +38,23 @@
 }
 
 // finishDrain runs a planned stop until no request is in flight and no response is
-// undelivered, or the deadline of the drain terms has passed, and closes n.drained.
+// undelivered, or the deadline of the drain terms has passed, and closes n.drained. A
+// caller that doesn't finish must not take up the time of the requests of other nodes.
 func (n *Node) finishDrain() {
 	defer close(n.drained)
 	terms := drainTerms(n.config.State(), n.registry.Targets())
 	n.stopBy = time.Now().Add(terms.Notice + terms.Finish)
 	n.callers.StartDraining()
 	n.sleep(terms.Notice)
-	n.stopCallers()
+	callersStopped := make(chan struct{})
+	n.wg.Go(func() {
+		n.stopCallers()
+		close(callersStopped)
+	})
+	select {
+	case <-callersStopped:
+	case <-time.After(terms.Finish / callerTimeDivisor):
+	}
 	n.refusing.Store(true)
 	n.announceTargets()
 	n.sleep(disseminationTime)
@@ -52,6 +62,7 @@
 	for n.local.Active()+n.server.Undelivered() > 0 && time.Now().Before(n.stopBy) {
 		n.sleep(drainCheckPeriod)
 	}
+	<-callersStopped
 	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Int("undelivered", n.server.Undelivered()).Send()
 }
 
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -92,21 +92,20 @@
 // listeners creates the servers of all addresses that the settings name. The peer
 // listener is last.
 func (n *Node) listeners() []listener {
-	callers, stopCallers := btcaller.NewServer(n.dispatch, btcaller.Limits{
+	callers, _ := btcaller.NewServer(n.dispatch, btcaller.Limits{
 		HeaderBytes:     n.settings.Caller.MaxHeaderBytes,
 		BodyBytes:       n.settings.Caller.MaxBodyBytes,
 		Connections:     n.settings.Caller.MaxConnections,
 		DefaultCustomer: n.settings.Caller.DefaultCustomer,
 		Overrides:       n.callerLimits,
-		Finish:          n.settings.Terms.Drain.Finish,
 	})
 	callers.Names = n.adapters.CallerNames
 	callers.Origin = n.origin
-	n.callers, n.stopCallers = callers, stopCallers
+	n.callers, n.stopCallers = callers, sync.OnceFunc(func() { callers.Stop(time.Until(n.stopBy)) })
 	announce, stopAnnounce := n.adapters.NewAnnounceServer(&n.registry, n.backendSettings)
 	operators, stopOperators := btoperator.NewServer(operators{n})
 	listeners := []listener{
-		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, stopCallers},
+		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, n.stopCallers},
 		{"backend servers", n.settings.Backend.Listen, announce.Serve, stopAnnounce},
 		{"operators", n.settings.Operator.Listen, func(l net.Listener) error { return operators.Serve(l, n.serverTLS()) }, stopOperators},
 	}
