btnode: a slow link to a key's partner doesn't refuse the request

A request with a key got 503 (partner-unreachable) when the node that stores the second record of the key didn't answer within 500 ms, although it was alive and the request had seconds left. A full link takes a second for the call and its response.

Change: the limit is half of the time left to the request, at most 2 s. A partner that is paused holds the slot of a request for that long, until the membership has found it failed.

TestReserveAtSlowPartner failed before: "DeadlineExceeded" after 500 ms. btnode passes with the race detector.

--- a/btnode/partner.go
+++ b/btnode/partner.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	reserveTimeout = 500 * time.Millisecond
-	resolveTimeout = 2 * time.Second
+	reserveTimeout       = 2 * time.Second // a full link delays the call and its response by a second in all
+	reserveWindowDivisor = 2               // the rest of the time left is for the run
+	resolveTimeout       = 2 * time.Second
 )
 
 // keyPartner implements baobabtide.KeyPartner by calls to the node that the route
@@ -45,7 +46,7 @@
 	if address == "" {
 		return baobabtide.KeyRecord{}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(reserveTimeout, time.Until(req.Deadline)/reserveWindowDivisor))
 	defer cancel()
 	return p.node.peers.Reserve(ctx, address, record)
 }
--- /dev/null
+++ b/btnode/partner_test.go
@@ -0,0 +1,70 @@
+package btnode
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btpeer"
+	"github.com/baobabtide/baobabtide/btroute"
+)
+
+// slowPartner is a node that stores keys only after release is closed.
+type slowPartner struct {
+	btpeer.Node
+	release chan struct{}
+}
+
+func (p slowPartner) ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord {
+	<-p.release
+	return key
+}
+
+func (p slowPartner) ResolveKey(baobabtide.KeyRecord) { <-p.release }
+
+// nodeWithPartner returns a node whose partner of every key is a slowPartner, a function
+// that stops the node, and the partner's release.
+func nodeWithPartner(t *testing.T) (*Node, func(), chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	partner := slowPartner{release: make(chan struct{})}
+	server, stopServer := btpeer.NewServer(partner, nil, &btpeer.ByteCounter{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(stopServer)
+	n, stop := idleNode(t, btfixture.NewListener(), btfixture.NewListener())
+	members := btfixture.Members(1, 1, 1, "v1")
+	members[0].PeerAddress = listener.Addr().String()
+	state := &btconfig.State{
+		Offset:      1,
+		Contracts:   map[string]btconfig.ContractState{"c": {Contract: *btfixture.Contract("c", "service-0")}},
+		Assignments: map[string]baobabtide.Assignment{"c/service-0": {Customer: "c", Service: "service-0", Current: "v1"}},
+	}
+	n.routes.Store(btroute.Build(state, members, btroute.Locality{Node: "n", Zone: "zone-0"}, nil))
+	return n, stop, partner.release
+}
+
+func keyedRequest() *baobabtide.Request {
+	return &baobabtide.Request{Customer: "c", Service: "service-0", Key: "k", Deadline: time.Now().Add(time.Minute)}
+}
+
+// A request with a key is not refused because the link to the partner is full: it was
+// when the partner did not answer within 500 ms.
+func TestReserveAtSlowPartner(t *testing.T) {
+	n, stop, release := nodeWithPartner(t)
+	defer stop()
+	time.AfterFunc(700*time.Millisecond, func() { close(release) })
+	key := baobabtide.KeyRecord{Key: "k", Attempt: "a"}
+	got, err := keyPartner{n}.Reserve(context.Background(), keyedRequest(), key)
+	if diff := cmp.Diff(key, got); diff != "" || err != nil {
+		t.Errorf("error %v, record (-want +got):\n%s", err, diff)
+	}
+}
