btnode: a slow key partner doesn't make neighbors seem silent

Cause: the workers that handle gossip also reported the results of requests with keys to the partners. 64 reports that wait for a full link or a paused partner occupied all workers for up to 2 s. No message was handled then, heartbeats included, so that edges were closed as silent and members accused; requests that ended waited too and kept their slots.

Change: each report has a goroutine of its own.

TestSlowPartnerDoesNotBlockGossip failed before: "a message was not handled within 1 s". btnode passes with the race detector.

--- a/btnode/partner.go
+++ b/btnode/partner.go
@@ -52,19 +52,21 @@
 }
 
 // Resolve implements baobabtide.KeyPartner. It calls the partner in the background. If
-// the call fails, the key stays KeyInDoubt at the partner, which is safe.
+// the call fails, the key stays KeyInDoubt at the partner, which is safe. The workers
+// don't make the call: if the partner is slow, they would not handle gossip either, and
+// neighbors would seem silent.
 func (p keyPartner) Resolve(req *baobabtide.Request, record baobabtide.KeyRecord) {
 	address := p.address(req)
 	if address == "" {
 		return
 	}
-	p.node.submit(func() {
+	go func() {
 		ctx, cancel := context.WithTimeout(p.node.ctx, resolveTimeout)
 		defer cancel()
 		if err := p.node.peers.Resolve(ctx, address, record); err != nil {
 			p.node.log.Debug().Str("event", "key.unresolved").Err(err).Send()
 		}
-	})
+	}()
 }
 
 // ReserveKey implements btpeer.Node.
--- a/btnode/partner_test.go
+++ b/btnode/partner_test.go
@@ -68,3 +68,22 @@
 		t.Errorf("error %v, record (-want +got):\n%s", err, diff)
 	}
 }
+
+// A partner that is slow to store results doesn't keep the node from handling gossip.
+func TestSlowPartnerDoesNotBlockGossip(t *testing.T) {
+	n, stop, release := nodeWithPartner(t)
+	defer stop()
+	defer close(release)
+	handled := make(chan struct{})
+	go func() {
+		for range 2 * workerCount {
+			keyPartner{n}.Resolve(keyedRequest(), baobabtide.KeyRecord{Key: "k", Attempt: "a"})
+		}
+		n.submit(func() { close(handled) })
+	}()
+	select {
+	case <-handled:
+	case <-time.After(time.Second):
+		t.Error("a message was not handled within 1 s")
+	}
+}
