btnode: a node that stops reports the results of keys first

A repeat of a key got 409 (may have run) from the new home in place of the stored answer, if the first home stopped before its report had reached the partner. The report is sent in the background, and the end of the node canceled it.

Change: the drain waits for the reports too, until the end of the drain terms. A report may take 3 s in place of 2 s, which is what a full link takes with a new connection. A partner that is paused delays a stop by that long, if a request with a key has just ended.

--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -27,7 +27,8 @@
 // The node reports itself as not ready, but serves requests for the notice period, so
 // that callers can go elsewhere. When its own callers have finished, or half of the time
 // to finish has passed, it announces its targets as draining and refuses new requests. It
-// leaves when those in flight have ended and the other nodes have received the responses.
+// leaves when those in flight have ended, the other nodes have received the responses and
+// the key partners know the results.
 func (n *Node) Drain(reason string) int {
 	n.stopOnce.Do(func() {
 		n.log.Info().Str("event", "node.draining").Str("reason", reason).Send()
@@ -37,9 +38,9 @@
 	return n.local.Active()
 }
 
-// finishDrain runs a planned stop until no request is in flight and no response is
-// undelivered, or the deadline of the drain terms has passed, and closes n.drained. A
-// caller that doesn't finish must not take up the time of the requests of other nodes.
+// finishDrain runs a planned stop until nothing is pending, or the deadline of the drain
+// terms has passed, and closes n.drained. A caller that doesn't finish must not take up
+// the time of the requests of other nodes.
 func (n *Node) finishDrain() {
 	defer close(n.drained)
 	terms := drainTerms(n.config.State(), n.registry.Targets())
@@ -59,13 +60,19 @@
 	n.announceTargets()
 	n.sleep(disseminationTime)
 	n.local.Drain()
-	for n.local.Active()+n.server.Undelivered() > 0 && time.Now().Before(n.stopBy) {
+	for n.pending() > 0 && time.Now().Before(n.stopBy) {
 		n.sleep(drainCheckPeriod)
 	}
 	<-callersStopped
 	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Int("undelivered", n.server.Undelivered()).Send()
 }
 
+// pending returns the number of requests in flight, undelivered responses and calls to
+// key partners.
+func (n *Node) pending() int {
+	return n.local.Active() + n.server.Undelivered() + int(n.resolving.Load())
+}
+
 // drainTerms returns the shortest notice and the longest time to finish in the
 // contracts for the services of the targets, or the defaults if there are none.
 func drainTerms(state *btconfig.State, targets []baobabtide.Target) baobabtide.DrainTerms {
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -81,6 +81,7 @@
 	edges              edges
 	rollouts           rollouts
 
+	resolving    atomic.Int64 // calls to key partners in progress that report the end of an attempt
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
 	outcomesRead atomic.Bool  // the outcome log has been read at least once, or the platform has none
 
--- a/btnode/partner.go
+++ b/btnode/partner.go
@@ -11,7 +11,7 @@
 const (
 	reserveTimeout       = 2 * time.Second // a full link delays the call and its response by a second in all
 	reserveWindowDivisor = 2               // the rest of the time left is for the run
-	resolveTimeout       = 2 * time.Second
+	resolveTimeout       = 3 * time.Second // may include a new connection
 )
 
 // keyPartner implements baobabtide.KeyPartner by calls to the node that the route
@@ -60,7 +60,9 @@
 	if address == "" {
 		return
 	}
+	p.node.resolving.Add(1)
 	go func() {
+		defer p.node.resolving.Add(-1)
 		ctx, cancel := context.WithTimeout(p.node.ctx, resolveTimeout)
 		defer cancel()
 		if err := p.node.peers.Resolve(ctx, address, record); err != nil {
--- a/btnode/partner_test.go
+++ b/btnode/partner_test.go
@@ -87,3 +87,21 @@
 		t.Error("a message was not handled within 1 s")
 	}
 }
+
+// A node that stops doesn't exit before the partner has stored the results.
+func TestStopWaitsForPartner(t *testing.T) {
+	n, stop, release := nodeWithPartner(t)
+	keyPartner{n}.Resolve(keyedRequest(), baobabtide.KeyRecord{Key: "k", Attempt: "a"})
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	select {
+	case <-n.drained:
+		t.Error("the node was drained before the partner had stored the result")
+	case <-time.After(defaultNotice + 500*time.Millisecond):
+	}
+	close(release)
+	<-stopped
+}
