--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -14,6 +14,7 @@
 	defaultNotice = time.Second      // time in which the node still accepts requests, until callers go elsewhere
 	defaultFinish = 20 * time.Second // time for the requests in flight after the notice; both apply if no contract covers the targets
 
+	callerTimeDivisor = 2                      // new requests are refused after 1/2 of the time to finish, even if callers of the node have not finished
 	drainCheckPeriod  = 20 * time.Millisecond  // between checks whether requests are still in flight
 	disseminationTime = 50 * time.Millisecond  // for the other nodes to learn that the targets are draining, before the node refuses requests
 	leaveFlushTime    = 100 * time.Millisecond // for the last messages to be sent before the edges close
@@ -24,8 +25,10 @@
 // servers beside the node.
 //
 // The node reports itself as not ready, but serves requests for the notice period, so
-// that callers can go elsewhere. Then it announces its targets as draining, refuses
-// new requests, waits for those in flight and leaves.
+// that callers can go elsewhere. When its own callers have finished, or half of the time
+// to finish has passed, it announces its targets as draining and refuses new requests. It
+// leaves when those in flight have ended, the other nodes have received the responses and
+// the key partners know the results.
 func (n *Node) Drain(reason string) int {
 	n.stopOnce.Do(func() {
 		n.log.Info().Str("event", "node.draining").Str("reason", reason).Send()
@@ -35,23 +38,39 @@
 	return n.local.Active()
 }
 
-// finishDrain runs a planned stop until no request is in flight or the deadline of the
-// drain terms has passed, and closes n.drained.
+// finishDrain runs a planned stop until nothing is pending, or the deadline of the drain
+// terms has passed, and closes n.drained. A caller that doesn't finish must not take up
+// the time of the requests of other nodes.
 func (n *Node) finishDrain() {
 	defer close(n.drained)
 	terms := drainTerms(n.config.State(), n.registry.Targets())
-	deadline := time.Now().Add(terms.Notice + terms.Finish)
+	n.stopBy = time.Now().Add(terms.Notice + terms.Finish)
 	n.callers.StartDraining()
 	n.sleep(terms.Notice)
-	n.stopCallers()
+	callersStopped := make(chan struct{})
+	n.wg.Go(func() {
+		n.stopCallers()
+		close(callersStopped)
+	})
+	select {
+	case <-callersStopped:
+	case <-time.After(terms.Finish / callerTimeDivisor):
+	}
 	n.refusing.Store(true)
 	n.announceTargets()
 	n.sleep(disseminationTime)
 	n.local.Drain()
-	for n.local.Active() > 0 && time.Now().Before(deadline) {
+	for n.pending() > 0 && time.Now().Before(n.stopBy) {
 		n.sleep(drainCheckPeriod)
 	}
-	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Send()
+	<-callersStopped
+	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Int("undelivered", n.server.Undelivered()).Send()
+}
+
+// pending returns the number of requests in flight, undelivered responses and calls to
+// key partners.
+func (n *Node) pending() int {
+	return n.local.Active() + n.server.Undelivered() + int(n.resolving.Load())
 }
 
 // drainTerms returns the shortest notice and the longest time to finish in the
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -55,6 +55,7 @@
 	workers  *ants.Pool
 	adapters Adapters
 	peers    *btpeer.Client
+	server   *btpeer.Server // of the other nodes' calls, set by Run
 	bytes    btpeer.ByteCounter
 	metrics  *metrics.Set
 	registry btbackend.Registry
@@ -80,6 +81,7 @@
 	edges              edges
 	rollouts           rollouts
 
+	resolving    atomic.Int64 // calls to key partners in progress that report the end of an attempt
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
 	outcomesRead atomic.Bool  // the outcome log has been read at least once, or the platform has none
 
@@ -89,7 +91,8 @@
 	refusing       atomic.Bool   // new requests are refused, later in a planned stop
 	logBehind      atomic.Bool   // the log ends before the configuration in force
 	snapshotOffset atomicOffset  // offset of the newest snapshot that this node knows of
-	drained        chan struct{} // closed once the planned stop has ended
+	stopBy         time.Time     // end of the drain terms of the planned stop, set before drained is closed
+	drained        chan struct{} // closed once no request is left or the drain terms have ended
 	stopOnce       sync.Once
 
 	ctx    context.Context
--- a/btnode/partner.go
+++ b/btnode/partner.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	reserveTimeout = 500 * time.Millisecond
-	resolveTimeout = 2 * time.Second
+	reserveTimeout       = 2 * time.Second // a full link delays the call and its response by a second in all
+	reserveWindowDivisor = 2               // the rest of the time left is for the run
+	resolveTimeout       = 3 * time.Second // may include a new connection
 )
 
 // keyPartner implements baobabtide.KeyPartner by calls to the node that the route
@@ -45,25 +46,29 @@
 	if address == "" {
 		return baobabtide.KeyRecord{}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(reserveTimeout, time.Until(req.Deadline)/reserveWindowDivisor))
 	defer cancel()
 	return p.node.peers.Reserve(ctx, address, record)
 }
 
 // Resolve implements baobabtide.KeyPartner. It calls the partner in the background. If
-// the call fails, the key stays KeyInDoubt at the partner, which is safe.
+// the call fails, the key stays KeyInDoubt at the partner, which is safe. The workers
+// don't make the call: if the partner is slow, they would not handle gossip either, and
+// neighbors would seem silent.
 func (p keyPartner) Resolve(req *baobabtide.Request, record baobabtide.KeyRecord) {
 	address := p.address(req)
 	if address == "" {
 		return
 	}
-	p.node.submit(func() {
+	p.node.resolving.Add(1)
+	go func() {
+		defer p.node.resolving.Add(-1)
 		ctx, cancel := context.WithTimeout(p.node.ctx, resolveTimeout)
 		defer cancel()
 		if err := p.node.peers.Resolve(ctx, address, record); err != nil {
 			p.node.log.Debug().Str("event", "key.unresolved").Err(err).Send()
 		}
-	})
+	}()
 }
 
 // ReserveKey implements btpeer.Node.
