btpeer: a request is not given up for silence before it

Found by review: silence counted from the first request since data last arrived, for giving up as well. A request on a connection on which an earlier one had been canceled before it was sent was given up after 400 ms on a full link. It now must have waited for SilenceLimit itself; what makes a connection suspect is as before.

--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -51,6 +51,7 @@
 	mu           sync.Mutex
 	inflight     map[*inflightRequest]struct{}
 	waitingSince time.Time // first request since data last arrived
+	newestSince  time.Time // newest request
 	probing      bool      // the goroutine of probe is running
 	suspect      bool      // no longer shared; closed when its last request ends
 }
@@ -72,8 +73,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight[r] = struct{}{}
+	s.newestSince = time.Now()
 	if s.waitingSince.IsZero() || s.lastRead.After(s.waitingSince) {
-		s.waitingSince = time.Now()
+		s.waitingSince = s.newestSince
 	}
 	if !s.probing {
 		s.probing = true
@@ -124,13 +126,26 @@
 // that if there was one.
 func (s *sharedConn) silence() time.Duration {
 	s.mu.Lock()
-	waitingSince := s.waitingSince
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.silenceSince(s.waitingSince)
+}
+
+// newestSilence returns the time for which the newest request has waited without any
+// data. A request must not be given up for the silence that earlier ones met.
+func (s *sharedConn) newestSilence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silenceSince(s.newestSince)
+}
+
+// silenceSince returns the time since data last arrived, but not more than that since t.
+func (s *sharedConn) silenceSince(t time.Time) time.Duration {
 	now := time.Now()
+	silence := now.Sub(t)
 	if sinceRead, ok := s.lastRead.Since(now); ok {
-		return min(sinceRead, now.Sub(waitingSince))
+		silence = min(silence, sinceRead)
 	}
-	return now.Sub(waitingSince)
+	return silence
 }
 
 // ping returns false only if neither a response nor any other data arrives within
@@ -181,7 +196,7 @@
 		switch {
 		case s.lastRead.After(suspectAt), s.unused():
 			return reachable, true
-		case s.silence() >= s.client.silenceLimit:
+		case s.newestSilence() >= s.client.silenceLimit:
 			return reachable, false
 		}
 	}
