btpeer: the time left that is sent counts the wait for the link

Found by review: the head of a forwarded request was built before its body waited for the Pacer, so the other node was told up to the wait too much time (3 s, where 2 s were left). TestTimeoutIsThatOfSending fails with the old order.

TestBodiesDoNotDelaySmallMessages covers uploads too, TestPacerLeavesRoom the share of the link, with small frames.

--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -41,6 +41,7 @@
 		end()
 		return nil, notSentError(err)
 	}
+	first.Head.setTimes(req)
 	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
 		end()
 		return nil, lostError(ctx, req.Deadline, err)
@@ -98,7 +99,16 @@
 	return re
 }
 
-// firstFrame returns the frame with the head and the first part of the body.
+// setTimes sets the fields that are relative to the time of sending.
+func (h *RequestHead) setTimes(req *baobabtide.Request) {
+	h.TimeoutMicros = time.Until(req.Deadline).Microseconds()
+	if !req.Objective.IsZero() {
+		h.ObjectiveMicros = time.Until(req.Objective).Microseconds()
+	}
+}
+
+// firstFrame returns the frame with the head, without its times, and the first part of
+// the body.
 func firstFrame(target baobabtide.TargetRef, req *baobabtide.Request) (*RequestFrame, error) {
 	frame := &RequestFrame{Head: &RequestHead{
 		ID:                req.ID,
@@ -119,14 +129,10 @@
 		Path:              req.Target,
 		Header:            req.Header,
 		BodyLength:        req.BodyLength,
-		TimeoutMicros:     time.Until(req.Deadline).Microseconds(),
 		Depth:             req.Depth,
 		Retried:           req.Retried,
 		Late:              req.Late,
 	}, Last: true}
-	if !req.Objective.IsZero() {
-		frame.Head.ObjectiveMicros = time.Until(req.Objective).Microseconds()
-	}
 	if req.Body == nil {
 		return frame, nil
 	}
