--- a/btnode/metrics_test.go
+++ b/btnode/metrics_test.go
@@ -15,12 +15,17 @@
 
 var metricName = regexp.MustCompile(`^baobabtide_[a-z_]+(_total|_seconds|_seconds_(bucket|sum|count))?$`)
 
+// idleSettings returns the settings of a node that does not run.
+func idleSettings() *btsettings.Settings {
+	s := btsettings.Default()
+	s.Node.Name, s.Peer.Listen, s.Platform.Addresses, s.TLS.Plaintext = "n", "127.0.0.1:1", []string{"127.0.0.1:2"}, true
+	return s
+}
+
 // idleNode returns a node that does not run.
 func idleNode(t *testing.T, log zerolog.Logger) *Node {
 	t.Helper()
-	s := btsettings.Default()
-	s.Node.Name, s.Peer.Listen, s.Platform.Addresses, s.TLS.Plaintext = "n", "127.0.0.1:1", []string{"127.0.0.1:2"}, true
-	n, free, err := New(s, log)
+	n, free, err := New(idleSettings(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/btnode/stop_test.go
+++ b/btnode/stop_test.go
@@ -22,7 +22,6 @@
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btfixture"
 	"github.com/baobabtide/baobabtide/btpeer"
-	"github.com/baobabtide/baobabtide/btsettings"
 )
 
 const closeTime = 60 * time.Second // for the goroutines of connections to end, longer than the calls
@@ -73,9 +72,7 @@
 // function that drains and stops it.
 func servingNode(t *testing.T, callers, peers net.Listener) (*Node, func()) {
 	t.Helper()
-	s := btsettings.Default()
-	s.Node.Name, s.Peer.Listen, s.Platform.Addresses, s.TLS.Plaintext = "n", "127.0.0.1:1", []string{"127.0.0.1:2"}, true
-	n, free, err := New(s, zerolog.Nop())
+	n, free, err := New(idleSettings(), zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
