--- a/btbackend/pool_test.go
+++ b/btbackend/pool_test.go
@@ -269,6 +269,88 @@
 	}
 }
 
+// A backend server may close an idle connection when a request is already on its way. An
+// idempotent request is then sent once more, on a new connection.
+func TestClosedIdleConnection(t *testing.T) {
+	lost := outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}
+	tests := map[string]struct {
+		idempotent bool
+		body       baobabtide.Body
+		partial    string // sent before the connection is closed
+		recovers   bool   // new connections get responses
+		want       outcome
+	}{
+		"idempotent":                     {true, nil, "", true, outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}},
+		"idempotent with a body":         {true, &baobabtide.BytesBody{Data: []byte("x")}, "", true, outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}},
+		"idempotent and closed again":    {true, nil, "", false, lost},
+		"idempotent and a response":      {true, nil, "HTTP", true, lost},
+		"body that can't be read again":  {true, onceBody{strings.NewReader("x")}, "", true, lost},
+		"non-idempotent, may have begun": {false, nil, "", true, lost},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := rawServer(t, func(c net.Conn, request, connection int) {
+				if request == 1 && (connection == 1 || tt.recovers) {
+					write(c, okResponse)
+					return
+				}
+				write(c, tt.partial)
+				_ = c.Close()
+			})
+			p, closePool := NewPool(address, 1)
+			defer closePool()
+			do(context.Background(), p, request(time.Second))
+			req := request(time.Second)
+			req.Idempotent, req.Body = tt.idempotent, tt.body
+			if tt.body != nil {
+				req.BodyLength = 1
+			}
+			if diff := cmp.Diff(tt.want, do(context.Background(), p, req)); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			if len(p.tokens) != 0 {
+				t.Error("the token of the connection was not released")
+			}
+		})
+	}
+}
+
+// A request that a backend server may have run before it closed its connections is not
+// reported as not run because no new connection can be opened.
+func TestClosedIdleConnectionOfLeavingServer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = listener.Close()
+		reader := bufio.NewReader(c)
+		if _, err := http.ReadRequest(reader); err == nil {
+			write(c, okResponse)
+			_, _ = http.ReadRequest(reader)
+		}
+	}()
+	p, closePool := NewPool(listener.Addr().String(), 1)
+	defer closePool()
+	req := request(time.Second)
+	req.Idempotent = true
+	do(context.Background(), p, req)
+	want := outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}
+	if diff := cmp.Diff(want, do(context.Background(), p, req)); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
+
+// onceBody is a body that can't be read again.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Rewind() bool { return false }
+
 // When the caller disconnects, the request ends at once and its connection is
 // closed, so that the backend server can detect the cancellation.
 func TestCancellationClosesConnection(t *testing.T) {
