btcaller: a long response over a slow link isn't cut after 30 s

A caller got a truncated response if its link needed more than 30 s for it, although the link carried data all the time and the request had minutes left.

Cause: the deadline of 30 s covered the whole response, a streamed one of any length included.

Change: the deadline covers 16 kB. A caller that accepts nothing is cut after 30 s as before.

TestResponseOverSlowLink/slow failed before: "unexpected EOF" for a response of 1 MiB that takes 60 s; the case of a stalled caller passed before and passes now. btcaller passes with the race detector.

--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -51,7 +51,7 @@
 		server: s,
 		socket: socket,
 		reader: bufio.NewReaderSize(socket, max(readBuffer, s.bounds().headerBytes)),
-		writer: bufio.NewWriterSize(socket, writeBuffer),
+		writer: bufio.NewWriterSize(steadyWriter{socket}, writeBuffer),
 		queue:  make(chan *exchange, pipelineDepth),
 	}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
@@ -261,6 +261,29 @@
 	}
 }
 
+// steadyWriter writes to the connection of a caller. A write fails only if the caller
+// accepts less than writePart bytes within writeTimeout, so that a long response may take
+// as long as a slow link needs.
+type steadyWriter struct {
+	socket net.Conn
+}
+
+// Write implements io.Writer.
+func (w steadyWriter) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		if err := w.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.socket.Write(p[written:min(len(p), written+writePart)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // closesAfter reports whether the connection is closed after a response. While the
 // server is draining, it is closed if no other request is pending or partly
 // read.
@@ -281,7 +304,6 @@
 // write writes a response and releases its body. The output is flushed unless another
 // request is queued.
 func (c *conn) write(ex *exchange) error {
-	_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err := ex.resp.Write(c.writer)
 	ex.release()
 	if err != nil {
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -29,7 +29,8 @@
 	maxTimeout          = 10 * time.Minute // of a request, and its default
 
 	drainTimeout         = 30 * time.Second       // wait for running requests when the server stops
-	writeTimeout         = 30 * time.Second       // for writing one response to the caller
+	writeTimeout         = 30 * time.Second       // for the caller to accept writePart bytes
+	writePart            = 16 << 10               // bytes, the least that a caller accepts within writeTimeout
 	lingerTimeout        = 500 * time.Millisecond // for the caller to read the last response before the connection is closed
 	acceptRetryDelay     = 10 * time.Millisecond  // after a temporary accept error, such as exhausted file descriptors
 	pipelineDepth        = 16                     // requests of one connection that await their responses
--- a/btcaller/server_test.go
+++ b/btcaller/server_test.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconn"
@@ -302,3 +304,51 @@
 		t.Fatal("the server has not stopped after 10 s")
 	}
 }
+
+// A response that a slow link delivers takes as long as it needs; a caller that accepts
+// nothing loses it after writeTimeout.
+func TestResponseOverSlowLink(t *testing.T) {
+	_ = (&fasthttp.Response{}).Write(bufio.NewWriter(io.Discard)) // starts fasthttp's clock outside the bubble
+	const size = 1 << 20
+	handler := handlerFunc(func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+		return btfixture.OKResponse(strings.Repeat("x", size)), nil
+	})
+	tests := map[string]struct {
+		pause time.Duration // of the caller in the middle of the response
+		want  int64         // bytes received, 0 for a truncated body
+	}{
+		"slow":    {0, size},
+		"stalled": {writeTimeout + time.Second, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := btfixture.NewListener()
+				server, stop := NewServer(handler, Limits{HeaderBytes: 4096, BodyBytes: 4096, Connections: 100})
+				go func() { _ = server.Serve(l, nil) }()
+				c, err := l.Dial(size / int(2*writeTimeout/time.Second))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(tt.pause)
+				got, err := io.Copy(io.Discard, resp.Body)
+				if err != nil {
+					got = 0
+				}
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Errorf("error %v, bytes (-want +got):\n%s", err, diff)
+				}
+				_ = c.Close()
+				stop()
+				time.Sleep(time.Minute) // for the goroutines of the connection to end
+			})
+		})
+	}
+}
