btcaller: answer a request that has arrived before an idle connection is closed

A caller's request was reset without an answer if it arrived on an idle connection just before the node stopped or before the idle timeout, but the node had not read it yet. A node that gets no processor time for 100 ms reads that late.

Cause: an idle connection is closed by a read deadline in the past, and a read with such a deadline fails even if data waits in the socket. Closing a socket with unread data resets the connection.

Change: a connection counts as idle only if no data waits in its socket. What is still on its way to the node when it closes the connection is lost as before; HTTP/1.1 has no message that prevents that.

TestRequestOnIdleConnectionIsAnswered failed before in both cases: "connection reset by peer". btcaller passes with the race detector, 10 times.

--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -124,25 +124,30 @@
 }
 
 // idleExpired marks the connection as closing after its idle deadline and returns
-// true, unless requests are pending: the deadline can expire just as a request
-// starts.
+// true, unless requests are pending or a request has arrived: the deadline can expire
+// just as a request starts.
 func (c *conn) idleExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending > 0 && !c.closing {
+	switch {
+	case c.closing:
+	case c.pending > 0:
 		_ = c.socket.SetReadDeadline(time.Time{})
 		return false
+	case btconn.Readable(c.socket):
+		_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
+		return false
 	}
 	c.closing = true
 	return true
 }
 
-// closeIfIdle makes readLoop close the connection unless a request is being read
-// or answered.
+// closeIfIdle makes readLoop close the connection unless a request has arrived or is
+// being answered.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && !c.reading {
+	if c.pending == 0 && !c.reading && !btconn.Readable(c.socket) {
 		c.closing = true
 		_ = c.socket.SetReadDeadline(time.Unix(1, 0))
 	}
--- a/btcaller/server_test.go
+++ b/btcaller/server_test.go
@@ -352,3 +352,68 @@
 		})
 	}
 }
+
+// lateReader is a TCP connection whose reads begin only after release is closed, as those
+// of a node that gets no processor time.
+type lateReader struct {
+	*net.TCPConn
+	release chan struct{}
+}
+
+func (r lateReader) Read(p []byte) (int, error) {
+	<-r.release
+	return r.TCPConn.Read(p)
+}
+
+func (r lateReader) NetConn() net.Conn { return r.TCPConn }
+
+// A request that has arrived when the server stops, or when its connection has been idle
+// for too long, is answered although the server has not read it yet.
+func TestRequestOnIdleConnectionIsAnswered(t *testing.T) {
+	handler := handlerFunc(func(context.Context, *baobabtide.Request) (*baobabtide.Response, error) {
+		return btfixture.OKResponse("ok"), nil
+	})
+	expire := func(c *conn) { _ = c.socket.SetReadDeadline(time.Unix(1, 0)) }
+	tests := map[string]func(s *Server, c *conn){
+		"stop":          func(s *Server, _ *conn) { go s.Stop(drainTimeout) },
+		"idle too long": func(_ *Server, c *conn) { expire(c) },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			c, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			accepted, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			server, stop := NewServer(handler, Limits{HeaderBytes: 4096, BodyBytes: 4096, Connections: 100})
+			defer stop()
+			socket := lateReader{accepted.(*net.TCPConn), make(chan struct{})}
+			server.startConn(socket)
+			if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			for !btconn.Readable(socket) {
+				time.Sleep(time.Millisecond)
+			}
+			end(server, server.openConns()[0])
+			time.Sleep(50 * time.Millisecond) // until the stop has checked the connections; too short a wait can only hide the fault
+			close(socket.release)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(http.StatusOK, resp.StatusCode); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/btconn/peek.go
+++ b/btconn/peek.go
@@ -36,6 +36,10 @@
 	return state == idle || state == unknown
 }
 
+// Readable reports whether a connection has data to read. It returns false for
+// connections that are not TCP.
+func Readable(c net.Conn) bool { return stateOf(c) == readable }
+
 // stateOf returns the state of a connection or of the one that it wraps.
 func stateOf(c net.Conn) connState {
 	if w, ok := c.(netConner); ok {
