btnode: keep a silent edge until it is replaced

On a full link heartbeats can arrive a second late, and no new connection can be opened (500 ms). The node had no edge then, its neighbors failed to reach it, accused it after the silence limit and took its targets out of the route tables, although the messages that would have shown it alive were on their way on the closed connection.

Change: such an edge is doubted. The node tries to open another one at the next tick, as before, and closes the old one when it has succeeded, or after twice the silence limit. A message that arrives in the meantime ends the doubt. The neighbors of a node that is dead accuse it as soon as before: the failed attempt starts the watch, and the end of the doubted edge doesn't stop it.

--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -18,8 +18,9 @@
 	dialTimeout         = 2 * time.Second  // limit for opening a gossip connection and exchanging hello messages
 	helloTimeout        = 2 * time.Second  // limit for the first message from the other end
 	nonNeighborLifetime = 10 * time.Second // minimum lifetime of an outgoing edge to a node that is not a neighbor; a random part of up to the same length is added
-	silenceNumerator    = 5                // an edge is closed after 5/8 of the silence limit, to be replaced before its node is accused
+	silenceNumerator    = 5                // an edge is doubted after 5/8 of the silence limit, to be replaced before its node is accused
 	silenceDenominator  = 8
+	maxSilenceFactor    = 2                      // a doubted edge without a replacement is closed after this multiple of the silence limit
 	maxHelloMembers     = 64                     // largest number of live members at which a hello message lists all members, about 200 bytes each
 	redialPause         = 500 * time.Millisecond // after which an address may be dialed again while an earlier dial is in progress
 )
@@ -39,6 +40,7 @@
 
 	mu            sync.Mutex
 	lastReceived  time.Time // when the last message arrived
+	doubted       bool      // no message has arrived for long; the link may be full or the connection dead
 	mismatchSeen  bool      // a difference of the membership digests has been found on this edge
 	mismatchSince time.Time // since when the membership digests differ, zero if they are equal
 }
@@ -53,6 +55,28 @@
 	}
 }
 
+// received records a message. It ends the doubt.
+func (e *edge) received(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastReceived, e.doubted = now, false
+}
+
+// doubt marks the edge as doubted and reports whether it was not.
+func (e *edge) doubt() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	first := !e.doubted
+	e.doubted = true
+	return first
+}
+
+func (e *edge) isDoubted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.doubted
+}
+
 // edges is the set of gossip connections with its lock.
 type edges struct {
 	mu      sync.Mutex
@@ -109,12 +133,21 @@
 	return names
 }
 
-// connected reports whether there is an edge to the named node.
+// connected reports whether there is an edge to the named node that is not doubted.
 func (s *edges) connected(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for e := range s.set {
-		if e.name == name {
+	for _, e := range s.all() {
+		if e.name == name && !e.isDoubted() {
+			return true
+		}
+	}
+	return false
+}
+
+// replaced reports whether this node has opened another edge to the node of an edge that
+// it opened before.
+func (s *edges) replaced(old *edge) bool {
+	for _, e := range s.all() {
+		if e.name == old.name && e.outgoing && old.outgoing && e.opened.After(old.opened) && !e.isDoubted() {
 			return true
 		}
 	}
@@ -158,9 +191,9 @@
 	}
 }
 
-// tickEdges dials the neighbors that have no edge, one failed or recently left
-// member, and seeds. On the open edges it sends the heartbeats that are due and
-// closes those that are silent or no longer needed.
+// tickEdges dials the neighbors that have no edge or only doubted ones, one failed or
+// recently left member, and seeds. On the open edges it sends the heartbeats that are due
+// and closes those that are silent or no longer needed.
 func (n *Node) tickEdges(now time.Time) {
 	connected := n.edges.names()
 	n.members.mu.Lock()
@@ -189,15 +222,25 @@
 }
 
 // tickEdge closes an edge that is silent or no longer needed, and otherwise sends
-// the heartbeat on it if one is due.
+// the heartbeat on it if one is due. A silent edge to a neighbor is replaced before it is
+// closed: on a full link messages arrive late, and no new edge can be opened.
 func (n *Node) tickEdge(e *edge, neighbors []baobabtide.Member, heartbeat *btpeer.Gossip, now time.Time) {
 	e.mu.Lock()
 	silence := now.Sub(e.lastReceived)
 	e.mu.Unlock()
-	if silence > n.settings.Peer.SilenceLimit*silenceNumerator/silenceDenominator {
+	if silence > n.settings.Peer.SilenceLimit*maxSilenceFactor {
 		e.cancel(fmt.Errorf("%w: silent for %s", errEdgeClosed, silence))
 		return
 	}
+	if n.edges.replaced(e) {
+		e.cancel(fmt.Errorf("%w: replaced, silent for %s", errEdgeClosed, silence))
+		return
+	}
+	if silence > n.settings.Peer.SilenceLimit*silenceNumerator/silenceDenominator && e.doubt() && !n.edges.connected(e.name) {
+		n.members.mu.Lock()
+		n.members.table.Unwatch(e.name) // an attempt to replace the edge watches it again
+		n.members.mu.Unlock()
+	}
 	if e.outgoing && !isNeighbor(neighbors, e.name) && now.Sub(e.opened) > e.lifetime {
 		e.cancel(fmt.Errorf("%w: no longer a neighbor", errEdgeClosed))
 		return
@@ -336,14 +379,22 @@
 	go e.sendLoop(conn)
 	go n.receiveLoop(e, conn, first)
 	<-e.ctx.Done()
-	if n.edges.remove(e) {
-		n.members.mu.Lock()
-		n.members.table.Unwatch(e.name)
-		n.members.mu.Unlock()
-	}
+	n.removeEdge(e)
 	n.log.Debug().Str("event", "edge.closed").Str("member", e.name).AnErr("cause", context.Cause(e.ctx)).Send()
 }
 
+// removeEdge removes a closed edge. If it is the last one to its node, no messages are
+// expected from the node any more, unless the edge was doubted: a failed attempt to
+// replace it may have started to watch the node.
+func (n *Node) removeEdge(e *edge) {
+	if !n.edges.remove(e) || e.isDoubted() {
+		return
+	}
+	n.members.mu.Lock()
+	n.members.table.Unwatch(e.name)
+	n.members.mu.Unlock()
+}
+
 // sendLoop writes the queued messages to the stream until the edge closes.
 func (e *edge) sendLoop(conn *btpeer.GossipConn) {
 	for {
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -20,9 +20,7 @@
 // handleGossip processes all parts of one message that an edge received.
 func (n *Node) handleGossip(e *edge, m *btpeer.Gossip) {
 	now := time.Now()
-	e.mu.Lock()
-	e.lastReceived = now
-	e.mu.Unlock()
+	e.received(now)
 	if m.Hello != nil {
 		n.sendFormerTargets(e, m.Members)
 	}
