btbackend: revert sending again after a closed idle connection

Where many backend servers run requests and reset the connection in place of a response, each such request arrives twice on top of the retries that the budget allows, so the bound on retries of a service would not hold. The fault stays open: a request that meets an idle connection being closed draws on the budget or fails.

--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,9 +22,7 @@
 )
 
 // Do implements baobabtide.Backend. If ctx is canceled or the deadline passes, the
-// exchange fails and its connection is closed. An idempotent request is sent again on a
-// new connection if the backend server has closed the idle one that carried it without
-// any response, as it may do at any time.
+// exchange fails and its connection is closed.
 func (p *Pool) Do(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
 	maxIdle := defaultIdleTimeout
 	if !req.Idempotent {
@@ -35,21 +32,6 @@
 	if err != nil {
 		return nil, errorBeforeSend(ctx, req.Deadline, err)
 	}
-	reused := !c.idleAt.IsZero()
-	resp, err := p.send(ctx, c, req)
-	if !reused || !errors.Is(err, errClosed) || !req.Idempotent || ctx.Err() != nil || (req.Body != nil && !req.Body.Rewind()) {
-		return resp, err
-	}
-	c, dialErr := p.acquire(ctx, 0)
-	if dialErr != nil {
-		return nil, err // the request may have run on the first connection
-	}
-	return p.send(ctx, c, req)
-}
-
-// send sends a request on a connection and returns the response. If the exchange fails,
-// it closes the connection.
-func (p *Pool) send(ctx context.Context, c *backendConn, req *baobabtide.Request) (*baobabtide.Response, error) {
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		p.discard(c)
 		return nil, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
@@ -64,19 +46,6 @@
 	return p.response(c, req, resp, stopWatching)
 }
 
-// errClosed is the error of an exchange in which the backend server closed the connection
-// before the first byte of a response.
-var errClosed = errors.New("the backend server has closed the connection")
-
-// closedError wraps the error of a write, or of a read of the first byte of a response,
-// in errClosed if it shows that the connection is closed.
-func closedError(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		return fmt.Errorf("%w: %w", errClosed, err)
-	}
-	return err
-}
-
 // errorBeforeSend returns the error of a request of which nothing was sent. Its
 // reason is ReasonUnreached only if neither the deadline nor a cancellation ended
 // the request, because those prove nothing about the backend server.
@@ -115,13 +84,10 @@
 	defer fasthttp.ReleaseRequest(out)
 	p.fillRequest(out, req)
 	if err := out.Write(c.writer); err != nil {
-		return nil, fmt.Errorf("write request: %w", closedError(err))
+		return nil, fmt.Errorf("write request: %w", err)
 	}
 	if err := c.writer.Flush(); err != nil {
-		return nil, fmt.Errorf("write request: %w", closedError(err))
-	}
-	if _, err := c.reader.Peek(1); err != nil {
-		return nil, fmt.Errorf("read response: %w", closedError(err))
+		return nil, fmt.Errorf("write request: %w", err)
 	}
 	for range maxMismatchedResponses {
 		resp, err := p.readResponse(c, req)
