btpeer: a response that is late is not truncated

A caller got 502 truncated-response in place of 504 when the deadline passed while the body was on its way: any error of the stream counted as truncated. The reason is now deadline or canceled where the request's context ended, as for requests without a response; the verdict stays ran.

TestLateBodyIsNotTruncated failed before with truncated-response.

--- a/btpeer/body.go
+++ b/btpeer/body.go
@@ -102,9 +102,10 @@
 
 // responseBody reads the body of a forwarded response from the frames of its
 // stream. It returns io.EOF only after a frame with Last set; a stream that ends
-// earlier is an error.
+// earlier is an error. Its reason is deadline, canceled or otherwise truncated-response.
 type responseBody struct {
 	stream *Stream[ResponseFrame, RequestFrame]
+	lost   func(err error) *baobabtide.RequestError // returns the error of a stream that ended early
 	part   []byte
 	last   bool
 	end    func() // ends the call, may be called more than once
@@ -118,7 +119,12 @@
 		}
 		frame, err := b.stream.Recv()
 		if err != nil {
-			return 0, &baobabtide.RequestError{Verdict: baobabtide.Ran, Reason: baobabtide.ReasonTruncated, Err: unexpectedEOF(err)}
+			re := b.lost(unexpectedEOF(err))
+			re.Verdict = baobabtide.Ran
+			if re.Reason == baobabtide.ReasonLost {
+				re.Reason = baobabtide.ReasonTruncated
+			}
+			return 0, re
 		}
 		b.part, b.last = frame.Body, frame.Last
 	}
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -51,11 +51,12 @@
 	} else {
 		go sendBody(stream, raw, req.Body, c.Pacer, end)
 	}
-	resp, err := receiveResponse(stream, end)
+	lost := func(err error) *baobabtide.RequestError { return lostError(ctx, req.Deadline, err) }
+	resp, err := receiveResponse(stream, lost, end)
 	if err != nil {
 		re := baobabtide.AsRequestError(err)
 		if re.Verdict == baobabtide.MayHaveRun {
-			re = lostError(ctx, req.Deadline, err)
+			re = lost(err)
 		}
 		end()
 		return nil, re
@@ -171,10 +172,10 @@
 	}
 }
 
-// receiveResponse receives the first frame and returns the response, whose body
-// reads the following frames and calls cancel when it is closed. A refusal is
-// returned as *baobabtide.RequestError.
-func receiveResponse(stream *Stream[ResponseFrame, RequestFrame], cancel func()) (*baobabtide.Response, error) {
+// receiveResponse receives the first frame and returns the response, whose body reads
+// the following frames, returns the error of lost if they end early and calls cancel when
+// it is closed. A refusal is returned as *baobabtide.RequestError.
+func receiveResponse(stream *Stream[ResponseFrame, RequestFrame], lost func(error) *baobabtide.RequestError, cancel func()) (*baobabtide.Response, error) {
 	frame, err := stream.Recv()
 	if err != nil {
 		return nil, unexpectedEOF(err)
@@ -198,7 +199,7 @@
 	return &baobabtide.Response{
 		Status:  frame.Head.Status,
 		Header:  frame.Head.Header,
-		Body:    &responseBody{stream: stream, part: frame.Body, last: frame.Last, end: cancel},
+		Body:    &responseBody{stream: stream, lost: lost, part: frame.Body, last: frame.Last, end: cancel},
 		Length:  frame.Head.Length,
 		Version: frame.Head.Version,
 		Load:    frame.Head.Load,
--- a/btpeer/slowlink_test.go
+++ b/btpeer/slowlink_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btfixture"
@@ -195,3 +196,25 @@
 		}
 	})
 }
+
+// A body that a full link has not delivered by the deadline is late, not truncated.
+func TestLateBodyIsNotTruncated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, echoNode(), nil)
+		n.serverLink.rate = 2 * linkWindow
+		req := request("", time.Second)
+		ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+		defer cancel()
+		resp, err := c.Forward(ctx, testTarget, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		want := &baobabtide.RequestError{Verdict: baobabtide.Ran, Reason: baobabtide.ReasonDeadline}
+		got := baobabtide.AsRequestError(err)
+		if diff := cmp.Diff(want, got, cmpopts.IgnoreFields(baobabtide.RequestError{}, "Err")); diff != "" {
+			t.Errorf("error (-want +got):\n%s", diff)
+		}
+	})
+}
