btpeer: TestTruncatedRequestBody doesn't wait for a call that never arrived

The body failed at once, the call was canceled before its first frame had arrived, and the handler for which the test waits was never called. The body now fails only once the request is being served. What is checked is the same.

--- a/btpeer/peer_test.go
+++ b/btpeer/peer_test.go
@@ -193,20 +193,35 @@
 	}
 }
 
-// failingBody is a request body whose Read fails before the end.
-type failingBody struct{ btfixture.TruncatedBody }
+// failingBody is a request body whose Read fails before the end, but not before the
+// request is being served: the call is canceled then, and a call that is canceled at once
+// may never reach the server.
+type failingBody struct {
+	io.Reader
+	serving chan struct{}
+}
+
+func (b failingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		<-b.serving
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
 
 func (failingBody) Rewind() bool { return false }
 
 func TestTruncatedRequestBody(t *testing.T) {
-	read := make(chan error, 1)
+	read, serving := make(chan error, 1), make(chan struct{})
 	node := &fakeNode{admit: func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		close(serving)
 		_, err := io.Copy(io.Discard, req.Body)
 		read <- err
 		return nil, err
 	}}
 	req := request("", 5*time.Second)
-	req.Body, req.BodyLength = failingBody{TruncatedBody: btfixture.TruncatedBody{Reader: strings.NewReader(strings.Repeat("x", 3*maxBodyPart))}}, -1
+	req.Body, req.BodyLength = failingBody{strings.NewReader(strings.Repeat("x", 3*maxBodyPart)), serving}, -1
 	_, _ = client(t).Forward(context.Background(), baobabtide.TargetRef{Address: serve(t, node)}, req)
 	if err := <-read; err == nil {
 		t.Error("a truncated body was read without an error")
