--- a/btpeer/pacer_test.go
+++ b/btpeer/pacer_test.go
@@ -148,3 +148,43 @@
 		}
 	})
 }
+
+// Frames whose requests have ended don't delay those behind them.
+func TestCanceledFramesLeavePacer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPacer(linkMegabits)
+		ctx, cancel := context.WithCancel(context.Background())
+		for range 60 {
+			go func() { _ = p.wait(ctx, maxBodyPart) }()
+		}
+		synctest.Wait()
+		cancel()
+		began := time.Now()
+		if err := p.wait(context.Background(), maxBodyPart); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("a frame waited %s", took)
+		}
+	})
+}
+
+// Small frames delay a body by a bounded time, however many they are.
+func TestSmallFramesDelayBodiesLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPacer(linkMegabits)
+		for range 2000 {
+			if err := p.wait(context.Background(), maxUnpaced); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(maxUnpaced * time.Second / (linkRate * 95 / 100))
+		}
+		began := time.Now()
+		if err := p.wait(context.Background(), maxBodyPart); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 150*time.Millisecond {
+			t.Errorf("a body waited %s", took)
+		}
+	})
+}
