btpeer: a request that ends before it is sent says why

Found by review: one that was canceled or met its deadline while it waited for the Pacer, or for a stream, was reported as connection-lost. That counts as a failure of the target and makes the node avoided, though only the node's own link was full. The verdict stays not-run, the reason is now deadline or canceled.

TestRequestEndsInPacer failed before in both cases (connection-lost).

--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -20,7 +20,7 @@
 	conn, untrack, err := c.track(target.Address, cancel)
 	if err != nil {
 		cancel(err)
-		return nil, notSentError(err)
+		return nil, baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
 	}
 	end := func() {
 		untrack()
@@ -28,8 +28,9 @@
 	}
 	raw, err := open(ctx, conn, cancel)
 	if err != nil {
+		re := notSentError(ctx, req.Deadline, err)
 		end()
-		return nil, notSentError(err)
+		return nil, re
 	}
 	stream := &Stream[ResponseFrame, RequestFrame]{raw: raw}
 	first, err := firstFrame(target, req)
@@ -38,8 +39,9 @@
 		return nil, baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, err)
 	}
 	if err := c.Pacer.wait(ctx, len(first.Body)); err != nil {
+		re := notSentError(ctx, req.Deadline, err)
 		end()
-		return nil, notSentError(err)
+		return nil, re
 	}
 	first.Head.setTimes(req)
 	if err := stream.Send(first); err != nil && !errors.Is(err, io.EOF) {
@@ -79,9 +81,19 @@
 	return raw, nil
 }
 
-// notSentError returns the error of a request of which nothing was sent.
-func notSentError(err error) *baobabtide.RequestError {
-	return baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
+// notSentError returns the error of a request of which nothing was sent. Its reason is
+// deadline or canceled if the request's context ended, otherwise connection-lost.
+func notSentError(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
+	re := baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil, errors.Is(cause, errUnresponsive):
+	case errors.Is(cause, context.DeadlineExceeded), !time.Now().Before(deadline):
+		re.Reason = baobabtide.ReasonDeadline
+	default:
+		re.Reason = baobabtide.ReasonCanceled
+	}
+	return re
 }
 
 // lostError returns the error of a request that was sent and got no response. Its
--- a/btpeer/pacer_test.go
+++ b/btpeer/pacer_test.go
@@ -188,3 +188,29 @@
 		}
 	})
 }
+
+// A request that ends before it was sent says why; nothing is held against its target.
+func TestRequestEndsInPacer(t *testing.T) {
+	tests := map[error]baobabtide.Reason{
+		context.DeadlineExceeded: baobabtide.ReasonDeadline,
+		context.Canceled:         baobabtide.ReasonCanceled,
+	}
+	for cause, want := range tests {
+		t.Run(string(want), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, c := newTestNetwork(t, workingNode(time.Millisecond), nil)
+				c.Pacer = NewPacer(linkMegabits)
+				for range 30 {
+					_ = c.Pacer.limiter.ReserveN(time.Now(), maxBodyPart)
+				}
+				ctx, cancel := context.WithCancelCause(context.Background())
+				time.AfterFunc(100*time.Millisecond, func() { cancel(cause) })
+				_, err := c.Forward(ctx, testTarget, request(strings.Repeat("x", 2*maxUnpaced), 3*time.Second))
+				got := baobabtide.AsRequestError(err)
+				if got.Reason != want || got.Verdict != baobabtide.NotRun {
+					t.Errorf("%v, want %s, not run", got, want)
+				}
+			})
+		})
+	}
+}
