btpeer, btnode: share a suspect connection again when data arrives on it

Found by review: a connection that was suspect once was never shared again. Data on a suspect connection now makes it shared again, unless another one has been established. TestRequestsPassSlowLink failed before.

The comment of sharedConn no longer calls silence a proof.

--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -7,11 +7,13 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -38,6 +40,8 @@
 	Unresponsive func(UnresponsiveConn)
 	// Pacer delays the bodies of requests. It must be set before the first call.
 	Pacer *Pacer
+	// Suspects counts the times that a shared connection became suspect.
+	Suspects atomic.Int64
 
 	credentials credentials.TransportCredentials
 	bytes       *ByteCounter
@@ -47,6 +51,7 @@
 
 	mu          sync.Mutex
 	sharedConns map[string]*sharedConn // by address
+	closed      bool                   // no connection is shared any more
 }
 
 // NewClient returns a client and a function that closes its shared connections. A
@@ -70,6 +75,7 @@
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, s := range c.sharedConns {
 		_ = s.conn.Close()
 		delete(c.sharedConns, address)
@@ -179,6 +185,24 @@
 	}
 }
 
+// shareAgain makes new calls use a connection that was suspect, unless another one has
+// been established in its place.
+func (c *Client) shareAgain(s *sharedConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	other := c.sharedConns[s.address]
+	if c.closed || (other != nil && other.conn.GetState() == connectivity.Ready) {
+		return
+	}
+	c.sharedConns[s.address] = s
+	s.mu.Lock()
+	s.suspect = false
+	s.mu.Unlock()
+	if other != nil {
+		other.retire()
+	}
+}
+
 // ping returns nil once the node at an address has responded to a ping on its shared
 // connection.
 func (c *Client) ping(ctx context.Context, address string) error {
@@ -222,23 +246,28 @@
 	return out, nil
 }
 
-// Info returns the status of the node at an address.
-func (c *Client) Info(ctx context.Context, address string) (*Info, error) {
-	conn, err := c.conn(address)
+// callShared makes a unary call on the shared connection to an address, which stays open
+// until the call has ended.
+func callShared[In, Out any](ctx context.Context, c *Client, address, method string, in *In) (*Out, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	conn, untrack, err := c.track(address, cancel)
 	if err != nil {
 		return nil, err
 	}
-	return call[InfoRequest, Info](ctx, conn, infoMethod, &InfoRequest{})
+	defer untrack()
+	return call[In, Out](ctx, conn, method, in)
+}
+
+// Info returns the status of the node at an address.
+func (c *Client) Info(ctx context.Context, address string) (*Info, error) {
+	return callShared[InfoRequest, Info](ctx, c, address, infoMethod, &InfoRequest{})
 }
 
 // Drain tells the node at an address to drain its requests and stop, for the
 // given reason. It returns once the node admits no new requests.
 func (c *Client) Drain(ctx context.Context, address, reason string) (*DrainResponse, error) {
-	conn, err := c.conn(address)
-	if err != nil {
-		return nil, err
-	}
-	return call[DrainRequest, DrainResponse](ctx, conn, drainMethod, &DrainRequest{Reason: reason})
+	return callShared[DrainRequest, DrainResponse](ctx, c, address, drainMethod, &DrainRequest{Reason: reason})
 }
 
 // Reserve stores the record of an idempotency key on the node at an address, before
@@ -246,11 +275,7 @@
 // stored under the key. If there is none, the state of the returned record is KeyFree,
 // or KeyInDoubt if the node can store no more keys.
 func (c *Client) Reserve(ctx context.Context, address string, key baobabtide.KeyRecord) (baobabtide.KeyRecord, error) {
-	conn, err := c.conn(address)
-	if err != nil {
-		return baobabtide.KeyRecord{}, err
-	}
-	stored, err := call[baobabtide.KeyRecord, baobabtide.KeyRecord](ctx, conn, reserveMethod, &key)
+	stored, err := callShared[baobabtide.KeyRecord, baobabtide.KeyRecord](ctx, c, address, reserveMethod, &key)
 	if err != nil {
 		return baobabtide.KeyRecord{}, err
 	}
@@ -259,11 +284,7 @@
 
 // Resolve reports to the node at an address how the attempt with a reserved key ended.
 func (c *Client) Resolve(ctx context.Context, address string, key baobabtide.KeyRecord) error {
-	conn, err := c.conn(address)
-	if err != nil {
-		return err
-	}
-	_, err = call[baobabtide.KeyRecord, ResolveResponse](ctx, conn, resolveMethod, &key)
+	_, err := callShared[baobabtide.KeyRecord, ResolveResponse](ctx, c, address, resolveMethod, &key)
 	return err
 }
 
--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -39,9 +39,12 @@
 // carrying data for good without an error.
 //
 // A missing response to a ping makes the connection suspect: new requests open another
-// one. It does not end the requests in flight, because on a full link a ping waits behind
-// other data for longer than any useful timeout. They are given up once the node has
-// responded on a new connection while this one stayed silent, or after silenceLimit.
+// one, until data arrives on this one. It does not end the requests in flight, because on
+// a full link a ping waits behind other data for longer than any useful timeout. They are
+// given up once the node has responded on a new connection while this one stayed silent,
+// or when nothing has shown for silenceLimit that the node is alive. Neither is a proof:
+// lost packets can delay one connection for longer than silentGrace, and a link can delay
+// all of them for longer than silenceLimit.
 type sharedConn struct {
 	client   *Client
 	address  string
@@ -162,11 +165,22 @@
 // stopSharing makes the connection suspect, so that new requests open another one.
 func (s *sharedConn) stopSharing() {
 	s.client.removeSharedConn(s)
+	s.client.Suspects.Add(1)
 	s.mu.Lock()
 	s.suspect = true
 	s.mu.Unlock()
 }
 
+// retire makes a connection that is no longer shared close when its last request ends.
+func (s *sharedConn) retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspect = true
+	if !s.probing {
+		_ = s.conn.Close()
+	}
+}
+
 // awaitData waits until data arrives on a suspect connection or its last request ends,
 // but not beyond silenceLimit, and not for longer than silentGrace after the node has
 // responded on a new connection. It returns whether the node responded there, and whether
@@ -194,7 +208,10 @@
 			return reachable, s.lastRead.After(suspectAt)
 		}
 		switch {
-		case s.lastRead.After(suspectAt), s.unused():
+		case s.lastRead.After(suspectAt):
+			s.client.shareAgain(s)
+			return reachable, true
+		case s.unused():
 			return reachable, true
 		case s.newestSilence() >= s.client.silenceLimit:
 			return reachable, false
