btnode: slow status calls and a slow log don't make neighbors seem silent

Calls that collect the status of all nodes for an operator (up to 2 s each) and proposals of rollout starts and outcomes (up to four reads and appends of 2 s each) occupied the workers that handle gossip. With 64 slow nodes or rollouts no heartbeat was handled meanwhile, and edges were closed as silent; proposals also held up the tick that detects failures.

Change: these calls have goroutines of their own, at most 64 for a status.

TestSlowStatusDoesNotBlockGossip and TestSlowLogDoesNotBlockGossip failed before: "a message was not handled within 1 s". btnode passes with the race detector.

--- a/btnode/node.go
+++ b/btnode/node.go
@@ -1,10 +1,11 @@
 // Package btnode assembles a node: it connects the packages that make decisions
 // with those that do I/O.
 //
-// A fixed pool of workers handles incoming gossip messages and background calls.
-// The shared tables each have their own lock. Lock order: members before edges
-// before rollouts. The configuration store and the registry lock internally and
-// call no other component while they hold their lock.
+// A fixed pool of workers handles incoming gossip messages. Background calls have
+// goroutines of their own, because a slow one must not delay gossip. The shared tables
+// each have their own lock. Lock order: members before edges before rollouts. The
+// configuration store and the registry lock internally and call no other component while
+// they hold their lock.
 package btnode
 
 import (
--- a/btnode/operator.go
+++ b/btnode/operator.go
@@ -20,6 +20,7 @@
 const (
 	publishTimeout = 10 * time.Second // limit for appending a record and waiting until this node has applied it
 	infoTimeout    = 2 * time.Second  // limit for collecting the status of all nodes
+	maxStatusCalls = 64               // calls to other nodes at a time that collect it
 )
 
 // operators implements btoperator.Node. It wraps the node because Drain has a
@@ -169,11 +170,12 @@
 	ctx, cancel := context.WithTimeout(ctx, infoTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
+	calls := make(chan struct{}, maxStatusCalls)
 	for i := range members {
-		wg.Add(1)
-		n.submit(func() {
-			defer wg.Done()
+		calls <- struct{}{}
+		wg.Go(func() { // not a worker: slow nodes would keep this one from handling gossip
 			statuses[i] = n.nodeStatus(ctx, &members[i])
+			<-calls
 		})
 	}
 	wg.Wait()
--- a/btnode/partner_test.go
+++ b/btnode/partner_test.go
@@ -11,11 +11,13 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btroute"
 )
 
-// slowPartner is a node that stores keys only after release is closed.
+// slowPartner is a node that stores keys and reports its status only after release is
+// closed.
 type slowPartner struct {
 	btpeer.Node
 	release chan struct{}
@@ -28,6 +30,11 @@
 
 func (p slowPartner) ResolveKey(baobabtide.KeyRecord) { <-p.release }
 
+func (p slowPartner) Info() btpeer.Info {
+	<-p.release
+	return btpeer.Info{}
+}
+
 // nodeWithPartner returns a node whose partner of every key is a slowPartner, a function
 // that stops the node, and the partner's release.
 func nodeWithPartner(t *testing.T) (*Node, func(), chan struct{}) {
@@ -105,3 +112,24 @@
 	close(release)
 	<-stopped
 }
+
+// Nodes that are slow to report their status don't keep a node from handling gossip.
+func TestSlowStatusDoesNotBlockGossip(t *testing.T) {
+	n, stop, release := nodeWithPartner(t)
+	defer stop()
+	defer close(release)
+	members := btfixture.Members(2*workerCount, 1, 1, "v1")
+	for i := range members {
+		members[i].PeerAddress = keyPartner{n}.address(keyedRequest())
+	}
+	n.members.table.Merge(btmember.Delta{Members: members}, time.Now())
+	go n.nodeStatuses(context.Background())
+	time.Sleep(100 * time.Millisecond) // until all calls wait; too short a wait can only hide the fault
+	handled := make(chan struct{})
+	go n.submit(func() { close(handled) })
+	select {
+	case <-handled:
+	case <-time.After(time.Second):
+		t.Error("a message was not handled within 1 s")
+	}
+}
--- a/btnode/proposals.go
+++ b/btnode/proposals.go
@@ -22,7 +22,7 @@
 	if !n.proposalDue(&rollout, now, lastStartProposal) {
 		return
 	}
-	n.submit(func() {
+	n.wg.Go(func() { // not a worker: a slow log would keep the node from handling gossip
 		if err := n.recordStart(&rollout); err != nil {
 			n.log.Warn().Str("event", string(btlog.OutcomeAppend)).Uint64("rollout", uint64(rollout.Offset)).Err(err).Send()
 		}
@@ -65,7 +65,7 @@
 			Evidence: n.rollouts.evidence(rollout),
 		},
 	}
-	n.submit(func() {
+	n.wg.Go(func() { // not a worker: a slow log would keep the node from handling gossip
 		var err error
 		if n.adapters.Outcomes != nil {
 			err = n.recordOutcome(record.Outcome)
--- a/btnode/rollouts_test.go
+++ b/btnode/rollouts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
@@ -173,3 +174,29 @@
 		}
 	}
 }
+
+// stuckOutcomes is an OutcomeLog whose reads last until their context ends.
+type stuckOutcomes struct{ fakeOutcomes }
+
+func (*stuckOutcomes) Outcomes(ctx context.Context) (baobabtide.Outcomes, error) {
+	<-ctx.Done()
+	return baobabtide.Outcomes{}, ctx.Err()
+}
+
+// Rollouts whose starts wait for the log don't keep a node from handling gossip.
+func TestSlowLogDoesNotBlockGossip(t *testing.T) {
+	n := idleNode(t, zerolog.Nop())
+	n.adapters.Outcomes = &stuckOutcomes{}
+	handled := make(chan struct{})
+	go func() {
+		for i := range baobabtide.Offset(2 * workerCount) {
+			n.proposeStart(baobabtide.Rollout{Offset: i + 1, Customer: "c", Service: "s"}, time.Now())
+		}
+		n.submit(func() { close(handled) })
+	}()
+	select {
+	case <-handled:
+	case <-time.After(time.Second):
+		t.Error("a message was not handled within 1 s")
+	}
+}
