btnode: a drain of a node that doesn't answer is uncertain

An operator who drained another node got "unavailable", which means that the call had no effect, if the response was lost or late, as over a full link. The node could be draining by then.

Change: only a refused connection is reported as unavailable, everything else as uncertain. Repeating a drain does no harm.

TestDrainOfSilentNode failed before: "unavailable" in place of "uncertain". btnode passes with the race detector.

--- a/btnode/operator.go
+++ b/btnode/operator.go
@@ -238,9 +238,12 @@
 		return result, nil
 	}
 	resp, err := n.peers.Drain(ctx, m.PeerAddress, req.Reason)
-	if err != nil {
+	if btpeer.IsConnRefused(err) {
 		return nil, &btoperator.Error{Code: btoperator.CodeUnavailable, Err: err}
 	}
+	if err != nil {
+		return nil, &btoperator.Error{Code: btoperator.CodeUncertain, Err: err}
+	}
 	result.InFlight = resp.InFlight
 	return result, nil
 }
--- a/btnode/partner_test.go
+++ b/btnode/partner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -12,12 +13,12 @@
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btfixture"
 	"github.com/baobabtide/baobabtide/btmember"
+	"github.com/baobabtide/baobabtide/btoperator"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btroute"
 )
 
-// slowPartner is a node that stores keys and reports its status only after release is
-// closed.
+// slowPartner is a node that handles calls only after release is closed.
 type slowPartner struct {
 	btpeer.Node
 	release chan struct{}
@@ -30,6 +31,11 @@
 
 func (p slowPartner) ResolveKey(baobabtide.KeyRecord) { <-p.release }
 
+func (p slowPartner) Drain(string) int {
+	<-p.release
+	return 0
+}
+
 func (p slowPartner) Info() btpeer.Info {
 	<-p.release
 	return btpeer.Info{}
@@ -133,3 +139,32 @@
 		t.Error("a message was not handled within 1 s")
 	}
 }
+
+// An operator's drain of a node that doesn't answer may have begun; one of a node that
+// refuses the connection has not.
+func TestDrainOfSilentNode(t *testing.T) {
+	n, stop, release := nodeWithPartner(t)
+	defer stop()
+	defer close(release)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	members := btfixture.Members(2, 1, 1, "v1")
+	members[0].PeerAddress = keyPartner{n}.address(keyedRequest())
+	members[1].PeerAddress = closed.Addr().String()
+	n.members.table.Merge(btmember.Delta{Members: members}, time.Now())
+	for i, want := range []btoperator.ErrorCode{btoperator.CodeUncertain, btoperator.CodeUnavailable} {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		_, err := operators{n}.Drain(ctx, &btoperator.DrainRequest{Node: members[i].Name})
+		cancel()
+		var got *btoperator.Error
+		if !errors.As(err, &got) {
+			t.Fatalf("error %v", err)
+		}
+		if diff := cmp.Diff(want, got.Code); diff != "" {
+			t.Errorf("%s: code (-want +got):\n%s", members[i].Name, diff)
+		}
+	}
+}
