btrelay: rules apply to a connection that is being connected

A Cut or Freeze rule that was set in between missed it for good. Change: a connection is registered when it is accepted; one that has been closed meanwhile ends once it is connected.

--- a/baobabtide-standin/btrelay/relay.go
+++ b/baobabtide-standin/btrelay/relay.go
@@ -63,12 +63,17 @@
 type pipe struct {
 	from, to netip.Addr
 	client   net.Conn
-	server   net.Conn
-	frozen   bool // drops all data, after a Freeze rule
+	server   net.Conn      // nil until it is connected; the relay's lock protects it until then
+	closed   chan struct{} // closed by close
+	frozen   bool          // drops all data, after a Freeze rule
+
+	closeOnce sync.Once
 }
 
 // Relay forwards connections. All methods are safe for concurrent use.
 type Relay struct {
+	dial func(network, address string) (net.Conn, error)
+
 	mu        sync.Mutex
 	rules     []Rule
 	changed   chan struct{} // closed and replaced when the rules change
@@ -78,7 +83,7 @@
 
 // New returns a relay and a function that stops it.
 func New() (*Relay, func()) {
-	r := &Relay{pipes: make(map[*pipe]struct{}), changed: make(chan struct{})}
+	r := &Relay{dial: net.Dial, pipes: make(map[*pipe]struct{}), changed: make(chan struct{})}
 	return r, r.stop
 }
 
@@ -93,9 +98,16 @@
 	}
 }
 
+// close closes both connections of the pipe. The caller holds the relay's lock or is a
+// goroutine that copies the pipe's data.
 func (p *pipe) close() {
-	_ = p.client.Close()
-	_ = p.server.Close()
+	p.closeOnce.Do(func() {
+		close(p.closed)
+		_ = p.client.Close()
+		if p.server != nil {
+			_ = p.server.Close()
+		}
+	})
 }
 
 // Open starts to listen on link.Listen and to forward connections to link.Target. It
@@ -166,33 +178,54 @@
 		_ = client.Close()
 		return
 	}
-	p := &pipe{from: ipOf(client.RemoteAddr()), to: to.Addr(), client: client}
+	p := &pipe{from: ipOf(client.RemoteAddr()), to: to.Addr(), client: client, closed: make(chan struct{})}
 	if from, err := netip.ParseAddr(link.From); err == nil {
 		p.from = from
 	}
-	r.mu.Lock()
-	mode, _ := r.mode(p.from, p.to)
-	r.mu.Unlock()
-	if mode == Cut {
-		_ = client.Close()
+	defer r.remove(p)
+	if !r.add(p) {
 		return
 	}
-	p.server, err = net.Dial("tcp", link.Target)
-	if err != nil {
-		_ = client.Close()
+	server, err := r.dial("tcp", link.Target)
+	if err != nil || !r.connect(p, server) {
 		return
 	}
-	r.mu.Lock()
-	r.pipes[p] = struct{}{}
-	r.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { r.copy(p, p.server, p.client) })
 	wg.Go(func() { r.copy(p, p.client, p.server) })
 	wg.Wait()
-	p.close()
+}
+
+// add registers a pipe before it is connected, so that rules that are set meanwhile apply
+// to it. It returns false if a Cut rule matches.
+func (r *Relay) add(p *pipe) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pipes[p] = struct{}{}
+	mode, _ := r.mode(p.from, p.to)
+	return mode != Cut
+}
+
+// connect sets the pipe's connection to the target. It returns false, and closes that
+// connection, if the pipe has been closed meanwhile.
+func (r *Relay) connect(p *pipe, server net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-p.closed:
+		_ = server.Close()
+		return false
+	default:
+		p.server = server
+		return true
+	}
+}
+
+func (r *Relay) remove(p *pipe) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.close()
 	delete(r.pipes, p)
-	r.mu.Unlock()
 }
 
 const copyBufferSize = 16 << 10
