btrelay: rules that limit a machine's link and that hold one direction

Cause: the rig could not show what a full link does. Delay delays each connection by itself and Stall stops both directions. Change: Limit sends all data of an address range through one unbounded first-in first-out queue at a rate, whichever side opened the connection; Hold keeps back one direction. A stream has a goroutine that reads into a backlog and one that delivers. Queues reports bytes and the longest wait.

--- a/baobabtide-standin/btrelay/relay.go
+++ b/baobabtide-standin/btrelay/relay.go
@@ -1,11 +1,9 @@
-// Package btrelay implements a TCP relay that simulates network faults: it
-// forwards connections, and cuts, freezes, stalls or delays them by rules.
+// Package btrelay implements a TCP relay that simulates network faults: it forwards
+// connections, and cuts, freezes, stalls, delays or limits them by rules.
 package btrelay
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -24,12 +22,16 @@
 // Mode is the fault that a rule applies to a connection.
 type Mode string
 
-// Modes of a rule.
+// Modes of a rule. The last two apply to data that addresses in From send to addresses in
+// To, whichever side opened the connection; the others apply to both directions of the
+// connections that were opened from From to To.
 const (
 	Cut    Mode = "Cut"    // open connections are closed, new ones are closed once accepted
 	Freeze Mode = "Freeze" // open connections deliver no more data, also after the rule ends, new ones work
 	Stall  Mode = "Stall"  // all connections hold data back until the rule ends
 	Delay  Mode = "Delay"  // data is forwarded with a delay
+	Hold   Mode = "Hold"   // data is held back until the rule ends
+	Limit  Mode = "Limit"  // data of all connections passes one unbounded queue at Rate
 )
 
 // Rule applies a mode to the connections from one range of addresses to another.
@@ -39,8 +41,12 @@
 	To    netip.Prefix
 	Mode  Mode
 	Delay time.Duration `json:",omitempty"`
+	Rate  int           `json:",omitempty"` // bytes per second of Limit
 }
 
+// perDirection reports whether the rule applies to one direction of connections.
+func (r *Rule) perDirection() bool { return r.Mode == Hold || r.Mode == Limit }
+
 // Rules is the list of rules in force. The first one that matches a connection
 // applies.
 type Rules struct {
@@ -51,10 +57,13 @@
 func (r *Rules) Check() error {
 	for i, rule := range r.Rules {
 		switch rule.Mode {
-		case Cut, Freeze, Stall, Delay:
+		case Cut, Freeze, Stall, Delay, Hold, Limit:
 		default:
 			return baobabtide.Fieldf(fmt.Sprintf("Rules[%d].Mode", i), "%q is unknown", rule.Mode)
 		}
+		if rule.Mode == Limit && rule.Rate <= 0 {
+			return baobabtide.Fieldf(fmt.Sprintf("Rules[%d].Rate", i), "%d is not positive", rule.Rate)
+		}
 	}
 	return nil
 }
@@ -72,18 +81,20 @@
 
 // Relay forwards connections. All methods are safe for concurrent use.
 type Relay struct {
-	dial func(network, address string) (net.Conn, error)
+	dial  func(network, address string) (net.Conn, error)
+	clock clock
 
 	mu        sync.Mutex
 	rules     []Rule
-	changed   chan struct{} // closed and replaced when the rules change
+	queues    map[Rule]*queue // of the Limit rules
+	changed   chan struct{}   // closed and replaced when the rules change
 	pipes     map[*pipe]struct{}
 	listeners []net.Listener
 }
 
 // New returns a relay and a function that stops it.
 func New() (*Relay, func()) {
-	r := &Relay{dial: net.Dial, pipes: make(map[*pipe]struct{}), changed: make(chan struct{})}
+	r := &Relay{dial: net.Dial, clock: systemClock{}, pipes: make(map[*pipe]struct{}), changed: make(chan struct{})}
 	return r, r.stop
 }
 
@@ -133,15 +144,26 @@
 }
 
 // SetRules replaces the rules. It closes the open connections that a Cut rule
-// matches, and marks those that a Freeze rule matches as frozen for good.
+// matches, and marks those that a Freeze rule matches as frozen for good. A Limit rule that
+// was in force before keeps its queue.
 func (r *Relay) SetRules(rules []Rule) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rules = rules
+	queues := make(map[Rule]*queue)
+	for _, rule := range rules {
+		if rule.Mode != Limit {
+			continue
+		}
+		queues[rule] = r.queues[rule]
+		if queues[rule] == nil {
+			queues[rule] = &queue{rate: rule.Rate}
+		}
+	}
+	r.rules, r.queues = rules, queues
 	close(r.changed)
 	r.changed = make(chan struct{})
 	for p := range r.pipes {
-		switch mode, _ := r.mode(p.from, p.to); mode {
+		switch r.rule(p, p.from, p.to).Mode {
 		case Cut:
 			p.close()
 		case Freeze:
@@ -150,15 +172,45 @@
 	}
 }
 
-// mode returns the mode and delay of the first rule that matches a connection, or
-// an empty mode. The caller holds the lock.
-func (r *Relay) mode(from, to netip.Addr) (Mode, time.Duration) {
+// rule returns the first rule that matches the data that a pipe carries from a sender to
+// a receiver, or a rule with an empty mode. The caller holds the lock.
+func (r *Relay) rule(p *pipe, sender, receiver netip.Addr) Rule {
 	for _, rule := range r.rules {
+		from, to := p.from, p.to
+		if rule.perDirection() {
+			from, to = sender, receiver
+		}
 		if rule.From.Contains(from) && rule.To.Contains(to) {
-			return rule.Mode, rule.Delay
+			return rule
+		}
+	}
+	return Rule{}
+}
+
+// QueueReport describes the use of a Limit rule's queue.
+type QueueReport struct {
+	Rule    Rule
+	Bytes   int64         // accepted since the rule came into force
+	MaxWait time.Duration // longest time that data spent in the queue
+}
+
+// QueueReports is the list of reports on the queues of a relay.
+type QueueReports struct {
+	Queues []QueueReport
+}
+
+// Queues returns a report on the queue of each Limit rule in force, in the order of the
+// rules.
+func (r *Relay) Queues() []QueueReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var reports []QueueReport
+	for _, rule := range r.rules {
+		if q := r.queues[rule]; q != nil {
+			reports = append(reports, QueueReport{Rule: rule, Bytes: q.bytes, MaxWait: q.maxWait})
 		}
 	}
-	return "", 0
+	return reports
 }
 
 // ipOf returns the IP address of a network address, without a port. It returns the zero
@@ -191,8 +243,8 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { r.copy(p, p.server, p.client) })
-	wg.Go(func() { r.copy(p, p.client, p.server) })
+	wg.Go(func() { r.copy(newStream(p, p.from, p.to, p.client, p.server)) })
+	wg.Go(func() { r.copy(newStream(p, p.to, p.from, p.server, p.client)) })
 	wg.Wait()
 }
 
@@ -202,8 +254,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pipes[p] = struct{}{}
-	mode, _ := r.mode(p.from, p.to)
-	return mode != Cut
+	return r.rule(p, p.from, p.to).Mode != Cut
 }
 
 // connect sets the pipe's connection to the target. It returns false, and closes that
@@ -227,52 +278,3 @@
 	p.close()
 	delete(r.pipes, p)
 }
-
-const copyBufferSize = 16 << 10
-
-// copy forwards data in one direction, and then the end of the stream, until the
-// connection ends.
-func (r *Relay) copy(p *pipe, dst, src net.Conn) {
-	buf := make([]byte, copyBufferSize)
-	for {
-		n, err := src.Read(buf)
-		if n > 0 && r.applyRules(p) {
-			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
-				break
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			r.applyRules(p)
-			if c, ok := dst.(*net.TCPConn); ok {
-				_ = c.CloseWrite()
-			}
-			return
-		}
-		if err != nil {
-			break
-		}
-	}
-	p.close()
-}
-
-// applyRules blocks as long as the rules hold back or delay the connection's data.
-// It returns false if the data must be dropped.
-func (r *Relay) applyRules(p *pipe) bool {
-	for {
-		r.mu.Lock()
-		mode, delay := r.mode(p.from, p.to)
-		frozen, changed := p.frozen, r.changed
-		r.mu.Unlock()
-		switch {
-		case frozen:
-			return false
-		case mode == Stall:
-			<-changed
-		case mode == Delay:
-			time.Sleep(delay)
-			return true
-		default:
-			return true
-		}
-	}
-}
--- a/baobabtide-standin/relay.go
+++ b/baobabtide-standin/relay.go
@@ -15,14 +15,14 @@
 
 // relayFile is the input file of the relay command.
 type relayFile struct {
-	Control string // host:port of the control interface, which accepts btrelay.Rules as a request body
+	Control string // host:port of the control interface: a POST sets btrelay.Rules, a GET returns btrelay.QueueReports
 	Links   []btrelay.Link
 }
 
 func init() {
 	register(&cobra.Command{
 		Use:   "relay FILE",
-		Short: "Run a TCP relay that cuts, freezes, stalls and delays connections",
+		Short: "Run a TCP relay that cuts, freezes, stalls, delays or limits connections",
 		Args:  cobra.ExactArgs(1),
 		RunE:  func(_ *cobra.Command, args []string) error { return runRelay(args[0]) },
 	})
@@ -51,6 +51,15 @@
 		return fmt.Errorf("listen for control: %w", err)
 	}
 	control := &fasthttp.Server{Logger: btconn.QuietLogger{}, Handler: func(ctx *fasthttp.RequestCtx) {
+		if ctx.IsGet() {
+			data, err := btcodec.EncodeJSON(&btrelay.QueueReports{Queues: relay.Queues()})
+			if err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+				return
+			}
+			ctx.SetBody(data)
+			return
+		}
 		rules, err := btcodec.DecodeJSON[btrelay.Rules](ctx.PostBody())
 		if err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
