btworkload: count the attempts that were given up although a server ran them

Cause: the load's figures did not tell a request whose server was at work from one whose node had died; callers repeat it, so most don't show in the outcomes either. Change: the backend stand-in also records reads, apart from the other runs, and whether a run was canceled. The tally counts may-have-run and failed requests by reason, attempts that ended with connection-lost, and those of them that a server ran to the end or was running. The invariants still compare the same runs.

--- a/baobabtide-load/btworkload/driver.go
+++ b/baobabtide-load/btworkload/driver.go
@@ -119,12 +119,13 @@
 		}
 		time.Sleep(retryDelay)
 	}
-	d.Tally.recordRequest(key, last.outcome, last.version, time.Since(started))
+	d.Tally.recordRequest(key, last, time.Since(started))
 }
 
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	outcome Outcome
+	reason  baobabtide.Reason // of a refusal
 	version string
 }
 
@@ -166,16 +167,17 @@
 	if err := verdict.UnmarshalText(resp.Header.Peek(btcaller.HeaderVerdict)); err != nil {
 		return attemptResult{outcome: NoAnswer}
 	}
-	refused := len(resp.Header.Peek(btcaller.HeaderReason)) > 0
-	d.Tally.recordAttempt(caller, verdict, refused)
+	reason := baobabtide.Reason(resp.Header.Peek(btcaller.HeaderReason))
+	refused := reason != ""
+	d.Tally.recordAttempt(caller, verdict, reason)
 	version := string(resp.Header.Peek(btcaller.HeaderVersion))
 	switch {
 	case refused && verdict == baobabtide.NotRun:
-		return attemptResult{outcome: NotRun}
+		return attemptResult{outcome: NotRun, reason: reason}
 	case refused && verdict == baobabtide.MayHaveRun:
-		return attemptResult{outcome: MayHaveRun}
+		return attemptResult{outcome: MayHaveRun, reason: reason}
 	case resp.StatusCode() != fasthttp.StatusOK:
-		return attemptResult{outcome: Failed, version: version}
+		return attemptResult{outcome: Failed, reason: reason, version: version}
 	}
 	d.checkResponse(r, resp, name)
 	return attemptResult{outcome: Whole, version: version}
--- a/baobabtide-load/btworkload/tally.go
+++ b/baobabtide-load/btworkload/tally.go
@@ -24,7 +24,7 @@
 	Whole                     // complete response of the service
 	NotRun                    // refused, did not run
 	MayHaveRun                // refused, may have run
-	Failed                    // error response of the service
+	Failed                    // ran, and got an error of the service or no response of it
 	outcomeCount
 )
 
@@ -36,10 +36,13 @@
 	outcomes    [outcomeCount]int
 	wrongCaller int
 	truncated   int
-	byVersion   map[string]int          // complete responses
-	keys        map[string]Outcome      // by idempotency key
-	notRun      map[string]bool         // attempts that were refused with not-run, by caller
-	via, direct *hdrhistogram.Histogram // latencies in microseconds, through nodes and of direct requests
+	byVersion   map[string]int     // complete responses
+	keys        map[string]Outcome // by idempotency key
+	notRun      map[string]bool    // attempts that were refused with not-run, by caller
+	givenUp     map[string]bool    // attempts that ended with connection-lost after they were sent, by caller
+	mayHaveRun  map[baobabtide.Reason]int
+	failed      map[baobabtide.Reason]int // the reason is empty for a response of the service
+	via, direct *hdrhistogram.Histogram   // latencies in microseconds, through nodes and of direct requests
 	problems    []string
 }
 
@@ -49,8 +52,12 @@
 		byVersion: make(map[string]int),
 		keys:      make(map[string]Outcome),
 		notRun:    make(map[string]bool),
-		via:       hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits),
-		direct:    hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits),
+		givenUp:   make(map[string]bool),
+
+		mayHaveRun: make(map[baobabtide.Reason]int),
+		failed:     make(map[baobabtide.Reason]int),
+		via:        hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits),
+		direct:     hdrhistogram.New(1, maxLatency.Microseconds(), histogramDigits),
 	}
 }
 
@@ -64,17 +71,23 @@
 
 // recordRequest records the outcome of a request, with an empty key for a request
 // without one. The latency includes all attempts.
-func (t *Tally) recordRequest(key string, outcome Outcome, version string, latency time.Duration) {
+func (t *Tally) recordRequest(key string, last attemptResult, latency time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.requests++
-	t.outcomes[outcome]++
-	if outcome == Whole {
-		t.byVersion[version]++
+	t.outcomes[last.outcome]++
+	switch last.outcome {
+	case MayHaveRun:
+		t.mayHaveRun[last.reason]++
+	case Failed:
+		t.failed[last.reason]++
+	}
+	if last.outcome == Whole {
+		t.byVersion[last.version]++
 		_ = t.via.RecordValue(latency.Microseconds())
 	}
 	if key != "" {
-		t.keys[key] = outcome
+		t.keys[key] = last.outcome
 	}
 }
 
@@ -85,15 +98,18 @@
 	_ = t.direct.RecordValue(latency.Microseconds())
 }
 
-// recordAttempt records an attempt if it was refused with not-run. caller identifies the
-// attempt.
-func (t *Tally) recordAttempt(caller string, verdict baobabtide.Verdict, refused bool) {
-	if !refused || verdict != baobabtide.NotRun {
-		return
-	}
+// recordAttempt records an attempt if it was refused with not-run or given up with
+// connection-lost. caller identifies the attempt; the reason is empty unless it was refused.
+func (t *Tally) recordAttempt(caller string, verdict baobabtide.Verdict, reason baobabtide.Reason) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.notRun[caller] = true
+	switch {
+	case reason == "":
+	case verdict == baobabtide.NotRun:
+		t.notRun[caller] = true
+	case reason == baobabtide.ReasonLost:
+		t.givenUp[caller] = true
+	}
 }
 
 // recordWrongCaller counts a response that belongs to another caller.
@@ -115,26 +131,35 @@
 // Summary holds the counts of a tally and of its comparison with the backend
 // servers' records.
 type Summary struct {
-	Requests    int
-	Whole       int
-	WrongCaller int
-	PassedCut   int // truncated responses that were delivered as complete
-	Doubled     int // keyed requests that ran more than once
-	Lost        int // keyed requests that were answered and did not run
-	FalseNotRun int // attempts that were refused with not-run and did run
-	MayHaveRun  int
-	NotRun      int
-	Failed      int
-	NoAnswer    int
-	ByVersion   map[string]int          // complete responses
-	Via, Direct *hdrhistogram.Histogram // latencies in microseconds, through nodes and of direct requests
-	Problems    []string
+	Requests     int
+	Whole        int
+	WrongCaller  int
+	PassedCut    int // truncated responses that were delivered as complete
+	Doubled      int // keyed requests that ran more than once
+	Lost         int // keyed requests that were answered and did not run
+	FalseNotRun  int // attempts that were refused with not-run and did run
+	MayHaveRun   int
+	Reasons      map[baobabtide.Reason]int // of MayHaveRun
+	GivenUp      int                       // attempts that ended with connection-lost after they were sent
+	GivenUpRun   int                       // those of them that a backend server ran to the end
+	GivenUpCut   int                       // those of them that a backend server was running until they were canceled
+	RunsCanceled int                       // runs that were canceled, also those of attempts within nodes
+	NotRun       int
+	Failed       int
+	FailReasons  map[baobabtide.Reason]int // of Failed, the reason is empty for a response of the service
+	NoAnswer     int
+	ByVersion    map[string]int          // complete responses
+	Via, Direct  *hdrhistogram.Histogram // latencies in microseconds, through nodes and of direct requests
+	Problems     []string
 }
 
 // Execution is a run of a request that a backend server recorded.
 type Execution struct {
 	Key    string // idempotency key, may be empty
 	Caller string // value of btbackendstandin.HeaderCaller, which identifies the attempt
+
+	Read     bool // of a GET or HEAD, which may run any number of times
+	Canceled bool
 }
 
 // Summarize compares the tally with the runs that the backend servers recorded.
@@ -149,8 +174,10 @@
 		WrongCaller: t.wrongCaller,
 		PassedCut:   t.truncated,
 		MayHaveRun:  t.outcomes[MayHaveRun],
+		Reasons:     t.mayHaveRun,
 		NotRun:      t.outcomes[NotRun],
 		Failed:      t.outcomes[Failed],
+		FailReasons: t.failed,
 		NoAnswer:    t.outcomes[NoAnswer],
 		ByVersion:   t.byVersion,
 		Via:         t.via,
@@ -158,7 +185,11 @@
 		Problems:    t.problems,
 	}
 	ran := make(map[string]int)
+	s.countGivenUp(t.givenUp, executions)
 	for _, e := range executions {
+		if e.Read {
+			continue
+		}
 		if e.Key != "" {
 			ran[e.Key]++
 		}
@@ -181,3 +212,24 @@
 	s.Problems = t.problems
 	return s
 }
+
+// countGivenUp compares the attempts that were given up with the runs.
+func (s *Summary) countGivenUp(givenUp map[string]bool, executions []Execution) {
+	complete := make(map[string]bool) // attempts with a run, whether one of them reached its end
+	for _, e := range executions {
+		if e.Canceled {
+			s.RunsCanceled++
+		}
+		if givenUp[e.Caller] {
+			complete[e.Caller] = complete[e.Caller] || !e.Canceled
+		}
+	}
+	s.GivenUp = len(givenUp)
+	for _, ended := range complete {
+		if ended {
+			s.GivenUpRun++
+		} else {
+			s.GivenUpCut++
+		}
+	}
+}
--- a/baobabtide-standin/btbackendstandin/handle.go
+++ b/baobabtide-standin/btbackendstandin/handle.go
@@ -137,13 +137,18 @@
 	return len(b.Routes) == 0
 }
 
-// releaseSlot releases a request's slot and counts it if it was canceled.
-func (s *Server) releaseSlot(canceled bool) {
+// releaseSlot releases a request's slot and counts it, and marks the run at index in
+// runs, if it was canceled.
+func (s *Server) releaseSlot(runs *[]Run, index int, canceled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
-	if canceled {
-		s.canceled++
+	if !canceled {
+		return
+	}
+	s.canceled++
+	if index >= 0 {
+		(*runs)[index].Canceled = true
 	}
 }
 
@@ -163,9 +168,13 @@
 		ctx.Error("all slots are in use\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
-	s.recordRun(ctx, path)
+	runs := &s.runs
+	if ctx.IsGet() || ctx.IsHead() {
+		runs = &s.reads
+	}
+	index := s.recordRun(ctx, path, runs)
 	canceled := !s.simulateWork(ctx, t)
-	defer s.releaseSlot(canceled)
+	defer s.releaseSlot(runs, index, canceled)
 	switch {
 	case canceled:
 		ctx.Error("canceled or deadline exceeded\n", fasthttp.StatusGatewayTimeout)
@@ -184,23 +193,21 @@
 	return strings.NewReader(string(ctx.Request.Body()))
 }
 
-// recordRun records the run of a request other than GET and HEAD. Beyond maxRuns,
-// runs are not recorded.
-func (s *Server) recordRun(ctx *fasthttp.RequestCtx, path string) {
-	if ctx.IsGet() || ctx.IsHead() {
-		return
-	}
+// recordRun records the run of a request in runs and returns its index. Beyond maxRuns,
+// runs are not recorded, and the index is -1.
+func (s *Server) recordRun(ctx *fasthttp.RequestCtx, path string, runs *[]Run) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.runs) >= maxRuns {
-		return
+	if len(*runs) >= maxRuns {
+		return -1
 	}
-	s.runs = append(s.runs, Run{
+	*runs = append(*runs, Run{
 		Key:     string(ctx.Request.Header.Peek("Idempotency-Key")),
 		Caller:  string(ctx.Request.Header.Peek(HeaderCaller)),
 		Attempt: string(ctx.Request.Header.Peek(btbackend.HeaderAttempt)),
 		Path:    path,
 	})
+	return len(*runs) - 1
 }
 
 // simulateWork waits for the treatment's run time. It returns false if the caller closes
--- a/baobabtide-standin/btbackendstandin/server.go
+++ b/baobabtide-standin/btbackendstandin/server.go
@@ -21,7 +21,7 @@
 const (
 	announcePeriod = time.Second
 	announceLease  = 4 * time.Second
-	maxRuns        = 1 << 20 // runs recorded
+	maxRuns        = 1 << 20 // runs recorded in each list
 	stopTimeout    = 500 * time.Millisecond
 )
 
@@ -58,12 +58,13 @@
 	Frozen        bool          // requests are accepted and run until they are canceled or reach their deadline
 }
 
-// Run is the record of one run of a request other than GET and HEAD.
+// Run is the record of one run of a request.
 type Run struct {
-	Key     string // idempotency key
-	Caller  string // value of HeaderCaller
-	Attempt string // ID of the node's attempt
-	Path    string
+	Key      string // idempotency key
+	Caller   string // value of HeaderCaller
+	Attempt  string // ID of the node's attempt
+	Path     string
+	Canceled bool // the node closed the connection or the deadline passed before the end
 }
 
 // Server is a backend-server stand-in. All methods are safe for concurrent use.
@@ -80,9 +81,10 @@
 	behavior Behavior
 	inFlight int
 	requests int
-	canceled int // requests that were canceled or reached their deadline
-	shed     int // requests refused because all slots were in use
-	runs     []Run
+	canceled int   // requests that were canceled or reached their deadline
+	shed     int   // requests refused because all slots were in use
+	runs     []Run // of requests other than GET and HEAD
+	reads    []Run // of the others
 	draining bool
 }
 
@@ -206,7 +208,8 @@
 	Canceled int // requests that were canceled or reached their deadline
 	Shed     int // requests refused because all slots were in use
 	InFlight int
-	Runs     []Run
+	Runs     []Run // of requests other than GET and HEAD
+	Reads    []Run // of the others
 }
 
 // Report returns the server's current report.
@@ -222,5 +225,6 @@
 		Shed:     s.shed,
 		InFlight: s.inFlight,
 		Runs:     append([]Run(nil), s.runs...),
+		Reads:    append([]Run(nil), s.reads...),
 	}
 }
