btexperiment: full links, and nodes whose messages are held back

Change: Service.LinkRate limits what each node beside a service sends to other nodes and is also written to its settings as Peer.LinkMegabits; the fault HoldNodes cuts nodes one way; the result has the links' use and the attempts given up.

--- a/baobabtide-load/btdeploy/backends.go
+++ b/baobabtide-load/btdeploy/backends.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"path/filepath"
+	"slices"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -130,9 +133,65 @@
 }
 
 // SetRules replaces the rules of the relay. It fails if the deployment has no
-// relay.
+// relay. The limits of Service.LinkRate remain in force, after the rules.
 func (d *Deployment) SetRules(rules []btrelay.Rule) error {
-	return post("http://"+d.relayControl(), btrelay.Rules{Rules: rules})
+	limits, err := d.limits()
+	if err != nil {
+		return err
+	}
+	return post("http://"+d.relayControl(), btrelay.Rules{Rules: append(rules, limits...)})
+}
+
+// AnyAddress returns the range of all addresses.
+func AnyAddress() netip.Prefix { return netip.PrefixFrom(netip.IPv4Unspecified(), 0) }
+
+// HasLimits reports whether a service has a LinkRate.
+func (d *Deployment) HasLimits() bool {
+	return slices.ContainsFunc(d.Spec.Services, func(s Service) bool { return s.LinkRate > 0 })
+}
+
+// limits returns the rules for the links of nodes beside services with a LinkRate.
+func (d *Deployment) limits() ([]btrelay.Rule, error) {
+	var rules []btrelay.Rule
+	for _, n := range d.Nodes {
+		rate := d.service(n.Service).LinkRate
+		if rate == 0 {
+			continue
+		}
+		address, err := netip.ParseAddr(n.IP)
+		if err != nil {
+			return nil, fmt.Errorf("address of node %s: %w", n.Name, err)
+		}
+		rules = append(rules, btrelay.Rule{From: netip.PrefixFrom(address, address.BitLen()), To: AnyAddress(), Mode: btrelay.Limit, Rate: rate})
+	}
+	return rules, nil
+}
+
+// setLimits puts the limits into force once the relay's control interface responds. It
+// fails if that takes longer than readyTimeout.
+func (d *Deployment) setLimits() error {
+	for deadline := time.Now().Add(readyTimeout); ; time.Sleep(relayPollPeriod) {
+		err := d.SetRules(nil)
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+	}
+}
+
+// Queues returns the use of the limited links. It fails if the relay does not respond.
+func (d *Deployment) Queues() ([]btrelay.QueueReport, error) {
+	status, body, err := fasthttp.Get(nil, "http://"+d.relayControl())
+	if err != nil {
+		return nil, fmt.Errorf("queues of the relay: %w", err)
+	}
+	if status != fasthttp.StatusOK {
+		return nil, fmt.Errorf("queues of the relay: status %d", status)
+	}
+	reports, err := btcodec.DecodeJSON[btrelay.QueueReports](body)
+	if err != nil {
+		return nil, fmt.Errorf("queues of the relay: %w", err)
+	}
+	return reports.Queues, nil
 }
 
 // post sends v as JSON. It fails if there is no response or its status is not 2xx.
--- a/baobabtide-load/btdeploy/deployment.go
+++ b/baobabtide-load/btdeploy/deployment.go
@@ -35,6 +35,7 @@
 	readyTimeout    = 30 * time.Second
 	maxZoneNodes    = 250
 	logAddressByte  = 254 // last byte of the addresses of each zone's link to the log
+	relayPollPeriod = 20 * time.Millisecond
 	fileMode        = 0o600
 )
 
@@ -48,6 +49,7 @@
 	OpenCost    time.Duration // delay of accepting a connection
 	ColdStart   time.Duration `json:",omitempty"` // time after the start in which run times are multiplied by ColdFactor
 	ColdFactor  float64       `json:",omitempty"`
+	LinkRate    int           `json:",omitempty"` // bytes per second that each node beside the service can send to other nodes, 0 for no limit
 }
 
 // Spec specifies the nodes, backend servers and options of a deployment.
@@ -146,6 +148,11 @@
 			return err
 		}
 	}
+	if d.HasLimits() {
+		if err := d.setLimits(); err != nil {
+			return err
+		}
+	}
 	for _, n := range d.Nodes {
 		if err := d.writeSettings(n); err != nil {
 			return err
--- a/baobabtide-load/btdeploy/settings.go
+++ b/baobabtide-load/btdeploy/settings.go
@@ -8,6 +8,11 @@
 	"github.com/baobabtide/baobabtide/btsettings"
 )
 
+const (
+	bitsPerByte = 8
+	bitsPerMega = 1e6
+)
+
 // writeJSON writes v to a file as indented JSON.
 func writeJSON(path string, v any) error {
 	data, err := btcodec.EncodeJSONIndent(v)
@@ -33,6 +38,7 @@
 		s.Peer.Advertise = n.advertisedAddress(true)
 	}
 	s.Peer.Seeds = d.seeds()
+	s.Peer.LinkMegabits = float64(d.service(n.Service).LinkRate) * bitsPerByte / bitsPerMega
 	if d.Spec.Heartbeat > 0 {
 		s.Peer.Heartbeat = d.Spec.Heartbeat
 		s.Peer.SilenceLimit = 3 * d.Spec.Heartbeat
--- a/baobabtide-load/btexperiment/experiment.go
+++ b/baobabtide-load/btexperiment/experiment.go
@@ -57,6 +57,7 @@
 	KillBackends FaultKind = "KillBackends" // kills the first Count running backend servers, 0 for 1, of Service if it is set
 	CutZone      FaultKind = "CutZone"      // closes and refuses connections between Zone and the other zones for the duration For
 	FreezeZone   FaultKind = "FreezeZone"   // makes open connections between Zone and the other zones stop delivering data for good
+	HoldNodes    FaultKind = "HoldNodes"    // holds back what the nodes send to other nodes, not what they receive, for the duration For
 	LogFault     FaultKind = "LogFault"     // applies LogFaults to the log for the duration For
 	BackendFault FaultKind = "BackendFault" // applies Behavior to the running backend servers of Service, of Version if it is set, for the duration For
 )
@@ -83,6 +84,11 @@
 	if err := e.Contract.Check(); err != nil {
 		return baobabtide.Within("Contract", err)
 	}
+	for i, s := range e.Deployment.Services {
+		if s.LinkRate < 0 || (s.LinkRate > 0 && !e.Deployment.Relay) {
+			return baobabtide.Fieldf(fmt.Sprintf("Deployment.Services[%d].LinkRate", i), "%d, 0 or a positive rate with Deployment.Relay is allowed", s.LinkRate)
+		}
+	}
 	if e.Duration <= 0 {
 		return baobabtide.Fieldf("Duration", "%s is not positive", e.Duration)
 	}
@@ -103,7 +109,7 @@
 	switch f.Kind {
 	case KillNodes, DrainNodes, PauseNodes, KillBackends, LogFault, BackendFault:
 		return nil
-	case CutZone, FreezeZone:
+	case CutZone, FreezeZone, HoldNodes:
 		if !e.Deployment.Relay {
 			return baobabtide.Fieldf("Kind", "%s needs Deployment.Relay", f.Kind)
 		}
@@ -119,16 +125,22 @@
 	Experiment                string
 	Seed                      uint64
 	Nodes                     int
-	Requests                  *int     // through nodes, without the direct ones
-	Whole                     *int     // requests that got the complete response of the service
-	WrongCaller               *int     // responses that belong to another caller
-	PassedCut                 *int     // truncated responses that were delivered as complete
-	Doubled                   *int     // keyed requests that ran more than once
-	Lost                      *int     // keyed requests that were answered and did not run
-	FalseNotRun               *int     // attempts that were refused as not run and did run
-	MayHaveRun                *int     // requests that were refused and may have run
-	RefusedNotRun             *int     // requests that were refused and did not run
-	Failed                    *int     // requests that the service answered with an error
+	Requests                  *int // through nodes, without the direct ones
+	Whole                     *int // requests that got the complete response of the service
+	WrongCaller               *int // responses that belong to another caller
+	PassedCut                 *int // truncated responses that were delivered as complete
+	Doubled                   *int // keyed requests that ran more than once
+	Lost                      *int // keyed requests that were answered and did not run
+	FalseNotRun               *int // attempts that were refused as not run and did run
+	MayHaveRun                *int // requests that were refused and may have run
+	MayHaveRunByReason        map[baobabtide.Reason]int
+	GivenUp                   *int // attempts that ended with connection-lost after they were sent
+	GivenUpRun                *int // those of them that a backend server, which still runs, ran to the end
+	GivenUpCut                *int // those of them that a backend server was running until they were canceled
+	RunsCanceled              *int // runs that backend servers ended early, because the node or the deadline did
+	RefusedNotRun             *int // requests that were refused and did not run
+	Failed                    *int // requests that ran and got an error, of the service or without its response
+	FailedByReason            map[baobabtide.Reason]int
 	NoAnswer                  *int     // requests that got no response
 	ConvergenceP50Millis      *float64 // from the start of publishing a change until a node has it in force
 	ConvergenceP99Millis      *float64
@@ -139,6 +151,8 @@
 	ControlCoreShare          *float64 // processor time per node as a share of one core, in runs without load
 	NodeResidentBytes         *float64 // of the largest node
 	LogReadsPerSecond         *float64 // of all nodes
+	LinkUse                   *float64 // mean share of the capacity of the limited links
+	LinkMaxWaitMillis         *float64 // longest time in the queue of a limited link
 	GoodInTime                *int     // good releases that completed before their deadline
 	GoodTotal                 *int
 	BadTakenBack              *int // bad releases that were reverted
--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -45,6 +45,8 @@
 		return r.withRules(f, btrelay.Cut)
 	case FreezeZone:
 		return r.withRules(f, btrelay.Freeze)
+	case HoldNodes:
+		return r.holdNodes(f)
 	case LogFault:
 		if err := r.deployment.SetLogFaults(f.LogFaults); err != nil {
 			return err
@@ -157,6 +159,23 @@
 	return set(btbackendstandin.Behavior{})
 }
 
+// holdNodes holds back all that nodes send to other nodes for the fault's duration.
+func (r *Runner) holdNodes(f *Fault) error {
+	var rules []btrelay.Rule
+	for _, n := range r.pickNodes(f) {
+		address, err := netip.ParseAddr(n.IP)
+		if err != nil {
+			return fmt.Errorf("address of node %s: %w", n.Name, err)
+		}
+		rules = append(rules, btrelay.Rule{From: netip.PrefixFrom(address, address.BitLen()), To: btdeploy.AnyAddress(), Mode: btrelay.Hold})
+	}
+	if err := r.deployment.SetRules(rules); err != nil {
+		return err
+	}
+	time.Sleep(f.For)
+	return r.deployment.SetRules(nil)
+}
+
 // withRules applies a mode to all connections between a zone and the others for the
 // fault's duration. If Log is set, it also applies to those from the zone to the log.
 func (r *Runner) withRules(f *Fault, mode btrelay.Mode) error {
--- a/baobabtide-load/btexperiment/result.go
+++ b/baobabtide-load/btexperiment/result.go
@@ -1,6 +1,7 @@
 package btexperiment
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 		r.addOutcomes(result)
 	}
 	r.addCost(result, before, after, elapsed)
+	r.addLinks(result, elapsed)
 	return result
 }
 
@@ -55,8 +57,14 @@
 	}
 	result.FalseNotRun = &s.FalseNotRun
 	result.MayHaveRun = &s.MayHaveRun
+	result.MayHaveRunByReason = s.Reasons
+	result.GivenUp = &s.GivenUp
+	result.GivenUpRun = &s.GivenUpRun
+	result.GivenUpCut = &s.GivenUpCut
+	result.RunsCanceled = &s.RunsCanceled
 	result.RefusedNotRun = &s.NotRun
 	result.Failed = &s.Failed
+	result.FailedByReason = s.FailReasons
 	result.NoAnswer = &s.NoAnswer
 	result.Problems = append(result.Problems, s.Problems...)
 	if s.Direct.TotalCount() > 0 {
@@ -98,7 +106,10 @@
 			continue
 		}
 		for _, run := range report.Runs {
-			executions = append(executions, btworkload.Execution{Key: run.Key, Caller: run.Caller})
+			executions = append(executions, btworkload.Execution{Key: run.Key, Caller: run.Caller, Canceled: run.Canceled})
+		}
+		for _, run := range report.Reads {
+			executions = append(executions, btworkload.Execution{Caller: run.Caller, Read: true, Canceled: run.Canceled})
 		}
 	}
 	return executions, complete
@@ -174,3 +185,22 @@
 		result.ControlCoreShare = &share
 	}
 }
+
+// addLinks adds the use of the limited links.
+func (r *Runner) addLinks(result *Result, elapsed time.Duration) {
+	if !r.deployment.HasLimits() {
+		return
+	}
+	queues, err := r.deployment.Queues()
+	if err != nil || len(queues) == 0 {
+		result.Problems = append(result.Problems, fmt.Sprintf("queues of the links: %d, %v", len(queues), err))
+		return
+	}
+	var use, wait float64
+	for _, q := range queues {
+		use += float64(q.Bytes) / float64(q.Rule.Rate) / elapsed.Seconds() / float64(len(queues))
+		wait = max(wait, float64(q.MaxWait.Milliseconds()))
+	}
+	result.LinkUse = &use
+	result.LinkMaxWaitMillis = &wait
+}
