btnode: a node that leaves takes no new gossip edge

The peer server waits for connections on which data arrives, and an edge that another node opens between the closing of the edges and the stop of the server stays open and brings heartbeats.

Edges that are added after closeAll are closed at once. TestEdgeOfLeavingNodeIsClosed failed before (the context had no cause).

--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -81,12 +81,17 @@
 type edges struct {
 	mu      sync.Mutex
 	set     map[*edge]struct{}
+	closed  bool                 // the node has left
 	dialing map[string]time.Time // start of the latest dial of each address that is being dialed
 }
 
+// add adds an edge. After closeAll it closes the edge.
 func (s *edges) add(e *edge) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		e.cancel(errEdgeClosed)
+	}
 	if s.set == nil {
 		s.set = make(map[*edge]struct{})
 	}
@@ -176,7 +181,11 @@
 	delete(s.dialing, address)
 }
 
+// closeAll closes all edges and those that are added later.
 func (s *edges) closeAll() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	for _, e := range s.all() {
 		e.cancel(errEdgeClosed)
 	}
--- a/btnode/edges_test.go
+++ b/btnode/edges_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtide/baobabtide"
@@ -119,3 +120,14 @@
 		})
 	}
 }
+
+// An edge that another node opens while this one leaves must not keep it from stopping.
+func TestEdgeOfLeavingNodeIsClosed(t *testing.T) {
+	var s edges
+	s.closeAll()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s.add(&edge{name: "n", ctx: ctx, cancel: cancel})
+	if diff := cmp.Diff(errEdgeClosed, context.Cause(ctx), cmpopts.EquateErrors()); diff != "" {
+		t.Errorf("cause (-want +got):\n%s", diff)
+	}
+}
