--- a/btpeer/slowlink_test.go
+++ b/btpeer/slowlink_test.go
@@ -262,3 +262,59 @@
 		}
 	})
 }
+
+// A request to a node that doesn't respond on a new connection either is abandoned early if
+// another attempt replaces it, but not once its response has begun.
+func TestReplaceableRequestIsAbandoned(t *testing.T) {
+	const early = probeIdleTime + probeTimeout + reachTimeout + 3*probePeriod
+	tests := map[string]struct {
+		replace func() bool
+		early   bool
+	}{
+		"replaced":     {func() bool { return true }, true},
+		"not replaced": {func() bool { return false }, false},
+		"not asked":    {nil, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n, c := newTestNetwork(t, workingNode(100*time.Millisecond), nil)
+				forward(c, 3*time.Second)
+				n.cut()
+				began := time.Now()
+				req := request("", time.Minute)
+				req.Replace = tt.replace
+				_, err := c.Forward(context.Background(), testTarget, req)
+				if diff := cmp.Diff(baobabtide.MayHaveRun, baobabtide.AsRequestError(err).Verdict); diff != "" {
+					t.Errorf("verdict (-want +got):\n%s", diff)
+				}
+				took := time.Since(began)
+				if diff := cmp.Diff(tt.early, took <= early); diff != "" {
+					t.Errorf("abandoned early, after %s (-want +got):\n%s", took, diff)
+				}
+			})
+		})
+	}
+}
+
+// The rest of a response that has begun is waited for.
+func TestBegunResponseIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, echoNode(), nil)
+		n.serverLink.rate = 2 * linkWindow
+		req := request("", time.Minute)
+		req.Replace = func() bool {
+			t.Error("a response that has begun was replaced")
+			return true
+		}
+		resp, err := c.Forward(context.Background(), testTarget, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		n.cut()
+		if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+			t.Error("the response is complete")
+		}
+	})
+}
