--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -205,7 +205,6 @@
 	s.last = target
 	s.req.Attempt = d.attemptID()
 	s.req.Version = target.Version
-	s.req.Replace = d.replaceable(s)
 	started := time.Now()
 	target.Stats.Begin(started)
 	resp, err := d.send(ctx, target, s.req)
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -26,7 +25,6 @@
 	triedCount    int                      // number of targets tried in the present round
 	last          *btroute.Target          // target of the latest attempt, nil before the first
 	reached       int                      // number of attempts that may have reached a backend server
-	replaced      atomic.Bool              // the budget for the next retry is spent already, by replaceable
 	moves         int                      // number of attempts refused before they reached a backend server
 	mayHaveRunErr *baobabtide.RequestError // error of the latest attempt that ran or may have run, nil for none
 	mayHaveRunAt  *btroute.Target          // target of that attempt
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -158,10 +158,10 @@
 // are those of the failed attempt, for the log.
 func (d *Dispatcher) retry(s *requestState, reason baobabtide.Reason, cause error) bool {
 	s.reached++
-	if s.reached >= s.maxReached || !s.mayRetry() {
+	if s.reached >= s.maxReached || s.triedCount >= len(s.tried) || (s.req.Retried && s.req.Depth > 0) {
 		return false
 	}
-	if !s.rewind() || (!s.replaced.Swap(false) && !d.Budgets.Spend(s.destination.Service)) {
+	if !s.rewind() || !d.Budgets.Spend(s.destination.Service) {
 		return false
 	}
 	d.countRetry(reason)
@@ -171,28 +171,6 @@
 	return true
 }
 
-// mayRetry reports whether a target is left for a retry, and none was made for a call.
-func (s *requestState) mayRetry() bool {
-	return s.triedCount < len(s.tried) && !(s.req.Retried && s.req.Depth > 0)
-}
-
-// replaceable returns the function that lets the next attempt be abandoned in favor of a
-// retry, nil if no retry may follow it or a body would have to be sent again. It spends
-// the retry's budget.
-func (d *Dispatcher) replaceable(s *requestState) func() bool {
-	if !s.req.Idempotent || s.home != nil || s.reached+1 >= s.maxReached || !s.mayRetry() || s.req.Body != nil {
-		return nil
-	}
-	deadline, service := s.req.Deadline, s.destination.Service
-	return func() bool {
-		if time.Until(deadline) < minRetryTime || !d.Budgets.Spend(service) {
-			return false
-		}
-		s.replaced.Store(true)
-		return true
-	}
-}
-
 // isFinal reports whether any other target would give the same reason, so that another
 // attempt can't help.
 func isFinal(reason baobabtide.Reason) bool {
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -148,16 +148,16 @@
 	return s.conn, nil
 }
 
-// track adds a request to those in flight on the shared connection to an address, and
-// returns both.
-func (c *Client) track(address string, cancel context.CancelCauseFunc, replace func() bool) (*sharedConn, *inflightRequest, error) {
+// track adds a request to those in flight on the shared connection to an address. It
+// returns the connection and a function that removes the request.
+func (c *Client) track(address string, cancel context.CancelCauseFunc) (*grpc.ClientConn, func(), error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, err := c.sharedConn(address)
 	if err != nil {
 		return nil, nil, err
 	}
-	return s, s.track(cancel, replace), nil
+	return s.conn, s.track(cancel), nil
 }
 
 // sharedConn returns the shared connection to an address with its state, and creates it
@@ -251,12 +251,12 @@
 func callShared[In, Out any](ctx context.Context, c *Client, address, method string, in *In) (*Out, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s, r, err := c.track(address, cancel, nil)
+	conn, untrack, err := c.track(address, cancel)
 	if err != nil {
 		return nil, err
 	}
-	defer s.untrack(r)
-	return call[In, Out](ctx, s.conn, method, in)
+	defer untrack()
+	return call[In, Out](ctx, conn, method, in)
 }
 
 // Info returns the status of the node at an address.
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -17,16 +17,16 @@
 // Forward implements baobabtide.Forwarder. Closing the response's body ends the call.
 func (c *Client) Forward(ctx context.Context, target baobabtide.TargetRef, req *baobabtide.Request) (*baobabtide.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s, r, err := c.track(target.Address, cancel, req.Replace)
+	conn, untrack, err := c.track(target.Address, cancel)
 	if err != nil {
 		cancel(err)
 		return nil, baobabtide.Refuse(baobabtide.ReasonLost, 0, err)
 	}
 	end := func() {
-		s.untrack(r)
+		untrack()
 		cancel(nil)
 	}
-	raw, err := open(ctx, s.conn, cancel)
+	raw, err := open(ctx, conn, cancel)
 	if err != nil {
 		re := notSentError(ctx, req.Deadline, err)
 		end()
@@ -63,7 +63,6 @@
 		end()
 		return nil, re
 	}
-	s.keep(r)
 	resp.Node = target.Node
 	return resp, nil
 }
--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -16,7 +16,6 @@
 	probePeriod   = 100 * time.Millisecond // between checks of a connection with requests in flight
 	probeIdleTime = 200 * time.Millisecond // without data before the node is pinged
 	probeTimeout  = 300 * time.Millisecond // to respond to a ping before the connection is suspect; a node may get no processor time for 100 ms
-	reachTimeout  = 150 * time.Millisecond // for the node to respond on a new connection before requests that can be replaced are abandoned
 	silentGrace   = 300 * time.Millisecond // for data to arrive on a suspect connection after the node has responded on a new one
 	lateWatch     = 2 * time.Second        // for data to arrive on a connection after it was given up
 )
@@ -45,9 +44,7 @@
 // given up once the node has responded on a new connection while this one stayed silent,
 // or when nothing has shown for silenceLimit that the node is alive. Neither is a proof:
 // lost packets can delay one connection for longer than silentGrace, and a link can delay
-// all of them for longer than silenceLimit. A node that doesn't respond on a new
-// connection either is doubted sooner: requests that can be replaced by another attempt
-// are, since most of them would otherwise end at their deadlines if the node is dead.
+// all of them for longer than silenceLimit.
 type sharedConn struct {
 	client   *Client
 	address  string
@@ -64,8 +61,7 @@
 
 // inflightRequest is one request in flight on a shared connection.
 type inflightRequest struct {
-	cancel  context.CancelCauseFunc
-	replace func() bool // see baobabtide.Request.Replace; nil once the response has begun or it was called
+	cancel context.CancelCauseFunc
 }
 
 // newSharedConn returns the state of a connection whose conn the caller sets.
@@ -73,10 +69,10 @@
 	return &sharedConn{client: c, address: address, inflight: make(map[*inflightRequest]struct{})}
 }
 
-// track adds a request in flight. The request is canceled with errUnresponsive when the
-// connection is given up, and earlier if replace allows it.
-func (s *sharedConn) track(cancel context.CancelCauseFunc, replace func() bool) *inflightRequest {
-	r := &inflightRequest{cancel: cancel, replace: replace}
+// track adds a request in flight and returns a function that removes it. The request is
+// canceled with errUnresponsive when the connection is given up.
+func (s *sharedConn) track(cancel context.CancelCauseFunc) func() {
+	r := &inflightRequest{cancel: cancel}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight[r] = struct{}{}
@@ -88,33 +84,10 @@
 		s.probing = true
 		go s.probe()
 	}
-	return r
-}
-
-// untrack removes a request.
-func (s *sharedConn) untrack(r *inflightRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.inflight, r)
-}
-
-// keep makes a request whose response has begun stay on the connection.
-func (s *sharedConn) keep(r *inflightRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r.replace = nil
-}
-
-// abandonReplaceable cancels the requests in place of which another attempt may be made.
-func (s *sharedConn) abandonReplaceable() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for r := range s.inflight {
-		if r.replace != nil && r.replace() {
-			r.cancel(errUnresponsive)
-			delete(s.inflight, r)
-		}
-		r.replace = nil
+	return func() {
+		s.mu.Lock()
+		delete(s.inflight, r)
+		s.mu.Unlock()
 	}
 }
 
@@ -223,18 +196,14 @@
 		}
 	}()
 	reachable := false
-	unreached := time.After(reachTimeout)
 	var grace <-chan time.Time
 	for {
 		select {
 		case <-ticker.C:
 		case <-responded:
-			reachable, responded, unreached = true, nil, nil
+			reachable, responded = true, nil
 			grace = time.After(silentGrace)
 			continue
-		case <-unreached:
-			s.abandonReplaceable()
-			continue
 		case <-grace:
 			return reachable, s.lastRead.After(suspectAt)
 		}
--- a/request.go
+++ b/request.go
@@ -36,11 +36,6 @@
 	Late       bool      // admit the request even if it can't meet the objective
 	Depth      int       // number of calls between services that led to this request, 0 if it came from outside the mesh
 	Retried    bool      // this request or one that led to it was already retried
-
-	// Replace reports whether another attempt replaces this one, which is then abandoned.
-	// A Forwarder may call it once, from any goroutine, when it doubts that the target's
-	// node is alive. Nil if the attempt must not be abandoned on doubt.
-	Replace func() bool
 }
 
 // Body is the body of a request.
