btpeer: where bodies are paced, requests wait 0.5 s for a node that seems dead

Since requests in flight to a machine that lost power or was cut off wait for SilenceLimit, all of them until the newest has waited as long: longer than many callers do, and in the order of a connection the next ones wait too.

Without a Pacer SilenceLimit holds as before. Each request is given up for its own wait.

TestCutOffNodeIsGivenUpSoonIfPaced fails on the code before (1.6 s and more).

--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -185,6 +185,15 @@
 	}
 }
 
+// limit returns the time for which a request waits for a node that responds on no
+// connection.
+func (c *Client) limit() time.Duration {
+	if c.Pacer != nil {
+		return min(pacedSilence, c.silenceLimit)
+	}
+	return c.silenceLimit
+}
+
 // shareAgain makes new calls use a connection that was suspect, unless another one has
 // been established in its place.
 func (c *Client) shareAgain(s *sharedConn) {
--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -16,6 +16,8 @@
 	probePeriod   = 100 * time.Millisecond // between checks of a connection with requests in flight
 	probeIdleTime = 200 * time.Millisecond // without data before the node is pinged
 	probeTimeout  = 300 * time.Millisecond // to respond to a ping before the connection is suspect; a node may get no processor time for 100 ms
+	reachTimeout  = 150 * time.Millisecond // for the node to respond on a new connection before requests are given up
+	pacedSilence  = 500 * time.Millisecond // in place of silenceLimit if bodies are paced: no queue delays data for as long
 	silentGrace   = 300 * time.Millisecond // for data to arrive on a suspect connection after the node has responded on a new one
 	lateWatch     = 2 * time.Second        // for data to arrive on a connection after it was given up
 )
@@ -42,9 +44,9 @@
 // one, until data arrives on this one. It does not end the requests in flight, because on
 // a full link a ping waits behind other data for longer than any useful timeout. They are
 // given up once the node has responded on a new connection while this one stayed silent,
-// or when nothing has shown for silenceLimit that the node is alive. Neither is a proof:
-// lost packets can delay one connection for longer than silentGrace, and a link can delay
-// all of them for longer than silenceLimit.
+// or when they have waited for the client's limit and nothing has shown that the node is
+// alive. Neither is a proof: lost packets can delay one connection for longer than
+// silentGrace, and a link can delay all of them for longer than the limit.
 type sharedConn struct {
 	client   *Client
 	address  string
@@ -53,15 +55,16 @@
 
 	mu           sync.Mutex
 	inflight     map[*inflightRequest]struct{}
-	waitingSince time.Time // first request since data last arrived
-	newestSince  time.Time // newest request
-	probing      bool      // the goroutine of probe is running
-	suspect      bool      // no longer shared; closed when its last request ends
+	waitingSince time.Time        // first request since data last arrived
+	probing      bool             // the goroutine of probe is running
+	suspect      bool             // no longer shared; closed when its last request ends
+	report       UnresponsiveConn // of the requests that were given up
 }
 
 // inflightRequest is one request in flight on a shared connection.
 type inflightRequest struct {
 	cancel context.CancelCauseFunc
+	since  time.Time
 }
 
 // newSharedConn returns the state of a connection whose conn the caller sets.
@@ -72,13 +75,12 @@
 // track adds a request in flight and returns a function that removes it. The request is
 // canceled with errUnresponsive when the connection is given up.
 func (s *sharedConn) track(cancel context.CancelCauseFunc) func() {
-	r := &inflightRequest{cancel: cancel}
+	r := &inflightRequest{cancel: cancel, since: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight[r] = struct{}{}
-	s.newestSince = time.Now()
 	if s.waitingSince.IsZero() || s.lastRead.After(s.waitingSince) {
-		s.waitingSince = s.newestSince
+		s.waitingSince = r.since
 	}
 	if !s.probing {
 		s.probing = true
@@ -104,10 +106,7 @@
 			continue
 		}
 		s.stopSharing()
-		if reachable, alive := s.awaitData(ticker); !alive {
-			s.giveUp(reachable)
-			return
-		}
+		s.awaitData(ticker)
 	}
 }
 
@@ -119,7 +118,11 @@
 		return false
 	}
 	s.probing = false
-	if s.suspect {
+	switch {
+	case !s.suspect:
+	case s.report.Requests > 0:
+		go s.closeLate()
+	default:
 		_ = s.conn.Close()
 	}
 	return true
@@ -133,14 +136,6 @@
 	return s.silenceSince(s.waitingSince)
 }
 
-// newestSilence returns the time for which the newest request has waited without any
-// data. A request must not be given up for the silence that earlier ones met.
-func (s *sharedConn) newestSilence() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.silenceSince(s.newestSince)
-}
-
 // silenceSince returns the time since data last arrived, but not more than that since t.
 func (s *sharedConn) silenceSince(t time.Time) time.Duration {
 	now := time.Now()
@@ -181,11 +176,11 @@
 	}
 }
 
-// awaitData waits until data arrives on a suspect connection or its last request ends,
-// but not beyond silenceLimit, and not for longer than silentGrace after the node has
-// responded on a new connection. It returns whether the node responded there, and whether
-// the requests in flight may go on.
-func (s *sharedConn) awaitData(ticker *time.Ticker) (bool, bool) {
+// awaitData returns when data arrives on a suspect connection or its last request ends.
+// Meanwhile it gives up the requests that have waited for the client's silence limit, if
+// the node has not responded on a new connection either, and all of them silentGrace after
+// it has.
+func (s *sharedConn) awaitData(ticker *time.Ticker) {
 	suspectAt := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -195,26 +190,29 @@
 			close(responded)
 		}
 	}()
-	reachable := false
 	var grace <-chan time.Time
+	graceOver := false
 	for {
 		select {
 		case <-ticker.C:
 		case <-responded:
-			reachable, responded = true, nil
+			responded = nil
 			grace = time.After(silentGrace)
 			continue
 		case <-grace:
-			return reachable, s.lastRead.After(suspectAt)
+			graceOver = true
 		}
 		switch {
 		case s.lastRead.After(suspectAt):
 			s.client.shareAgain(s)
-			return reachable, true
+			s.sendReport(true)
+			return
 		case s.unused():
-			return reachable, true
-		case s.newestSilence() >= s.client.silenceLimit:
-			return reachable, false
+			return
+		case graceOver:
+			s.giveUp(0, true)
+		case grace == nil && time.Since(suspectAt) >= reachTimeout:
+			s.giveUp(s.client.limit(), false)
 		}
 	}
 }
@@ -226,22 +224,40 @@
 	return len(s.inflight) == 0
 }
 
-// giveUp cancels all requests in flight with errUnresponsive. It closes the connection
-// after lateWatch, so that data that arrives late is noticed and reported.
-func (s *sharedConn) giveUp(reachable bool) {
-	report := UnresponsiveConn{Address: s.address, Silence: s.silence(), Reachable: reachable}
+// giveUp cancels with errUnresponsive the requests that have waited for the limit.
+func (s *sharedConn) giveUp(limit time.Duration, reachable bool) {
+	silence := s.silence()
 	s.mu.Lock()
-	report.Requests = len(s.inflight)
+	defer s.mu.Unlock()
 	for r := range s.inflight {
+		if time.Since(r.since) < limit {
+			continue
+		}
 		r.cancel(errUnresponsive)
+		delete(s.inflight, r)
+		s.report.Address, s.report.Silence, s.report.Reachable = s.address, silence, reachable
+		s.report.Requests++
 	}
-	clear(s.inflight)
-	s.mu.Unlock()
-	givenUpAt := time.Now()
+}
+
+// closeLate closes the connection after lateWatch and reports the requests that were given
+// up.
+func (s *sharedConn) closeLate() {
+	endedAt := time.Now()
 	time.Sleep(lateWatch)
-	report.HeardLater = s.lastRead.After(givenUpAt)
 	_ = s.conn.Close()
-	if s.client.Unresponsive != nil {
+	s.sendReport(s.lastRead.After(endedAt))
+}
+
+// sendReport reports the requests that were given up, if there are any, and whether data
+// has arrived since.
+func (s *sharedConn) sendReport(heardLater bool) {
+	s.mu.Lock()
+	report := s.report
+	s.report = UnresponsiveConn{}
+	s.mu.Unlock()
+	report.HeardLater = heardLater
+	if report.Requests > 0 && s.client.Unresponsive != nil {
 		s.client.Unresponsive(report)
 	}
 }
--- a/btpeer/slowlink_test.go
+++ b/btpeer/slowlink_test.go
@@ -262,3 +262,57 @@
 		}
 	})
 }
+
+// Where bodies are paced, requests to a node that was cut off are given up sooner.
+func TestCutOffNodeIsGivenUpSoonIfPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, workingNode(100*time.Millisecond), nil)
+		c.Pacer = NewPacer(linkMegabits)
+		forward(c, 3*time.Second)
+		n.cut()
+		var running sync.WaitGroup
+		for range 10 { // the later ones must not keep the earlier ones waiting
+			running.Go(func() {
+				began := time.Now()
+				if diff := cmp.Diff("connection-lost", forward(c, time.Minute)); diff != "" {
+					t.Errorf("cut off (-want +got):\n%s", diff)
+				}
+				if took := time.Since(began); took > 850*time.Millisecond {
+					t.Errorf("given up after %s", took)
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		running.Wait()
+	})
+}
+
+// A connection on which requests were given up although the node was alive is reported as
+// such, and carries on.
+func TestWronglyGivenUpConnectionIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := newTestNetwork(t, workingNode(100*time.Millisecond), nil)
+		c.Pacer = NewPacer(linkMegabits)
+		reports := make(chan UnresponsiveConn, 1)
+		c.Unresponsive = func(u UnresponsiveConn) { reports <- u }
+		forward(c, 3*time.Second)
+		n.serverLink.occupy(1.2 * linkRate)
+		var running sync.WaitGroup
+		for range 2 {
+			running.Go(func() {
+				if diff := cmp.Diff("connection-lost", forward(c, 5*time.Second)); diff != "" {
+					t.Errorf("first (-want +got):\n%s", diff)
+				}
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		running.Wait()
+		got := <-reports
+		if got.Requests == 0 || !got.HeardLater {
+			t.Errorf("report %+v", got)
+		}
+		if diff := cmp.Diff("done", forward(c, 3*time.Second)); diff != "" {
+			t.Errorf("after (-want +got):\n%s", diff)
+		}
+	})
+}
