--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -47,7 +47,7 @@
 	bytes       *ByteCounter
 	dialer      func(ctx context.Context, address string) (net.Conn, error)
 
-	silenceLimit time.Duration // without data before requests in flight are given up
+	silenceLimit time.Duration // for requests without any sign of life of their node
 
 	mu          sync.Mutex
 	sharedConns map[string]*sharedConn // by address
@@ -56,8 +56,8 @@
 
 // NewClient returns a client and a function that closes its shared connections. A
 // nil config means plaintext. A non-nil source is the local IP address of all
-// connections. The requests in flight on a connection are given up when no data has
-// arrived on it for silenceLimit.
+// connections. Requests in flight are given up after silenceLimit without any sign of
+// life of their node, sooner if Pacer is set.
 func NewClient(config *tls.Config, bytes *ByteCounter, source net.IP, silenceLimit time.Duration) (*Client, func()) {
 	c := &Client{
 		dialer:       tcpDialer(source),
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -160,8 +160,8 @@
 }
 
 // sendBody sends the rest of the body after the first frame, at the pace of pacer. If
-// reading the body fails, it cancels the call, so that a truncated body is not taken for a complete
-// one.
+// reading the body fails, it cancels the call, so that a truncated body is not taken for
+// a complete one.
 func sendBody(stream *Stream[ResponseFrame, RequestFrame], raw grpc.ClientStream, body io.Reader, pacer *Pacer, cancel func()) {
 	part := make([]byte, maxBodyPart)
 	for {
--- a/btpeer/sharedconn.go
+++ b/btpeer/sharedconn.go
@@ -26,14 +26,14 @@
 // given up or if its stream can't be opened within openTimeout.
 var errUnresponsive = errors.New("the node does not answer on this connection")
 
-// UnresponsiveConn describes a shared connection that was given up and the evidence for
-// that.
+// UnresponsiveConn describes a shared connection on which requests were given up, and the
+// evidence for that.
 type UnresponsiveConn struct {
 	Address    string
 	Silence    time.Duration // since data last arrived
-	Requests   int           // in flight when the connection was given up
+	Requests   int           // that were given up
 	Reachable  bool          // the node responded on a new connection in the meantime
-	HeardLater bool          // data arrived within lateWatch: the node was alive
+	HeardLater bool          // data arrived afterwards, within lateWatch: the node was alive
 }
 
 // sharedConn is the shared connection to one node with its requests in flight. While
@@ -133,13 +133,8 @@
 func (s *sharedConn) silence() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.silenceSince(s.waitingSince)
-}
-
-// silenceSince returns the time since data last arrived, but not more than that since t.
-func (s *sharedConn) silenceSince(t time.Time) time.Duration {
 	now := time.Now()
-	silence := now.Sub(t)
+	silence := now.Sub(s.waitingSince)
 	if sinceRead, ok := s.lastRead.Since(now); ok {
 		silence = min(silence, sinceRead)
 	}
@@ -177,9 +172,8 @@
 }
 
 // awaitData returns when data arrives on a suspect connection or its last request ends.
-// Meanwhile it gives up the requests that have waited for the client's silence limit, if
-// the node has not responded on a new connection either, and all of them silentGrace after
-// it has.
+// Meanwhile it gives up the requests that have waited for the client's limit, if the node
+// has not responded on a new connection either, and all of them silentGrace after it has.
 func (s *sharedConn) awaitData(ticker *time.Ticker) {
 	suspectAt := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/btsettings/peer.go
+++ b/btsettings/peer.go
@@ -23,7 +23,7 @@
 	Advertise    string        `json:",omitempty"` // host:port that other nodes connect to, empty for Listen
 	Seeds        []string      `json:",omitempty"` // peer addresses of nodes through which the node joins the others
 	Heartbeat    time.Duration // interval of heartbeats between neighbors
-	SilenceLimit time.Duration // time without a message after which a neighbor is suspected, and without data after which the requests in flight on a connection are given up
+	SilenceLimit time.Duration // time without a message after which a neighbor is suspected, and without any sign of life after which requests to a node are given up (sooner with LinkMegabits)
 	LinkMegabits float64       // rate in Mbit/s at which the VM can send, bodies are sent at a little less; 0 for no limit
 }
 
