btsettings: leave LinkMegabits out of settings that don't set it

Settings that the load tool writes named Peer.LinkMegabits also where it is 0, and a node of the build before refused them (mixed-builds rolling-stop: members not reached in 1 min).

--- a/btsettings/peer.go
+++ b/btsettings/peer.go
@@ -24,7 +24,7 @@
 	Seeds        []string      `json:",omitempty"` // peer addresses of nodes through which the node joins the others
 	Heartbeat    time.Duration // interval of heartbeats between neighbors
 	SilenceLimit time.Duration // time without a message after which a neighbor is suspected, and without any sign of life after which requests to a node are given up (sooner with LinkMegabits)
-	LinkMegabits float64       // rate in Mbit/s at which the VM can send, bodies are sent at a little less; 0 for no limit
+	LinkMegabits float64       `json:",omitzero"` // rate in Mbit/s at which the VM can send, bodies are sent at a little less; 0 for no limit
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
