btbackend, btlocal: log the rate limit that a backend server names

Change: Pool reads the rate limit and the notice of a planned stop from each response, also from those that refuse, and hands them to the admitter, which logs target.limit (limit, previous, its age, arrivals meanwhile) and counts limits that are no decimal numbers. Nothing obeys them yet. Of several values the lowest counts; signs, exponents and names are invalid; more than a million means a million. A limit is withdrawn by a response without one, if the server ran the request and got it after the limit was last named. Result: TestNotice, 15 cases.

--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -41,6 +41,7 @@
 		p.discard(c)
 		return nil, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
 	}
+	sentAt := time.Now()
 	stopWatching := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp, err := p.exchange(ctx, c, req)
 	if err != nil {
@@ -48,6 +49,9 @@
 		p.discard(c)
 		return nil, errorAfterSend(ctx, req.Deadline, err)
 	}
+	if p.OnNotice != nil {
+		p.OnNotice(p.notice(resp), sentAt)
+	}
 	return p.response(c, req, resp, stopWatching)
 }
 
--- /dev/null
+++ b/btbackend/notice_test.go
@@ -0,0 +1,44 @@
+package btbackend
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+)
+
+func TestNotice(t *testing.T) {
+	tests := []struct {
+		name   string
+		header [][2]string
+		want   Notice
+	}{
+		{"none", nil, Notice{Status: 200}},
+		{"limit", [][2]string{{HeaderRateLimit, "4.9"}}, Notice{Status: 200, RateLimit: 4.9, HasRateLimit: true}},
+		{"spaces", [][2]string{{HeaderRateLimit, " 7 "}}, Notice{Status: 200, RateLimit: 7, HasRateLimit: true}},
+		{"zero", [][2]string{{HeaderRateLimit, "0"}}, Notice{Status: 200, HasRateLimit: true}},
+		{"negative", [][2]string{{HeaderRateLimit, "-3"}}, Notice{Status: 200, Invalid: `"-3"`}},
+		{"not a number", [][2]string{{HeaderRateLimit, "NaN"}}, Notice{Status: 200, Invalid: `"NaN"`}},
+		{"exponent", [][2]string{{HeaderRateLimit, "1e3"}}, Notice{Status: 200, Invalid: `"1e3"`}},
+		{"two points", [][2]string{{HeaderRateLimit, "1.2.3"}}, Notice{Status: 200, Invalid: `"1.2.3"`}},
+		{"huge", [][2]string{{HeaderRateLimit, "99999999999"}}, Notice{Status: 200, RateLimit: maxRateLimit, HasRateLimit: true}},
+		{"twice", [][2]string{{HeaderRateLimit, "8"}, {HeaderRateLimit, "3"}}, Notice{Status: 200, RateLimit: 3, HasRateLimit: true}},
+		{"list with an invalid value", [][2]string{{HeaderRateLimit, "8, x"}}, Notice{Status: 200, RateLimit: 8, HasRateLimit: true, Invalid: `"8, x"`}},
+		{"empty", [][2]string{{HeaderRateLimit, ""}}, Notice{Status: 200, Invalid: `""`}},
+		{"leaving", [][2]string{{HeaderLeaving, "1"}}, Notice{Status: 200, Leaving: true}},
+		{"not leaving", [][2]string{{HeaderLeaving, "0"}}, Notice{Status: 200}},
+		{"not run", [][2]string{{HeaderShed, "1"}, {HeaderRateLimit, "2"}}, Notice{Status: 200, NotRun: true, RateLimit: 2, HasRateLimit: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var resp fasthttp.Response
+			for _, field := range test.header {
+				resp.Header.Add(field[0], field[1])
+			}
+			p := &Pool{Names: DefaultNames()}
+			if diff := cmp.Diff(test.want, p.notice(&resp)); diff != "" {
+				t.Errorf("notice (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -33,6 +33,9 @@
 type Pool struct {
 	Names HeaderNames
 	Name  string // of the backend server; sent with each request so that another server at its address can refuse it
+	// OnNotice is called with what each response states about the server and the time at
+	// which its request was sent, nil for none.
+	OnNotice func(notice Notice, sentAt time.Time)
 
 	address string
 	tokens  chan struct{} // holds one element per connection in use
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -81,8 +81,17 @@
 	HeaderAttempt = "Baobabtide-Attempt"
 	// HeaderShed marks a response, normally a 503, to a request that was not run.
 	HeaderShed = "Baobabtide-Shed"
+	// HeaderRateLimit on a response holds the requests per second, a decimal number,
+	// that the backend server accepts from all nodes together. It applies until a
+	// response without the header.
+	HeaderRateLimit = "Baobabtide-Rate-Limit"
+	// HeaderLeaving with the value 1 marks a response of a backend server that is about
+	// to stop and accepts no new requests.
+	HeaderLeaving = "Baobabtide-Leaving"
 )
 
+const leavingValue = "1"
+
 // HeaderNames holds the names of the headers between a node and a backend server,
 // in canonical case. A header whose name is empty is neither read nor sent.
 type HeaderNames struct {
@@ -93,6 +102,8 @@
 	Origin    string // service beside the node that received the request from its caller
 	Expected  string // name of the backend server that the request is for
 	Shed      string // on a response: the request was not run
+	RateLimit string // on a response: requests per second that the server accepts
+	Leaving   string // on a response: the server is about to stop
 	RequestID string // sent by the caller, repeated in the response
 }
 
@@ -104,5 +115,8 @@
 		Retried: HeaderRetried,
 		Attempt: HeaderAttempt,
 		Shed:    HeaderShed,
+
+		RateLimit: HeaderRateLimit,
+		Leaving:   HeaderLeaving,
 	}
 }
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -29,6 +30,8 @@
 	pool         *btbackend.Pool
 	closePool    func()
 	unreachedAt  btclock.Instant // last time a connection failed to open
+	arrivals     atomic.Int64    // requests sent to the server
+	stated       stated
 }
 
 // recordUnreached records that no connection to the server could be opened.
@@ -56,6 +59,8 @@
 	calls      btadmit.CallDetector
 	callFailed btclock.Instant // time of the last failed call of a backend server beside the node
 
+	InvalidNotices atomic.Int64 // responses whose rate limit is not a decimal number
+
 	mu       sync.Mutex
 	servers  map[string]*server // by name
 	draining bool
@@ -146,12 +151,14 @@
 func (a *Admitter) newServer(announcement btbackend.Announcement) *server {
 	pool, closePool := btbackend.NewPool(announcement.Address, announcement.Connections)
 	pool.Names, pool.Name = a.Names, announcement.Name
-	return &server{
+	s := &server{
 		announcement: announcement,
 		queue:        btadmit.NewQueue(announcement.Slots),
 		pool:         pool,
 		closePool:    closePool,
 	}
+	pool.OnNotice = func(notice btbackend.Notice, sentAt time.Time) { a.recordNotice(s, &notice, sentAt) }
+	return s
 }
 
 // RecordFailedCall records that a call of a backend server beside the node has failed. A
@@ -248,6 +255,7 @@
 		run.release()
 		return replay(answer, a), refusal
 	}
+	s.arrivals.Add(1)
 	resp, err := s.pool.Do(ctx, req)
 	if err != nil {
 		return nil, run.fail(baobabtide.AsRequestError(err))
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -13,7 +13,6 @@
 
 const (
 	partnerRetryAfter = time.Second // if the key's partner can't be reached
-	minFailureStatus  = 500         // lowest status of a response that counts as a failure
 )
 
 // run is a request that holds a slot.
--- a/btlog/decision_log.go
+++ b/btlog/decision_log.go
@@ -87,7 +87,7 @@
 // Lost returns the number of lines lost since the last call.
 func (w *Writer) Lost() int64 { return w.lost.Swap(0) }
 
-// DecisionLog writes the log lines about requests, with a limit on their rate. Its
+// DecisionLog writes the log lines about requests and backend servers, with a limit on their rate. Its
 // methods are safe for concurrent use. Request of a nil *DecisionLog writes nothing.
 type DecisionLog struct {
 	log     zerolog.Logger
@@ -115,6 +115,19 @@
 		Str("service", req.Service).Str("attempt", req.Attempt).Int64("left-ms", time.Until(req.Deadline).Milliseconds())
 }
 
+// Server begins a line about the named backend server beside the node. It is like Request
+// otherwise.
+func (d *DecisionLog) Server(event Event, name string) *zerolog.Event {
+	if d == nil {
+		return nil
+	}
+	if !d.limit.Allow() {
+		d.dropped.Add(1)
+		return nil
+	}
+	return d.log.Info().Str("event", string(event)).Str("target", name)
+}
+
 // AddError adds the text of err to a line, cut to maxErrorBytes, unless err is nil.
 func AddError(line *zerolog.Event, field string, err error) *zerolog.Event {
 	if !line.Enabled() || err == nil {
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -38,6 +38,8 @@
 	RecordInvalid    Event = "record.invalid"
 	TargetChanged    Event = "target.changed"
 	TargetRestored   Event = "target.restored"
+	TargetLimit      Event = "target.limit"   // the rate limit that a backend server names has changed
+	NoticeInvalid    Event = "notice.invalid" // a backend server names a rate limit that is not a decimal number
 	HeartbeatRefused Event = "heartbeat.refused"
 	MemberStatus     Event = "member.status"
 	MemberAccused    Event = "member.accused"
@@ -56,7 +58,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, HeartbeatRefused, MemberStatus,
+		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
