btadmit, btlocal: grant no more requests than the server's rate limit

Callers saw: a backend server in need names a rate limit and goes on getting as many requests as before, so it stays in need and answers late or fails. Cause: nothing in a node read the limit. The class: what a backend server says of itself in its responses was passed on to callers and obeyed by nobody. Change: all requests to a backend server pass the queue of the node beside it, so the queue grants turns as well as slots: a token bucket with the limit's rate, filled for half a second at most (at least 2), empty when the limit is first named. The wait for a turn counts like the wait for a slot, so requests that would be late are refused on arrival with the time after which their turn comes, and a limit that is named or lowered refuses those that wait in vain. Ranks share the turns as they share the slots. The limit outlives a changed announcement of the same incarnation.

--- a/btadmit/decay.go
+++ b/btadmit/decay.go
@@ -30,3 +30,14 @@
 func (d *decayingSum) perSecond(now time.Time) float64 {
 	return d.value(now) / decayTimeConstant.Seconds()
 }
+
+// demand sums up requests and their expected run times. The zero value is empty.
+type demand struct {
+	requests decayingSum
+	work     decayingSum // in seconds
+}
+
+func (d *demand) add(runTime time.Duration, now time.Time) {
+	d.requests.add(1, now)
+	d.work.add(runTime.Seconds(), now)
+}
--- a/btadmit/estimate.go
+++ b/btadmit/estimate.go
@@ -33,24 +33,27 @@
 // lateWait estimates the wait of a request that can't meet its objective and is
 // overtaken by those that can. The given wait is the estimate without overtaking.
 func (q *Queue) lateWait(wait time.Duration, now time.Time) time.Duration {
-	utilization := q.demand.perSecond(now) / max(1, q.limit)
+	utilization := q.offered.work.perSecond(now) / max(1, q.limit)
+	if q.turns != nil {
+		utilization = max(utilization, q.offered.requests.perSecond(now)/float64(q.turns.Limit()))
+	}
 	if utilization >= 1 {
 		return math.MaxInt64
 	}
 	return time.Duration(float64(wait) / max(minLateFraction, 1-utilization))
 }
 
-// recordAccepted adds the expected run time of an accepted request to the demand
+// recordAccepted adds an accepted request with its expected run time to the demand
 // of its rank. The number of ranks is small. Refused work doesn't count: it is
 // offered to other backend servers too, and if each of them counted it, none
 // would have slots available for lower ranks.
 func (q *Queue) recordAccepted(r rank, runTime time.Duration, now time.Time) {
-	sum := q.accepted[r]
-	if sum == nil {
-		sum = &decayingSum{}
-		q.accepted[r] = sum
+	d := q.accepted[r]
+	if d == nil {
+		d = &demand{}
+		q.accepted[r] = d
 	}
-	sum.add(runTime.Seconds(), now)
+	d.add(runTime, now)
 }
 
 // availableSlots returns the number of slots left for a rank by the accepted
@@ -58,9 +61,9 @@
 // minLateFraction of the limit.
 func (q *Queue) availableSlots(r rank, now time.Time) float64 {
 	available := q.limit
-	for other, sum := range q.accepted {
+	for other, d := range q.accepted {
 		if other.outranks(r) {
-			available -= sum.perSecond(now)
+			available -= d.work.perSecond(now)
 		}
 	}
 	return max(available, minLateFraction*q.limit, 1)
@@ -83,10 +86,15 @@
 	return max(1, age/(expected*slowAgeFactor))
 }
 
-// wait estimates how long a waiter waits for a slot behind the waiters that go
+// wait estimates how long a waiter waits for a slot and for its turn under the rate limit.
+func (q *Queue) wait(w *Waiter, now time.Time) time.Duration {
+	return max(q.slotWait(w, now), q.rateWait(w, now))
+}
+
+// slotWait estimates how long a waiter waits for a slot behind the waiters that go
 // before it. A waiter of a lower rank waits for the slots that higher ranks leave,
 // or for the grants reserved for lower priorities, whichever comes first.
-func (q *Queue) wait(w *Waiter, now time.Time) time.Duration {
+func (q *Queue) slotWait(w *Waiter, now time.Time) time.Duration {
 	if q.hasFreeSlot() && len(q.waiting) == 0 {
 		return 0
 	}
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/baobabtide/baobabtide"
 )
 
@@ -67,24 +69,29 @@
 // Queue grants the slots of one backend server to requests. All methods are safe
 // for concurrent use.
 type Queue struct {
+	// Alarm is called when the next waiter waits only for its turn under the rate limit,
+	// with the time after which Wake must be called. It must not block or call the queue.
+	Alarm func(wait time.Duration)
+
 	mu             sync.Mutex
+	turns          *rate.Limiter // of the grants, nil for no limit
 	slots          int
 	limit          float64 // maximum number of slots in use, 1 to slots
 	inFlight       int
 	grantOffsetSum time.Duration // sum of the grant times of the running requests, each relative to epoch
 	epoch          time.Time     // time of the first grant, or of the last release that left no request running
 	stats          RunStats
-	waiting        []*Waiter             // in order of arrival
-	running        map[string]int        // running requests by customer
-	grants         int                   // slots granted so far
-	demand         decayingSum           // run time, in seconds, of all offered requests except those marked Late
-	accepted       map[rank]*decayingSum // run time, in seconds, of the requests granted on arrival or queued as on time
-	closed         bool                  // draining: all offered requests are refused
+	waiting        []*Waiter        // in order of arrival
+	running        map[string]int   // running requests by customer
+	grants         int              // slots granted so far
+	offered        demand           // of all offered requests except those marked Late
+	accepted       map[rank]*demand // of the requests granted on arrival or queued as on time
+	closed         bool             // draining: all offered requests are refused
 }
 
 // NewQueue returns a queue for a backend server with the given number of slots.
 func NewQueue(slots int) *Queue {
-	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int), accepted: make(map[rank]*decayingSum)}
+	return &Queue{slots: slots, limit: float64(slots), running: make(map[string]int), accepted: make(map[rank]*demand)}
 }
 
 // granted is the shared waiter of all tickets that are granted a slot on arrival.
@@ -111,9 +118,9 @@
 	}
 	runTime := q.runTime(t.Route, now)
 	if !t.Late {
-		q.demand.add(runTime.Seconds(), now)
+		q.offered.add(runTime, now)
 	}
-	if q.hasFreeSlot() && len(q.waiting) == 0 {
+	if q.canGrant(now) && len(q.waiting) == 0 {
 		if q.inFlight > 0 && now.Add(runTime).After(t.Deadline) {
 			return nil, q.refusal(baobabtide.ReasonTooSlow, &t, max(runTime, minRetryAfter), now)
 		}
@@ -139,6 +146,7 @@
 		q.recordAccepted(t.rank(), runTime, now)
 	}
 	q.waiting = append(q.waiting, w)
+	q.scheduleTurn(now)
 	return w, nil
 }
 
@@ -151,10 +159,16 @@
 
 func (q *Queue) hasFreeSlot() bool { return float64(q.inFlight) < max(1, float64(int(q.limit))) }
 
+// canGrant reports whether a slot is free and the rate limit allows a request.
+func (q *Queue) canGrant(now time.Time) bool { return q.hasFreeSlot() && q.hasTurn(now) }
+
 func (q *Queue) grant(t *Ticket, now time.Time) {
 	if q.epoch.IsZero() {
 		q.epoch = now
 	}
+	if q.turns != nil {
+		q.turns.AllowN(now, 1)
+	}
 	q.inFlight++
 	q.grantOffsetSum += now.Sub(q.epoch)
 	q.running[t.Customer]++
@@ -239,16 +253,17 @@
 	q.stats.RecordFailure()
 }
 
-// admit grants free slots to waiters.
+// admit grants free slots to waiters, as far as the rate limit allows.
 func (q *Queue) admit(now time.Time) {
 	q.expire(now)
-	for q.hasFreeSlot() && len(q.waiting) > 0 {
+	for q.canGrant(now) && len(q.waiting) > 0 {
 		i := q.next()
 		w := q.waiting[i]
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		q.grant(&w.ticket, now)
 		close(w.ready)
 	}
+	q.scheduleTurn(now)
 }
 
 // expire refuses the waiters that can no longer be answered before their deadlines.
--- a/btadmit/simulation_test.go
+++ b/btadmit/simulation_test.go
@@ -51,6 +51,24 @@
 	events  schedule
 	pending map[*Waiter]func(now time.Time)
 	busy    time.Duration // total run time over all slots
+	now     time.Time
+	starts  []time.Time // when requests were granted, in order
+}
+
+// newSimulation returns a simulation of a server with a number of slots.
+func newSimulation(slots int) *simulation {
+	sim := &simulation{rng: rand.New(rand.NewPCG(7, 11)), queue: NewQueue(slots), pending: make(map[*Waiter]func(time.Time)), now: now}
+	alarms := 0
+	sim.queue.Alarm = func(wait time.Duration) {
+		alarms++
+		alarm := alarms
+		heap.Push(&sim.events, event{sim.now.Add(wait), func(now time.Time) {
+			if alarm == alarms { // as with a timer, only the last one counts
+				sim.queue.Wake(now)
+			}
+		}})
+	}
+	return sim
 }
 
 // simulate offers requests of each class to one queue for the given length, with
@@ -58,7 +76,12 @@
 // slot. It returns the outcomes by route. The function slowdown returns the factor
 // on the run times of requests that start at a given time.
 func simulate(classes []requestClass, slots int, length time.Duration, slowdown func(now time.Time) float64) (map[string]*outcomeCounts, *simulation) {
-	sim := &simulation{rng: rand.New(rand.NewPCG(7, 11)), queue: NewQueue(slots), pending: make(map[*Waiter]func(time.Time))}
+	sim := newSimulation(slots)
+	return sim.run(classes, length, slowdown), sim
+}
+
+// run is like simulate for an existing simulation.
+func (sim *simulation) run(classes []requestClass, length time.Duration, slowdown func(now time.Time) float64) map[string]*outcomeCounts {
 	counts := make(map[string]*outcomeCounts)
 	end := now.Add(length)
 	for _, class := range classes {
@@ -69,10 +92,11 @@
 	}
 	for len(sim.events) > 0 {
 		e := heap.Pop(&sim.events).(event)
+		sim.now = e.at
 		e.action(e.at)
 		sim.resumeDecided(e.at)
 	}
-	return counts, sim
+	return counts
 }
 
 func (sim *simulation) arrive(class requestClass, outcomes *outcomeCounts, now time.Time, slowdown func(time.Time) float64) {
@@ -88,6 +112,7 @@
 		return
 	}
 	run := func(started time.Time) {
+		sim.starts = append(sim.starts, started)
 		took := time.Duration(float64(class.meanRunTime) * (0.5 + sim.rng.ExpFloat64()/2) * slowdown(started))
 		end := started.Add(min(took, ticket.Deadline.Sub(started)))
 		heap.Push(&sim.events, event{end, func(now time.Time) {
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -30,6 +30,7 @@
 	pool         *btbackend.Pool
 	closePool    func()
 	unreachedAt  btclock.Instant // last time a connection failed to open
+	turns        *time.Timer     // wakes the queue for the next turn under the rate limit
 	arrivals     atomic.Int64    // requests sent to the server
 	stated       stated
 }
@@ -92,10 +93,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, s := range a.servers {
-		s.closePool()
+		s.close()
 	}
 }
 
+// close refuses the requests that wait and closes the connections.
+func (s *server) close() {
+	s.queue.Close()
+	s.turns.Stop()
+	s.closePool()
+}
+
 // Update replaces the set of backend servers. Running requests to a server that is no
 // longer in the set continue; waiting and new ones are refused.
 func (a *Admitter) Update(servers []btbackend.Server) {
@@ -110,12 +118,15 @@
 			next[announcement.Name] = old
 			continue
 		}
-		next[announcement.Name] = a.newServer(announcement)
+		s := a.newServer(announcement)
+		if old != nil && old.announcement.Incarnation == announcement.Incarnation {
+			s.adoptRateLimit(old, time.Now())
+		}
+		next[announcement.Name] = s
 	}
 	for name, old := range a.servers {
 		if next[name] != old {
-			old.queue.Close()
-			old.closePool()
+			old.close()
 		}
 	}
 	for _, s := range next {
@@ -157,6 +168,8 @@
 		pool:         pool,
 		closePool:    closePool,
 	}
+	s.turns = time.AfterFunc(time.Hour, func() { s.queue.Wake(time.Now()) })
+	s.queue.Alarm = func(wait time.Duration) { s.turns.Reset(wait) }
 	pool.OnNotice = func(notice btbackend.Notice, sentAt time.Time) { a.recordNotice(s, &notice, sentAt) }
 	return s
 }
--- a/btlocal/limit_test.go
+++ b/btlocal/limit_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
@@ -70,3 +71,67 @@
 		t.Errorf("%d requests arrived in %s, %d are allowed", got, period, allowed)
 	}
 }
+
+// namedLimit returns the rate limit in force for the server of backendServer, -1 for none.
+func namedLimit(a *Admitter) float64 {
+	for _, limit := range a.RateLimits() {
+		return limit.Limit
+	}
+	return -1
+}
+
+// The limit lasts as long as the responses name it: neither a response of what stands before
+// the application nor a new announcement of the same incarnation withdraws it.
+func TestRateLimitLastsUntilItIsWithdrawn(t *testing.T) {
+	var limit atomic.Value
+	limit.Store("50")
+	status := atomic.Int64{}
+	status.Store(fasthttp.StatusOK)
+	announcement := backendServer(t, 6, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(int(status.Load()))
+		if status.Load() == fasthttp.StatusServiceUnavailable {
+			ctx.Response.Header.Set(btbackend.HeaderShed, "1")
+		}
+		if text, ok := limit.Load().(string); ok && text != "" {
+			ctx.Response.Header.Set(btbackend.HeaderRateLimit, text)
+		}
+	})
+	a, closeAdmitter := New(nil)
+	defer closeAdmitter()
+	a.Update([]btbackend.Server{{Announcement: announcement}})
+	more := announcement
+	more.Slots++
+	restarted := more
+	restarted.Incarnation++
+	steps := []struct {
+		name     string
+		limit    string
+		status   int
+		announce *btbackend.Announcement
+		want     float64
+	}{
+		{"named", "50", fasthttp.StatusOK, nil, 50},
+		{"lowered", "40", fasthttp.StatusOK, nil, 40},
+		{"invalid", "many", fasthttp.StatusOK, nil, 40},
+		{"not run, without a limit", "", fasthttp.StatusServiceUnavailable, nil, 40},
+		{"failed, without a limit", "", fasthttp.StatusInternalServerError, nil, 40},
+		{"announced with more slots", "40", fasthttp.StatusOK, &more, 40},
+		{"named by a refusal", "30", fasthttp.StatusServiceUnavailable, nil, 30},
+		{"withdrawn", "", fasthttp.StatusOK, nil, -1},
+		{"named again", "30", fasthttp.StatusOK, nil, 30},
+		{"restarted", "", 0, &restarted, -1},
+	}
+	for i, step := range steps {
+		limit.Store(step.limit)
+		status.Store(int64(step.status))
+		if step.announce != nil {
+			a.Update([]btbackend.Server{{Announcement: *step.announce}})
+		}
+		if step.status != 0 {
+			_ = send(a, i)
+		}
+		if diff := cmp.Diff(step.want, namedLimit(a)); diff != "" {
+			t.Errorf("%s: limit (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -14,11 +14,16 @@
 // stated holds what a backend server has stated about itself in its responses. The zero
 // value is a server that has stated nothing.
 type stated struct {
-	mu        sync.Mutex
+	mu   sync.Mutex
+	rate rateNotice
+}
+
+// rateNotice is the rate limit that a backend server names. The zero value is none.
+type rateNotice struct {
 	limit     float64   // requests per second that the server accepts; valid only if limited
 	limited   bool      // the server names a limit
-	limitAt   time.Time // when the limit was last named
-	changedAt time.Time // when the limit last changed
+	namedAt   time.Time // when the limit was last named
+	changedAt time.Time // when the limit last changed, zero if it never has
 	arrivals  int64     // arrivals of the server at that time
 }
 
@@ -33,20 +38,21 @@
 // whether the rate limit has changed. A response without a limit withdraws it only if the
 // server ran the request and got it after it last named the limit: others are written by
 // what stands before the application, or may be older.
-func (s *stated) update(notice *btbackend.Notice, sentAt, now time.Time) bool {
+func (r *rateNotice) update(notice *btbackend.Notice, sentAt, now time.Time) bool {
 	switch {
 	case notice.HasRateLimit:
-		changed := !s.limited || s.limit != notice.RateLimit
-		s.limit, s.limited, s.limitAt = notice.RateLimit, true, now
+		changed := !r.limited || r.limit != notice.RateLimit
+		r.limit, r.limited, r.namedAt = notice.RateLimit, true, now
 		return changed
-	case s.limited && notice.Invalid == "" && !notice.NotRun && notice.Status < minFailureStatus && sentAt.After(s.limitAt):
-		s.limit, s.limited = 0, false
+	case r.limited && notice.Invalid == "" && !notice.NotRun && notice.Status < minFailureStatus && sentAt.After(r.namedAt):
+		r.limit, r.limited = 0, false
 		return true
 	}
 	return false
 }
 
-// recordNotice records what a response of a backend server states about it.
+// recordNotice records what a response of a backend server states about it, and obeys its
+// rate limit.
 func (a *Admitter) recordNotice(s *server, notice *btbackend.Notice, sentAt time.Time) {
 	if notice.Invalid != "" {
 		a.InvalidNotices.Add(1)
@@ -55,19 +61,43 @@
 	now := time.Now()
 	s.stated.mu.Lock()
 	defer s.stated.mu.Unlock()
-	previous, since, sent := s.stated.limit, s.stated.changedAt, s.stated.arrivals
-	if !s.stated.update(notice, sentAt, now) {
+	rate := &s.stated.rate
+	previous := *rate
+	if !rate.update(notice, sentAt, now) {
 		return
 	}
-	s.stated.changedAt, s.stated.arrivals = now, s.arrivals.Load()
-	line := a.Log.Server(btlog.TargetLimit, s.announcement.Name).Bool("limited", s.stated.limited).
-		Float64("limit", s.stated.limit).Float64("previous", previous).Int64("arrivals", s.stated.arrivals-sent)
-	if !since.IsZero() {
-		line = line.Dur("age-ms", now.Sub(since))
+	s.applyRateLimit(now)
+	rate.changedAt, rate.arrivals = now, s.arrivals.Load()
+	line := a.Log.Server(btlog.TargetLimit, s.announcement.Name).Bool("limited", rate.limited).
+		Float64("limit", rate.limit).Float64("previous", previous.limit).Int64("arrivals", rate.arrivals-previous.arrivals)
+	if !previous.changedAt.IsZero() {
+		line = line.Dur("age-ms", now.Sub(previous.changedAt))
 	}
 	line.Send()
 }
 
+// applyRateLimit sets the rate limit of the queue. The caller holds s.stated.mu.
+func (s *server) applyRateLimit(now time.Time) {
+	if s.stated.rate.limited {
+		s.queue.SetRateLimit(s.stated.rate.limit, now)
+		return
+	}
+	s.queue.ClearRateLimit(now)
+}
+
+// adoptRateLimit takes over the rate limit that the same incarnation named before its
+// announcement changed.
+func (s *server) adoptRateLimit(old *server, now time.Time) {
+	old.stated.mu.Lock()
+	rate := old.stated.rate
+	rate.arrivals -= old.arrivals.Load() // s counts from 0
+	old.stated.mu.Unlock()
+	s.stated.mu.Lock()
+	defer s.stated.mu.Unlock()
+	s.stated.rate = rate
+	s.applyRateLimit(now)
+}
+
 // RateLimits returns the rate limits that the backend servers beside the node name, in no
 // particular order.
 func (a *Admitter) RateLimits() []RateLimit {
@@ -76,8 +106,8 @@
 	var limits []RateLimit
 	for name, s := range a.servers {
 		s.stated.mu.Lock()
-		if s.stated.limited {
-			limits = append(limits, RateLimit{Server: name, Limit: s.stated.limit, ChangedAt: s.stated.changedAt})
+		if rate := &s.stated.rate; rate.limited {
+			limits = append(limits, RateLimit{Server: name, Limit: rate.limit, ChangedAt: rate.changedAt})
 		}
 		s.stated.mu.Unlock()
 	}
