btroute, btdispatch: place requests by rate limits and refuse them unsent

Callers saw: with a rate limit in force beside a backend server, the nodes where requests begin go on sending it its share; each such request is refused there and moved, a round trip later, or waits for a turn while another server is free. Cause: a load report didn't say how long a request waits for its turn. Change: reports hold the rate limit and the time until the next turn. A target's score grows by that time, the turns of the node's own requests since the report and half a turn for those of others; the last part fades within 10 s, so that a withdrawn limit is noticed. If even the best target has no turn that leaves time for the run, the request is refused where it began, with the time after which it has one.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -25,13 +25,16 @@
 	limitDecrease       = 0.8                    // factor applied to the limit when the backend server sheds a request for overload
 	busyFraction        = 0.8                    // fraction of the limit in use from which a shed request means overload
 	residualFraction    = 0.7                    // mean fraction of a running request that remains at any moment
-	onTimeMargin        = 1.8                    // expected run times that must fit before the objective; one run in twelve takes longer, a longer queue serves no more requests
 	expireMargin        = 0.7                    // fraction of the expected run time that must fit before the deadline
 	lowPriorityInterval = 6                      // one in this many grants goes to a lower priority, to prevent starvation
 	maxLateWaitFraction = 0.35                   // maximum wait of a request that can't meet its objective, as a fraction of the time to its deadline
 	minLateFraction     = 0.1                    // minimum fraction of the slots assumed available to late requests and lower ranks
 )
 
+// OnTimeMargin is the number of expected run times that must fit before the objective of a
+// request. One run in twelve takes longer; a longer queue serves no more requests.
+const OnTimeMargin = 1.8
+
 // Ticket describes a request that needs a slot.
 type Ticket struct {
 	Customer  string
@@ -131,7 +134,7 @@
 	w := &Waiter{ticket: t, onTime: true, ready: make(chan struct{})}
 	wait := q.wait(w, now)
 	end := now.Add(wait + runTime)
-	late := now.Add(wait + time.Duration(onTimeMargin*float64(runTime))).After(t.objective())
+	late := now.Add(wait + time.Duration(OnTimeMargin*float64(runTime))).After(t.objective())
 	if late && !t.Call {
 		wait = min(q.lateWait(wait, now), t.Deadline.Sub(now))
 		end = now.Add(wait + runTime)
@@ -341,11 +344,16 @@
 }
 
 func (q *Queue) load(route string, now time.Time) baobabtide.Load {
-	return baobabtide.Load{
+	l := baobabtide.Load{
 		InFlight: q.inFlight,
 		Queued:   len(q.waiting),
 		Slots:    max(1, int(q.limit)),
 		Work:     q.runTime(route, now),
 		Failing:  q.stats.Failing(),
 	}
+	if q.turns != nil {
+		l.RateLimit = float64(q.turns.Limit())
+		l.Turn = q.turnWait(len(q.waiting), l.RateLimit, now)
+	}
+	return l
 }
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -86,6 +87,9 @@
 	FailedLost, MovesLost, RetriesLost                              atomic.Int64
 }
 
+// errNoTurn is the cause of refusals for want of a turn under rate limits.
+var errNoTurn = errors.New("the rate limits of all backend servers leave no turn in time")
+
 // globalRandom uses the global source of math/rand/v2.
 type globalRandom struct{}
 
@@ -195,11 +199,15 @@
 // lost, the returned error has the verdict of the admitting node, if that node can be
 // reached.
 func (d *Dispatcher) attempt(ctx context.Context, s *requestState) (*baobabtide.Response, *baobabtide.RequestError) {
+	s.unsent = false
 	target := s.target()
 	if target == nil {
 		return nil, baobabtide.Refuse(baobabtide.ReasonNoTarget, noTargetRetryAfter,
 			fmt.Errorf("no target for version %q of service %q is left", s.version.Name, s.destination.Service))
 	}
+	if refusal := d.refuseUnsent(s, target, time.Now()); refusal != nil {
+		return nil, refusal
+	}
 	s.tried[s.triedCount] = target
 	s.triedCount++
 	s.last = target
@@ -230,6 +238,22 @@
 	return resp, nil
 }
 
+// refuseUnsent returns the refusal of a request whose best target has no turn for it in time
+// under the rate limit of its backend server, nil if it may have one. The admitting node
+// would refuse it too, a round trip later.
+func (d *Dispatcher) refuseUnsent(s *requestState, target *btroute.Target, now time.Time) *baobabtide.RequestError {
+	bound := s.req.Objective
+	if _, isCallRoute := d.callRoutes.Load(s.req.Route); isCallRoute || s.req.Late || bound.IsZero() {
+		bound = s.req.Deadline
+	}
+	delay := target.TurnDelay(s.req.Route, bound.Sub(now), now)
+	s.unsent = delay > 0
+	if !s.unsent {
+		return nil
+	}
+	return baobabtide.Refuse(baobabtide.ReasonOverload, delay, errNoTurn)
+}
+
 // observe passes a result to the Observer, if there is one.
 func (d *Dispatcher) observe(req *baobabtide.Request, took time.Duration, failed bool) {
 	if d.Observer != nil {
--- a/btdispatch/dispatcher_test.go
+++ b/btdispatch/dispatcher_test.go
@@ -217,3 +217,23 @@
 		})
 	}
 }
+
+// If the rate limits of all backend servers leave no turn before the deadline, the caller is
+// told so at once, with the time of the first turn, and no node is asked.
+func TestNoTurnIsRefusedUnsent(t *testing.T) {
+	routes := table()
+	peers := &fakePeers{errs: []error{nil}}
+	d := &Dispatcher{Node: "self", Table: func() *btroute.Table { return routes }, Peers: peers}
+	for i, target := range routes.Destination("c", "service-0").Current.Pool.Targets() {
+		load := baobabtide.Load{Slots: 1, RateLimit: 0.1, Turn: time.Duration(2+i) * time.Minute}
+		target.Stats.RecordLoad("r", load, time.Now())
+	}
+	_, err := d.Serve(context.Background(), request("GET", ""))
+	refusal := baobabtide.AsRequestError(err)
+	if diff := cmp.Diff([]any{baobabtide.NotRun, baobabtide.ReasonOverload, 0}, []any{refusal.Verdict, refusal.Reason, len(peers.calls)}); diff != "" {
+		t.Errorf("verdict, reason, attempts (-want +got):\n%s", diff)
+	}
+	if refusal.RetryAfter < time.Minute || refusal.RetryAfter > 3*time.Minute { // up to half more at random
+		t.Errorf("RetryAfter %s, the first turn comes in 2 minutes", refusal.RetryAfter)
+	}
+}
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -28,6 +28,7 @@
 	moves         int                      // number of attempts refused before they reached a backend server
 	mayHaveRunErr *baobabtide.RequestError // error of the latest attempt that ran or may have run, nil for none
 	mayHaveRunAt  *btroute.Target          // target of that attempt
+	unsent        bool                     // the latest attempt was refused without being sent
 	minRetryAfter time.Duration            // shortest RetryAfter of the failed attempts, 0 for none
 }
 
@@ -107,9 +108,9 @@
 
 // startLateRound marks a request as late, so that its objective no longer counts, and
 // lets it try all targets again. It returns false if the request has no objective, is
-// already late, was not refused by any target or has a body that can't be rewound.
+// already late, was not refused or has a body that can't be rewound.
 func (s *requestState) startLateRound() bool {
-	if s.req.Objective.IsZero() || s.req.Late || s.moves == 0 || !s.rewind() {
+	if s.req.Objective.IsZero() || s.req.Late || (s.moves == 0 && !s.unsent) || !s.rewind() {
 		return false
 	}
 	s.req.Late = true
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -109,7 +109,7 @@
 		err.RetryAfter = max(err.RetryAfter, keyHomeRetryAfter)
 		return false
 	}
-	if err.Reason == baobabtide.ReasonNoTarget {
+	if err.Reason == baobabtide.ReasonNoTarget || s.unsent {
 		return s.startLateRound()
 	}
 	if isFinal(err.Reason) {
--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -45,6 +45,7 @@
 	if excess := (e.backlog + 1 - e.slots) / e.slots; excess > 0 {
 		score += runSeconds * excess
 	}
+	score += e.turn.Seconds()
 	s := t.Stats
 	if sinceFirstUse, ok := s.firstUse.Since(now); ok && sinceFirstUse < slowStartWindow {
 		score *= 1 + slowStartPenalty*(1-float64(sinceFirstUse)/float64(slowStartWindow))
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btadmit"
 	"github.com/baobabtide/baobabtide/btclock"
 )
 
@@ -34,6 +35,7 @@
 	avoidBase        = 200 * time.Millisecond // time for which a target is avoided after the first unanswered request
 	maxAvoidShift    = 3                      // the longest avoidance is avoidBase << maxAvoidShift
 	reportLifetime   = time.Second            // the weight of a load report falls linearly to 0 in this time
+	limitLifetime    = 10 * time.Second       // the weight of a rate limit that is not reported again falls linearly to 0 in this time
 	maxRunTimeRoutes = 1 << 10                // routes with a stored expected run time
 )
 
@@ -95,11 +97,49 @@
 	s.lastRunTime = reported.Work
 }
 
+// TurnDelay returns by how much a request of a route would miss its objective, which is the
+// given time away, for want of a turn under the target's rate limit: at least this much
+// according to the last report, 0 if it may be in time. The admitting node refuses such a
+// request.
+func (t *Target) TurnDelay(route string, left time.Duration, now time.Time) time.Duration {
+	s := t.Stats
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	turn := s.load.Turn - now.Sub(s.loadAt)
+	if s.load.RateLimit <= 0 || turn <= 0 {
+		return 0
+	}
+	return max(0, turn+time.Duration(btadmit.OnTimeMargin*float64(s.runTime(route)))-left)
+}
+
+// runTime returns the last reported expected run time of a route, or of any route if there
+// is none, 0 before the first report. The caller holds s.mu.
+func (s *Stats) runTime(route string) time.Duration {
+	if reported, ok := s.runTimes[route]; ok {
+		return reported
+	}
+	return s.lastRunTime
+}
+
+// turnWait estimates the wait of a request for its turn under the target's rate limit: what
+// remains of the reported wait, the turns of this node's requests since the report, and
+// half a turn for those of other nodes. The last part fades, so that a target that has
+// withdrawn its limit gets requests again. The caller holds s.mu.
+func (s *Stats) turnWait(own float64, now time.Time) time.Duration {
+	if s.load.RateLimit <= 0 {
+		return 0
+	}
+	age := now.Sub(s.loadAt)
+	turns := max(0, own-float64(s.ownAtReport)) + 0.5*max(0, 1-float64(age)/float64(limitLifetime))
+	return max(0, s.load.Turn-age) + time.Duration(turns/s.load.RateLimit*float64(time.Second))
+}
+
 // estimate is the estimated state of a target at one time.
 type estimate struct {
 	backlog float64 // running and waiting requests
 	slots   float64
 	runTime time.Duration // expected run time
+	turn    time.Duration // expected wait for a turn under the rate limit of the backend server, 0 without a limit
 	failing float64       // share of runs that fail, 0 to 1
 }
 
@@ -109,15 +149,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := estimate{backlog: own, slots: float64(t.Slots), runTime: defaultRunTime}
-	if s.lastRunTime > 0 {
-		e.runTime = s.lastRunTime
-	}
-	if reported, ok := s.runTimes[route]; ok {
-		e.runTime = reported
+	if runTime := s.runTime(route); runTime > 0 {
+		e.runTime = runTime
 	}
 	if s.load.Slots == 0 {
 		return e
 	}
+	e.turn = s.turnWait(own, now)
 	weight := 1 - float64(now.Sub(s.loadAt))/float64(reportLifetime)
 	others := float64(int64(s.load.InFlight+s.load.Queued) - s.ownAtReport)
 	e.backlog += max(0, others) * max(0, weight)
--- a/request.go
+++ b/request.go
@@ -91,6 +91,9 @@
 	Work     time.Duration `cbor:"4,keyasint,omitempty"` // expected duration of a request of the same route
 	Failing  int           `cbor:"5,keyasint,omitempty"` // failure rate of the target's requests, in thousandths
 	Call     bool          `cbor:"6,keyasint,omitempty"` // the route is used only by calls that running requests make
+
+	RateLimit float64       `cbor:"7,keyasint,omitempty"` // requests per second that the backend server accepts, 0 for no limit
+	Turn      time.Duration `cbor:"8,keyasint,omitempty"` // until RateLimit allows a further request
 }
 
 // Backend carries one request to a local backend server.
