btlocal: learn the rate limit again from the nodes that know it after a restart

Callers saw: nothing; the backend server gets more than its limit after a restart of the node beside it. The restart excuses only the requests that begin at that node. Cause: the limit is known to the process that read it in a response. Change: a request carries the limit that its sender knows from the last report. A node whose backend server hasn't responded yet takes it over; the first response decides from then on. Asking neighbors or the log for it was ruled out: whoever is bound by the limit has passed on a response that names it, and so has the report.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -213,6 +213,7 @@
 	s.last = target
 	s.req.Attempt = d.attemptID()
 	s.req.Version = target.Version
+	s.req.RateLimit = target.Stats.RateLimit()
 	started := time.Now()
 	target.Stats.Begin(started)
 	resp, err := d.send(ctx, target, s.req)
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -258,6 +258,7 @@
 	if pause := s.remainingPause(time.Now()); pause > 0 {
 		return nil, baobabtide.Refuse(baobabtide.ReasonUnreached, pause, nil)
 	}
+	s.suggestRateLimit(req.RateLimit, time.Now())
 	call := a.calls.Observe(req.Route, req.Origin)
 	if refusal := a.acquire(ctx, s, req, call); refusal != nil {
 		refusal.Load.Call = call
--- a/btlocal/limit_test.go
+++ b/btlocal/limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,10 +35,13 @@
 }
 
 // send admits one request to the server of backendServer and returns the error.
-func send(a *Admitter, attempt int) error {
+func send(a *Admitter, attempt int) error { return sendWithLimit(a, attempt, 0) }
+
+// sendWithLimit is like send for a sending node that knows a rate limit of the server.
+func sendWithLimit(a *Admitter, attempt int, limit float64) error {
 	req := &baobabtide.Request{
 		Attempt: strconv.Itoa(attempt), Service: "s", Route: "r", Idempotent: true, Method: "GET", Target: "/",
-		Deadline: time.Now().Add(time.Second), Objective: time.Now().Add(300 * time.Millisecond),
+		Deadline: time.Now().Add(time.Second), Objective: time.Now().Add(300 * time.Millisecond), RateLimit: limit,
 	}
 	resp, err := a.Admit(context.Background(), "b", 1, req)
 	if err != nil {
@@ -135,3 +139,31 @@
 		}
 	}
 }
+
+// A node that has restarted knows no limit until the server responds, but the nodes that
+// passed on a response with a limit do.
+func TestRestartedNodeExceedsRateLimit(t *testing.T) {
+	const limit = 5
+	var arrivals atomic.Int64
+	release := make(chan struct{})
+	announcement := backendServer(t, 30, func(*fasthttp.RequestCtx) {
+		arrivals.Add(1)
+		<-release
+	})
+	a, closeAdmitter := New(nil)
+	defer closeAdmitter()
+	a.Update([]btbackend.Server{{Announcement: announcement}})
+	var sent sync.WaitGroup
+	for i := range 30 {
+		sent.Go(func() { _ = sendWithLimit(a, i, limit) })
+	}
+	time.Sleep(500 * time.Millisecond) // the time in which more than the limit could arrive
+	if got := arrivals.Load(); got > limit {
+		t.Errorf("%d requests arrived in 0.5 s, %d a second are allowed", got, limit)
+	}
+	close(release)
+	sent.Wait()
+	if err := sendWithLimit(a, 30, limit); err != nil && namedLimit(a) >= 0 {
+		t.Errorf("limit %v still applies after a response without one", namedLimit(a))
+	}
+}
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -14,8 +14,9 @@
 // stated holds what a backend server has stated about itself in its responses. The zero
 // value is a server that has stated nothing.
 type stated struct {
-	mu   sync.Mutex
-	rate rateNotice
+	mu    sync.Mutex
+	heard bool // the server has responded to this process of the node
+	rate  rateNotice
 }
 
 // rateNotice is the rate limit that a backend server names. The zero value is none.
@@ -63,6 +64,7 @@
 	defer s.stated.mu.Unlock()
 	rate := &s.stated.rate
 	previous := *rate
+	s.stated.heard = true
 	if !rate.update(notice, sentAt, now) {
 		return
 	}
@@ -85,16 +87,31 @@
 	s.queue.ClearRateLimit(now)
 }
 
+// suggestRateLimit sets the rate limit that another node knows, 0 for none, until the server
+// responds for the first time: an earlier process of this node may have passed it on.
+func (s *server) suggestRateLimit(limit float64, now time.Time) {
+	if limit <= 0 {
+		return
+	}
+	s.stated.mu.Lock()
+	defer s.stated.mu.Unlock()
+	if s.stated.heard || s.stated.rate.limited {
+		return
+	}
+	s.stated.rate = rateNotice{limit: limit, limited: true, changedAt: now}
+	s.applyRateLimit(now)
+}
+
 // adoptRateLimit takes over the rate limit that the same incarnation named before its
 // announcement changed.
 func (s *server) adoptRateLimit(old *server, now time.Time) {
 	old.stated.mu.Lock()
-	rate := old.stated.rate
+	rate, heard := old.stated.rate, old.stated.heard
 	rate.arrivals -= old.arrivals.Load() // s counts from 0
 	old.stated.mu.Unlock()
 	s.stated.mu.Lock()
 	defer s.stated.mu.Unlock()
-	s.stated.rate = rate
+	s.stated.rate, s.stated.heard = rate, heard
 	s.applyRateLimit(now)
 }
 
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -145,6 +145,7 @@
 		Depth:             req.Depth,
 		Retried:           req.Retried,
 		Late:              req.Late,
+		RateLimit:         req.RateLimit,
 	}, Last: true}
 	if req.Body == nil {
 		return frame, nil
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -3,6 +3,8 @@
 package btpeer
 
 import (
+	"math"
+
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btrollout"
@@ -126,6 +128,7 @@
 	Host              string                   `cbor:"21,keyasint,omitempty"`
 	ObjectiveMicros   int64                    `cbor:"22,keyasint,omitempty"` // from sending to the objective, 0 for none
 	Late              bool                     `cbor:"23,keyasint,omitempty"`
+	RateLimit         float64                  `cbor:"24,keyasint,omitempty"`
 }
 
 // Check returns an error for the first invalid field.
@@ -136,6 +139,9 @@
 	if h.Method == "" || h.Path == "" {
 		return baobabtide.Fieldf("Method, Path", "empty")
 	}
+	if h.RateLimit < 0 || math.IsNaN(h.RateLimit) {
+		return baobabtide.Fieldf("RateLimit", "%v is not a rate", h.RateLimit)
+	}
 	return nil
 }
 
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -175,6 +175,7 @@
 	return &baobabtide.Request{
 		Objective:  objective,
 		Late:       h.Late,
+		RateLimit:  h.RateLimit,
 		ID:         h.ID,
 		Origin:     h.Origin,
 		Host:       h.Host,
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -97,6 +97,14 @@
 	s.lastRunTime = reported.Work
 }
 
+// RateLimit returns the requests per second that the target accepts according to its last
+// report, 0 for no limit.
+func (s *Stats) RateLimit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load.RateLimit
+}
+
 // TurnDelay returns by how much a request of a route would miss its objective, which is the
 // given time away, for want of a turn under the target's rate limit: at least this much
 // according to the last report, 0 if it may be in time. The admitting node refuses such a
