--- a/btlocal/admitter_test.go
+++ b/btlocal/admitter_test.go
@@ -18,10 +18,14 @@
 	}}}
 }
 
-// refusalReason returns the reason why a request is refused, empty if it is admitted.
-func refusalReason(a *Admitter) baobabtide.Reason {
+// refusalReason returns the reason why a request to the first incarnation is refused, empty
+// if it is admitted.
+func refusalReason(a *Admitter) baobabtide.Reason { return reasonOf(a, 1) }
+
+// reasonOf is like refusalReason for any incarnation.
+func reasonOf(a *Admitter, incarnation uint64) baobabtide.Reason {
 	req := &baobabtide.Request{Attempt: "a", Service: "s", Idempotent: true, Method: "GET", Target: "/", Deadline: time.Now().Add(time.Second)}
-	resp, err := a.Admit(context.Background(), "b", 1, req)
+	resp, err := a.Admit(context.Background(), "b", incarnation, req)
 	if err != nil {
 		return baobabtide.AsRequestError(err).Reason
 	}
