btlocal, btroute: send no requests to a server that says that it leaves

Callers saw: requests sent to a server that had said in its responses that it is about to stop are cut when it stops. Cause: the same as for the rate limit: only announcements were obeyed, not what a server says in its responses. Change: the first such response closes the server's queue beside it, and the node announces it as draining, for the whole incarnation, whatever the server announces before or later. The load report of the response tells the node where the request began, which doesn't pick the target again, not even if the node beside it has restarted, knows nothing and announces it as ready. That memory is local to each node that has passed on such a response, so a cut doesn't matter.

--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	servers  map[string]Server    // by name
 	departed map[string]departure // by name, servers that were draining or gone when they were removed
+	leaving  map[string]uint64    // by name, incarnation of the server that said in a response that it is about to stop
 	changed  chan struct{}        // closed with the next change, nil if nobody waits
 }
 
@@ -57,6 +58,9 @@
 	if known && old.Announcement.Incarnation != a.Incarnation {
 		r.remove(a.Name, now)
 	}
+	if leaving, ok := r.leaving[a.Name]; ok && leaving == a.Incarnation {
+		a.State = baobabtide.TargetDraining
+	}
 	r.servers[a.Name] = Server{Announcement: a, Expires: now.Add(a.Lease)}
 	if !known || !sameContent(&old.Announcement, &a) {
 		r.notifyChanged()
@@ -64,6 +68,26 @@
 	return true
 }
 
+// MarkLeaving records that an incarnation of a server has said in a response that it is about
+// to stop. It counts as draining from then on, whatever it announces.
+func (r *Registry) MarkLeaving(name string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.servers[name]
+	if !ok || s.Announcement.Incarnation != incarnation {
+		return
+	}
+	if r.leaving == nil {
+		r.leaving = make(map[string]uint64)
+	}
+	r.leaving[name] = incarnation
+	if s.Announcement.State != baobabtide.TargetDraining {
+		s.Announcement.State = baobabtide.TargetDraining
+		r.servers[name] = s
+		r.notifyChanged()
+	}
+}
+
 // Restore records an announcement that an earlier process of the node received. It
 // returns false, without any effect, if the registry is not empty.
 func (r *Registry) Restore(a Announcement, now time.Time) bool {
@@ -107,6 +131,7 @@
 func (r *Registry) remove(name string, now time.Time) {
 	a := r.servers[name].Announcement
 	delete(r.servers, name)
+	delete(r.leaving, name)
 	if a.State == baobabtide.TargetDraining {
 		r.recordDeparture(name, a.Incarnation, now)
 	}
--- a/btbackend/registry_test.go
+++ b/btbackend/registry_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/baobabtide/baobabtide"
@@ -78,3 +79,34 @@
 		})
 	})
 }
+
+// What a server said in a response about its end holds for its incarnation, whatever it
+// announces later.
+func TestServerThatSaidItLeavesStaysDraining(t *testing.T) {
+	var r Registry
+	start := time.Unix(1000, 0)
+	a := Announcement{Name: "b", Service: "s", Version: "v1", Address: "127.0.0.1:1", State: baobabtide.TargetReady, Slots: 1, Incarnation: 7, Lease: time.Minute}
+	state := func() string {
+		if servers := r.Servers(); len(servers) == 1 {
+			return servers[0].Announcement.State.String()
+		}
+		return "none"
+	}
+	steps := []struct {
+		name string
+		do   func()
+		want string
+	}{
+		{"announced", func() { r.Announce(a, start) }, "ready"},
+		{"another incarnation said so", func() { r.MarkLeaving("b", 6) }, "ready"},
+		{"said so", func() { r.MarkLeaving("b", 7) }, "draining"},
+		{"announced as ready", func() { r.Announce(a, start) }, "draining"},
+		{"restarted", func() { a.Incarnation = 8; r.Announce(a, start) }, "ready"},
+	}
+	for _, step := range steps {
+		step.do()
+		if diff := cmp.Diff(step.want, state()); diff != "" {
+			t.Errorf("%s: state (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -33,6 +33,7 @@
 	turns        *time.Timer     // wakes the queue for the next turn under the rate limit
 	arrivals     atomic.Int64    // requests sent to the server
 	stated       stated
+	leaving      atomic.Bool // the server has said in a response that it is about to stop
 }
 
 // recordUnreached records that no connection to the server could be opened.
@@ -55,6 +56,9 @@
 	Partner baobabtide.KeyPartner
 	Names   btbackend.HeaderNames
 	Log     *btlog.DecisionLog
+	// OnLeaving is called once for each incarnation of a backend server that says in a
+	// response that it is about to stop, nil for none.
+	OnLeaving func(name string, incarnation uint64)
 
 	ledger     btledger.Ledger
 	calls      btadmit.CallDetector
@@ -120,7 +124,7 @@
 		}
 		s := a.newServer(announcement)
 		if old != nil && old.announcement.Incarnation == announcement.Incarnation {
-			s.adoptRateLimit(old, time.Now())
+			s.adoptStated(old, time.Now())
 		}
 		next[announcement.Name] = s
 	}
@@ -130,7 +134,7 @@
 		}
 	}
 	for _, s := range next {
-		if a.draining || s.announcement.State == baobabtide.TargetDraining {
+		if a.draining || s.announcement.State == baobabtide.TargetDraining || s.leaving.Load() {
 			s.queue.Close()
 		}
 	}
@@ -243,6 +247,7 @@
 	resp, refusal := a.admit(ctx, s, req)
 	if refusal != nil {
 		a.end()
+		refusal.Load.Leaving = s.leaving.Load()
 		a.logRefusal(s, req, refusal)
 		return nil, refusal
 	}
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -52,13 +52,16 @@
 	return false
 }
 
-// recordNotice records what a response of a backend server states about it, and obeys its
-// rate limit.
+// recordNotice records what a response of a backend server states about it, obeys its rate
+// limit and sends it no more requests once it is about to stop.
 func (a *Admitter) recordNotice(s *server, notice *btbackend.Notice, sentAt time.Time) {
 	if notice.Invalid != "" {
 		a.InvalidNotices.Add(1)
 		a.Log.Server(btlog.NoticeInvalid, s.announcement.Name).Str("value", notice.Invalid).Send()
 	}
+	if notice.Leaving {
+		a.recordLeaving(s)
+	}
 	now := time.Now()
 	s.stated.mu.Lock()
 	defer s.stated.mu.Unlock()
@@ -102,9 +105,22 @@
 	s.applyRateLimit(now)
 }
 
-// adoptRateLimit takes over the rate limit that the same incarnation named before its
-// announcement changed.
-func (s *server) adoptRateLimit(old *server, now time.Time) {
+// recordLeaving records that a backend server is about to stop. This is final for the
+// incarnation, whatever it announces.
+func (a *Admitter) recordLeaving(s *server) {
+	if s.leaving.Swap(true) {
+		return
+	}
+	s.queue.Close()
+	a.Log.Server(btlog.TargetLeaving, s.announcement.Name).Uint64("incarnation", s.announcement.Incarnation).Int64("arrivals", s.arrivals.Load()).Send()
+	if a.OnLeaving != nil {
+		a.OnLeaving(s.announcement.Name, s.announcement.Incarnation)
+	}
+}
+
+// adoptStated takes over what the same incarnation stated before its announcement changed.
+func (s *server) adoptStated(old *server, now time.Time) {
+	s.leaving.Store(old.leaving.Load())
 	old.stated.mu.Lock()
 	rate, heard := old.stated.rate, old.stated.heard
 	rate.arrivals -= old.arrivals.Load() // s counts from 0
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -115,6 +115,7 @@
 	resp.Took = time.Since(r.started)
 	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
 	resp.Load.Call = r.call
+	resp.Load.Leaving = r.server.leaving.Load()
 	resp.Excused = resp.Status >= minFailureStatus && r.admitter.callFailed.After(r.started)
 	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp}
 	return resp
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -39,6 +39,7 @@
 	TargetChanged    Event = "target.changed"
 	TargetRestored   Event = "target.restored"
 	TargetLimit      Event = "target.limit"   // the rate limit that a backend server names has changed
+	TargetLeaving    Event = "target.leaving" // the backend server has said in a response that it is about to stop
 	NoticeInvalid    Event = "notice.invalid" // a backend server names a rate limit that is not a decimal number
 	HeartbeatRefused Event = "heartbeat.refused"
 	MemberStatus     Event = "member.status"
@@ -58,7 +59,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -160,6 +160,7 @@
 	local.Names = adapters.BackendNames
 	n.decisions = btlog.NewDecisionLog(n.log)
 	local.Log = n.decisions
+	local.OnLeaving = n.registry.MarkLeaving
 	n.local = local
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -70,7 +70,7 @@
 }
 
 // Pick returns the target with the lowest score for a request, skipping those in
-// tried, or nil if none is left. In a large pool it compares a random sample of the
+// tried and those that are about to stop, or nil if none is left. In a large pool it compares a random sample of the
 // targets in the node's own zone and one of the others. It does not allocate.
 func (p *Pool) Pick(now time.Time, rng Random, info PickInfo, tried []*Target) *Target {
 	if p.Size() == 0 {
@@ -103,7 +103,7 @@
 	start := s.rng.IntN(len(targets))
 	for i := range min(sample, len(targets)) {
 		t := targets[(start+i)%len(targets)]
-		if wasTried(s.tried, t) {
+		if t.Stats.leaving.Load() || wasTried(s.tried, t) {
 			continue
 		}
 		score := t.score(s.info, s.now)
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -19,6 +19,7 @@
 	unanswered          atomic.Int64    // number of consecutive requests lost or without a connection to the backend server
 	avoidUntil          btclock.Instant // set when such a request ends
 	firstUse            btclock.Instant
+	leaving             atomic.Bool // the backend server has said that it is about to stop
 
 	mu          sync.Mutex
 	load        baobabtide.Load          // last reported load
@@ -79,6 +80,9 @@
 func (s *Stats) RecordLoad(route string, reported baobabtide.Load, now time.Time) {
 	s.unanswered.Store(0)
 	s.avoidUntil.Clear()
+	if reported.Leaving {
+		s.leaving.Store(true)
+	}
 	if reported.Slots <= 0 {
 		return
 	}
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -13,6 +13,8 @@
 	"github.com/baobabtide/baobabtide/btconfig"
 )
 
+const maxLeaving = 256 // leaving targets that a table remembers; they stop within seconds
+
 // Table maps requests to routes and routes to targets. Once built, it is safe
 // for concurrent use.
 type Table struct {
@@ -20,6 +22,7 @@
 	customers    map[string]*customerRoutes
 	destinations map[string]*Destination // by btconfig.AssignmentKey
 	targets      map[targetKey]*Target
+	leaving      []targetKey // see leavingTargets
 }
 
 // Route is a customer's route with the destinations that serve it.
@@ -65,6 +68,7 @@
 		customers:    make(map[string]*customerRoutes, len(state.Contracts)),
 		destinations: make(map[string]*Destination, len(state.Assignments)),
 		targets:      make(map[targetKey]*Target),
+		leaving:      prev.leavingTargets(),
 	}
 	pools := t.collectTargets(members, locality, prev)
 	for customer, c := range state.Contracts {
@@ -90,6 +94,9 @@
 				continue
 			}
 			target := newTarget(m, &m.Targets[j], locality, prev)
+			if slices.Contains(t.leaving, target.key()) {
+				continue
+			}
 			t.targets[target.key()] = target
 			key := versionKey{target.Service, target.Version}
 			if pools[key] == nil {
@@ -104,6 +111,22 @@
 	return pools
 }
 
+// leavingTargets returns the keys of the targets that have said that they are about to stop,
+// oldest first, maxLeaving at most. Such a target gets no requests even if the node beside
+// it, which may have forgotten it in a restart, announces it as ready.
+func (t *Table) leavingTargets() []targetKey {
+	if t == nil {
+		return nil
+	}
+	leaving := t.leaving
+	for key, target := range t.targets {
+		if target.Stats.leaving.Load() {
+			leaving = append(slices.Clip(leaving), key)
+		}
+	}
+	return leaving[max(0, len(leaving)-maxLeaving):]
+}
+
 func newTarget(m *baobabtide.Member, announced *baobabtide.Target, locality Locality, prev *Table) *Target {
 	target := &Target{
 		Ref: baobabtide.TargetRef{
--- a/btroute/table_test.go
+++ b/btroute/table_test.go
@@ -300,3 +300,41 @@
 		route.Destination.Choose(0.5).Pool.Pick(now, rng, PickInfo{Route: "read"}, nil)
 	}
 }
+
+// A target that said that it leaves got requests again once the node beside it had restarted
+// and announced it as ready.
+func TestLeavingTargetIsNotPicked(t *testing.T) {
+	s, members := state("v1", "service-0"), btfixture.Members(2, 1, 1, "v1")
+	table := Build(s, members, locality, nil)
+	pool := table.Destination("c", "service-0").Current.Pool
+	leaving := pool.Targets()[0]
+	leaving.Stats.RecordLoad("read", baobabtide.Load{Slots: 1, Leaving: true}, now)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		if pool.Pick(now, rng, PickInfo{Route: "read"}, nil) == leaving {
+			t.Fatal("picked before the table was rebuilt")
+		}
+	}
+	index := 0
+	if members[1].Name == leaving.Ref.Node {
+		index = 1
+	}
+	incarnation := members[index].Targets[0].Incarnation
+	steps := []struct {
+		name    string
+		prepare func(target *baobabtide.Target)
+		want    int // targets
+	}{
+		{"same announcement", func(*baobabtide.Target) {}, 1},
+		{"draining", func(target *baobabtide.Target) { target.State = baobabtide.TargetDraining }, 1},
+		{"ready again", func(target *baobabtide.Target) { target.State = baobabtide.TargetReady }, 1},
+		{"restarted", func(target *baobabtide.Target) { target.Incarnation = incarnation + 1 }, 2},
+	}
+	for _, step := range steps {
+		step.prepare(&members[index].Targets[0])
+		table = Build(s, members, locality, table)
+		if diff := cmp.Diff(step.want, table.Destination("c", "service-0").Current.Pool.Size()); diff != "" {
+			t.Errorf("%s: targets (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/request.go
+++ b/request.go
@@ -95,6 +95,7 @@
 
 	RateLimit float64       `cbor:"7,keyasint,omitempty"` // requests per second that the backend server accepts, 0 for no limit
 	Turn      time.Duration `cbor:"8,keyasint,omitempty"` // until RateLimit allows a further request
+	Leaving   bool          `cbor:"9,keyasint,omitempty"` // the backend server has said that it is about to stop
 }
 
 // Backend carries one request to a local backend server.
