btbackendstandin, btexperiment: play rate limits and servers that leave

Change: the stand-in names a rate limit and says that it leaves, as its behavior tells it, and checks from its side whether the nodes obey: only arrivals from nodes (by process) that had got such a response count. It can crash under requests of given paths and be back with a new incarnation; nothing uses that yet. A backend fault can apply to some servers of a service.

--- a/baobabtide-load/btexperiment/experiment.go
+++ b/baobabtide-load/btexperiment/experiment.go
@@ -59,7 +59,7 @@
 	FreezeZone   FaultKind = "FreezeZone"   // makes open connections between Zone and the other zones stop delivering data for good
 	HoldNodes    FaultKind = "HoldNodes"    // holds back what the nodes send to other nodes, not what they receive, for the duration For
 	LogFault     FaultKind = "LogFault"     // applies LogFaults to the log for the duration For
-	BackendFault FaultKind = "BackendFault" // applies Behavior to the running backend servers of Service, of Version if it is set, for the duration For
+	BackendFault FaultKind = "BackendFault" // applies Behavior to the first Count running backend servers, 0 for all, of Service, of Version if it is set, for the duration For
 )
 
 // Fault is a fault that is injected at a given time.
@@ -158,6 +158,8 @@
 	BadTakenBack              *int // bad releases that were reverted
 	BadTotal                  *int
 	BadShare                  *float64 // largest share of a service's requests that a bad version got
+	OverLimit                 *int     // largest number of arrivals at a backend server in 4 s beyond those that its rate limit tolerates
+	AfterLeaving              *int     // arrivals at backend servers from nodes that knew for 2 s that the server leaves
 	WentBack                  *int     // times a node reported a lower configuration offset than before
 	Problems                  []string
 }
@@ -175,6 +177,8 @@
 		{"Lost", r.Lost},
 		{"FalseNotRun", r.FalseNotRun},
 		{"WentBack", r.WentBack},
+		{"OverLimit", r.OverLimit},
+		{"AfterLeaving", r.AfterLeaving},
 	} {
 		if c.value != nil && *c.value > 0 {
 			return fmt.Sprintf("%s is %d", c.name, *c.value)
--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -138,10 +138,11 @@
 	return nil
 }
 
-// backendFault applies a behavior to running backend servers and then removes all
-// their faults, also those of their release.
+// backendFault applies a behavior to the first Count running backend servers, 0 for all, and
+// then removes all their faults, also those of their release.
 func (r *Runner) backendFault(f *Fault) error {
 	set := func(behavior btbackendstandin.Behavior) error {
+		remaining := f.Count
 		for _, b := range r.deployment.Backends() {
 			if b.Spec.Service != f.Service || (f.Version != "" && b.Spec.Version != f.Version) || !b.Running() {
 				continue
@@ -149,6 +150,9 @@
 			if err := b.SetBehavior(behavior); err != nil {
 				return err
 			}
+			if remaining--; remaining == 0 {
+				break
+			}
 		}
 		return nil
 	}
--- a/baobabtide-load/btexperiment/result.go
+++ b/baobabtide-load/btexperiment/result.go
@@ -45,7 +45,7 @@
 // addRequests adds the callers' counts and compares them with the runs that the
 // backend servers recorded.
 func (r *Runner) addRequests(result *Result) {
-	executions, complete := r.executions()
+	executions, complete := r.executions(result)
 	s := r.tally.Summarize(executions, complete)
 	result.Requests = &s.Requests
 	result.Whole = &s.Whole
@@ -87,9 +87,12 @@
 }
 
 // executions returns the runs that the backend servers recorded, and whether the
-// records of all backend servers are available.
-func (r *Runner) executions() ([]btworkload.Execution, bool) {
+// records of all backend servers are available. It adds to the result whether the nodes
+// obeyed what the backend servers stated.
+func (r *Runner) executions(result *Result) ([]btworkload.Execution, bool) {
 	var executions []btworkload.Execution
+	var overLimit, afterLeaving int
+	result.OverLimit, result.AfterLeaving = &overLimit, &afterLeaving
 	complete := !r.lostRecords
 	for _, b := range r.deployment.Backends() {
 		if !b.Running() {
@@ -105,6 +108,8 @@
 			r.problems = append(r.problems, err.Error())
 			continue
 		}
+		overLimit = max(overLimit, report.OverLimit)
+		afterLeaving += report.AfterLeaving
 		for _, run := range report.Runs {
 			executions = append(executions, btworkload.Execution{Key: run.Key, Caller: run.Caller, Canceled: run.Canceled})
 		}
--- a/baobabtide-standin/btbackendstandin/handle.go
+++ b/baobabtide-standin/btbackendstandin/handle.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
@@ -101,25 +102,38 @@
 	frozen   bool          // run until the request is canceled or reaches its deadline
 	endless  string        // kind of endless input to send in place of the response
 	pause    time.Duration // between the units of endless input
+
+	generation int     // of the server at the start of the run
+	crash      bool    // crash after the duration
+	limit      float64 // rate limit that the response names, 0 for none
+	leaving    bool    // the response says that the server is about to stop
 }
 
 // acquireSlot acquires a slot and returns the treatment of the request, whose run time
 // and faults are random. It returns false if all slots are in use.
-func (s *Server) acquireSlot(path string) (treatment, bool) {
+func (s *Server) acquireSlot(path, attempt string) (treatment, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	s.notices.arrive(attempt, now)
+	notice := treatment{generation: s.generation, limit: s.behavior.RateLimit, leaving: s.behavior.Leaving}
 	if s.inFlight >= s.spec.Slots {
 		s.shed++
-		return treatment{}, false
+		return notice, false
 	}
 	s.inFlight++
 	s.requests++
-	cold := time.Since(s.started) < s.spec.ColdStart
-	t := treatment{duration: time.Duration(float64(s.spec.Work) * (0.5 + s.rng.Float64()))}
+	cold := now.Sub(s.started) < s.spec.ColdStart
+	t := notice
+	t.duration = time.Duration(float64(s.spec.Work) * (0.5 + s.rng.Float64()))
 	if cold && s.spec.ColdFactor > 0 {
 		t.duration = time.Duration(float64(t.duration) * s.spec.ColdFactor)
 	}
 	b := s.behavior
+	if b.crashes(path) {
+		t.crash, t.duration = true, b.CrashAfter
+		return t, true
+	}
 	draw := s.rng.Float64()
 	if !b.appliesTo(path) || s.requests <= b.AfterRequests || s.inFlight <= b.AboveInFlight || (b.WhileCold && !cold) {
 		return t, true
@@ -144,10 +158,12 @@
 
 // releaseSlot releases a request's slot and counts it, and marks the run at index in
 // runs, if it was canceled.
-func (s *Server) releaseSlot(runs *[]Run, index int, canceled bool) {
+func (s *Server) releaseSlot(t treatment, runs *[]Run, index int, canceled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight--
+	if t.generation == s.generation {
+		s.inFlight--
+	}
 	if !canceled {
 		return
 	}
@@ -160,14 +176,17 @@
 // serveRequest reads a request's body, handles the request according to its treatment and
 // responds.
 func (s *Server) serveRequest(ctx *fasthttp.RequestCtx) {
-	bodySize, err := io.Copy(io.Discard, requestBody(ctx))
+	body := xxhash.New()
+	bodySize, err := io.Copy(body, requestBody(ctx))
 	length := int64(ctx.Request.Header.ContentLength())
 	if err != nil || (length >= 0 && bodySize < length) {
 		ctx.Error("body is truncated\n", fasthttp.StatusBadRequest)
 		return
 	}
 	path := string(ctx.Path())
-	t, ok := s.acquireSlot(path)
+	attempt := string(ctx.Request.Header.Peek(btbackend.HeaderAttempt))
+	t, ok := s.acquireSlot(path, attempt)
+	defer s.writeNotices(ctx, t, attempt)
 	if !ok {
 		ctx.Response.Header.Set(btbackend.HeaderShed, "1")
 		ctx.Error("all slots are in use\n", fasthttp.StatusServiceUnavailable)
@@ -179,8 +198,11 @@
 	}
 	index := s.recordRun(ctx, path, runs)
 	canceled := !s.simulateWork(ctx, t)
-	defer s.releaseSlot(runs, index, canceled)
+	defer s.releaseSlot(t, runs, index, canceled)
 	switch {
+	case t.crash:
+		s.recordCrash(path, attempt, body.Sum64())
+		s.crash(t.generation)
 	case canceled:
 		ctx.Error("canceled or deadline exceeded\n", fasthttp.StatusGatewayTimeout)
 	case t.fail:
@@ -192,6 +214,21 @@
 	}
 }
 
+// writeNotices writes what the response states about the server.
+func (s *Server) writeNotices(ctx *fasthttp.RequestCtx, t treatment, attempt string) {
+	if t.limit > 0 {
+		ctx.Response.Header.Set(btbackend.HeaderRateLimit, strconv.FormatFloat(t.limit, 'f', -1, 64))
+	}
+	if t.leaving {
+		ctx.Response.Header.Set(btbackend.HeaderLeaving, "1")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.generation == s.generation {
+		s.notices.respond(attempt, t.limit, t.leaving, time.Now())
+	}
+}
+
 // requestBody returns the request's body, streamed or in memory.
 func requestBody(ctx *fasthttp.RequestCtx) io.Reader {
 	if stream := ctx.RequestBodyStream(); stream != nil {
--- a/baobabtide-standin/btbackendstandin/server.go
+++ b/baobabtide-standin/btbackendstandin/server.go
@@ -58,6 +58,11 @@
 	Frozen        bool          // requests are accepted and run until they are canceled or reach their deadline
 	Endless       string        `json:",omitempty"` // kind in btfixture.EndlessResponses, sent in place of the response until the node closes the connection
 	EndlessPause  time.Duration `json:",omitzero"`  // between the units of endless input, 0 to send as fast as possible
+	RateLimit     float64       `json:",omitempty"` // requests per second that each response names as the limit, 0 for none
+	Leaving       bool          `json:",omitempty"` // each response says that the server is about to stop
+	CrashRoutes   []string      `json:",omitempty"` // path prefixes of requests that crash the server once they run
+	CrashAfter    time.Duration `json:",omitzero"`  // from the start of such a run to the crash
+	RestartAfter  time.Duration `json:",omitzero"`  // from a crash until the server is back
 }
 
 // Run is the record of one run of a request.
@@ -71,17 +76,23 @@
 
 // Server is a backend-server stand-in. All methods are safe for concurrent use.
 type Server struct {
-	spec        Spec
+	spec    Spec
+	http    *fasthttp.Server
+	watcher *btconn.Watcher
+	stop    chan struct{}
+
+	mu          sync.Mutex
 	incarnation uint64
-	started     time.Time
-	http        *fasthttp.Server
-	watcher     *btconn.Watcher
-	stop        chan struct{}
+	started     time.Time // of the incarnation
+	generation  int       // number of crashes so far
+	down        bool      // between a crash and the restart
+	listener    *crashListener
+	notices     noticeMonitor
+	crashRuns   []CrashRun
 
-	mu       sync.Mutex
 	rng      *rand.Rand
 	behavior Behavior
-	inFlight int
+	inFlight int // of the incarnation
 	requests int
 	canceled int   // requests that were canceled or reached their deadline
 	shed     int   // requests refused because all slots were in use
@@ -114,7 +125,9 @@
 		StreamRequestBody:  true,
 		Concurrency:        max(1, spec.Connections+16),
 	}
-	go func() { _ = s.http.Serve(&delayedListener{Listener: listener, delay: spec.OpenCost}) }()
+	s.listener = s.newListener(listener)
+	s.notices.setLimit(spec.Behavior.RateLimit, s.started)
+	go func(l net.Listener) { _ = s.http.Serve(l) }(s.listener)
 	go s.announceLoop()
 	return s, sync.OnceFunc(func() {
 		close(s.stop)
@@ -126,21 +139,6 @@
 	}), nil
 }
 
-// delayedListener delays the acceptance of each connection.
-type delayedListener struct {
-	net.Listener
-	delay time.Duration
-}
-
-// Accept implements net.Listener.
-func (l *delayedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil && l.delay > 0 {
-		time.Sleep(l.delay)
-	}
-	return c, err
-}
-
 // announceLoop announces the server every announcePeriod until it stops.
 func (s *Server) announceLoop() {
 	ticker := time.NewTicker(announcePeriod)
@@ -158,6 +156,12 @@
 // announce sends the server's state, or its departure if gone is true, to the node
 // beside it.
 func (s *Server) announce(gone bool) {
+	s.mu.Lock()
+	incarnation, down := s.incarnation, s.down
+	s.mu.Unlock()
+	if down && !gone {
+		return
+	}
 	a := &btbackend.Announcement{
 		Name:        s.spec.Name,
 		Service:     s.spec.Service,
@@ -166,7 +170,7 @@
 		State:       s.state(),
 		Slots:       s.spec.Slots,
 		Connections: s.spec.Connections,
-		Incarnation: s.incarnation,
+		Incarnation: incarnation,
 		Lease:       announceLease,
 		Gone:        gone,
 	}
@@ -199,6 +203,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.behavior = b
+	s.notices.setLimit(b.RateLimit, time.Now())
 }
 
 // Report holds the request counts of a backend server and the runs it recorded.
@@ -212,6 +217,10 @@
 	InFlight int
 	Runs     []Run // of requests other than GET and HEAD
 	Reads    []Run // of the others
+
+	OverLimit    int        `json:",omitempty"` // largest number of arrivals in 4 s beyond those that the rate limit tolerates
+	AfterLeaving int        `json:",omitempty"` // arrivals from nodes that knew for 2 s that the server leaves
+	CrashRuns    []CrashRun `json:",omitempty"`
 }
 
 // Report returns the server's current report.
@@ -228,5 +237,9 @@
 		InFlight: s.inFlight,
 		Runs:     append([]Run(nil), s.runs...),
 		Reads:    append([]Run(nil), s.reads...),
+
+		OverLimit:    s.notices.overLimit,
+		AfterLeaving: s.notices.afterLeaving,
+		CrashRuns:    append([]CrashRun(nil), s.crashRuns...),
 	}
 }
