--- a/baobabtide-standin/btbackendstandin/crash.go
+++ b/baobabtide-standin/btbackendstandin/crash.go
@@ -133,7 +133,7 @@
 
 // crash closes the listener and all connections. Unread input is not waited for.
 func (l *crashListener) crash() {
-	_ = l.Listener.Close()
+	_ = l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
--- a/baobabtidectl/status.go
+++ b/baobabtidectl/status.go
@@ -36,6 +36,7 @@
 		printAssignments(w, status)
 		fmt.Fprintln(w)
 		printNodes(w, status)
+		printRateLimits(w, status)
 	})
 }
 
@@ -98,6 +99,23 @@
 	_ = t.Flush()
 }
 
+// printRateLimits writes a table with the rate limits that backend servers name, and nothing
+// if there are none.
+func printRateLimits(w io.Writer, s *btoperator.Status) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	empty := true
+	for i := range s.Nodes {
+		for _, limit := range s.Nodes[i].RateLimits {
+			if empty {
+				fmt.Fprintln(t, "\nSERVER\tNODE\tREQUESTS/S\tSINCE")
+				empty = false
+			}
+			fmt.Fprintf(t, "%s\t%s\t%g\t%s\n", limit.Server, s.Nodes[i].Name, limit.PerSecond, limit.Since.UTC().Format(time.RFC3339))
+		}
+	}
+	_ = t.Flush()
+}
+
 func yesOrDash(b bool) string {
 	if b {
 		return "yes"
--- a/btlocal/limit_test.go
+++ b/btlocal/limit_test.go
@@ -79,7 +79,7 @@
 // namedLimit returns the rate limit in force for the server of backendServer, -1 for none.
 func namedLimit(a *Admitter) float64 {
 	for _, limit := range a.RateLimits() {
-		return limit.Limit
+		return limit.PerSecond
 	}
 	return -1
 }
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btlog"
 )
@@ -28,13 +29,6 @@
 	arrivals  int64     // arrivals of the server at that time
 }
 
-// RateLimit is the rate limit that a backend server beside the node names.
-type RateLimit struct {
-	Server    string
-	Limit     float64   // requests per second
-	ChangedAt time.Time // when the server first named this limit
-}
-
 // update records what a response to a request that was sent at sentAt states, and reports
 // whether the rate limit has changed. A response without a limit withdraws it only if the
 // server ran the request and got it after it last named the limit: others are written by
@@ -133,14 +127,14 @@
 
 // RateLimits returns the rate limits that the backend servers beside the node name, in no
 // particular order.
-func (a *Admitter) RateLimits() []RateLimit {
+func (a *Admitter) RateLimits() []baobabtide.ServerRateLimit {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var limits []RateLimit
+	var limits []baobabtide.ServerRateLimit
 	for name, s := range a.servers {
 		s.stated.mu.Lock()
 		if rate := &s.stated.rate; rate.limited {
-			limits = append(limits, RateLimit{Server: name, Limit: rate.limit, ChangedAt: rate.changedAt})
+			limits = append(limits, baobabtide.ServerRateLimit{Server: name, PerSecond: rate.limit, Since: rate.changedAt})
 		}
 		s.stated.mu.Unlock()
 	}
--- a/btnode/info.go
+++ b/btnode/info.go
@@ -34,6 +34,7 @@
 		Resident:    residentBytes(),
 		LogReads:    reads,
 		LogAppends:  appends,
+		RateLimits:  n.local.RateLimits(),
 	}
 }
 
--- a/btnode/operator.go
+++ b/btnode/operator.go
@@ -199,6 +199,7 @@
 	s.LogUp = info.LogUp
 	s.Draining = info.Draining
 	s.Held = info.Held
+	s.RateLimits = info.RateLimits
 	s.Cost = btoperator.NodeCost{
 		ControlBytesIn:  info.ControlIn,
 		ControlBytesOut: info.ControlOut,
--- a/btoperator/api.go
+++ b/btoperator/api.go
@@ -121,6 +121,8 @@
 	Held         []string            `json:",omitempty"`
 	Targets      []baobabtide.Target `json:",omitempty"`
 	Cost         NodeCost
+
+	RateLimits []baobabtide.ServerRateLimit `json:",omitempty"` // that the backend servers beside the node name
 }
 
 // NodeCost holds the resources that a node has used since it started, and its
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -244,6 +244,8 @@
 	Resident    int64             `cbor:"14,keyasint"` // bytes of resident memory
 	LogReads    int64             `cbor:"15,keyasint"`
 	LogAppends  int64             `cbor:"16,keyasint"`
+
+	RateLimits []baobabtide.ServerRateLimit `cbor:"17,keyasint,omitempty"` // of the backend servers beside the node
 }
 
 // DrainRequest tells a node to drain its requests and stop.
--- a/member.go
+++ b/member.go
@@ -1,5 +1,7 @@
 package baobabtide
 
+import "time"
+
 // Status is the liveness of a node as the other members see it. Within an
 // incarnation, higher values override lower ones.
 type Status uint8
@@ -39,6 +41,13 @@
 	Incarnation uint64      `cbor:"7,keyasint" json:"Incarnation"` // differs with each start of the backend server
 }
 
+// ServerRateLimit is the rate limit that a backend server names in its responses.
+type ServerRateLimit struct {
+	Server    string    `cbor:"1,keyasint" json:"Server"`
+	PerSecond float64   `cbor:"2,keyasint" json:"PerSecond"` // requests that the server accepts from all nodes together
+	Since     time.Time `cbor:"3,keyasint" json:"Since"`     // when the server first named this limit, by the clock of the node beside it
+}
+
 // TargetRef identifies a target and the node beside it, through which requests
 // reach it.
 type TargetRef struct {
