btlocal, btquarantine: log servers that crash, with the digests of their requests

Change: a request gets a digest of its customer, host, method, target and body where it begins, which travels with it. When a connection to a backend server ends without a response, the node beside it dials the server once: an address that refuses connections is that of a server that has ended. target.crashed names it, and the lines admit.lost of its requests hold crashed and the digest. Nothing is decided by it yet.

--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/baobabtide/baobabtide/btconn"
@@ -16,6 +19,7 @@
 	defaultConns       = 128                    // open connections if the announcement sets no limit
 	defaultIdleTimeout = 30 * time.Second       // if the backend server sends no Keep-Alive timeout
 	dialTimeout        = 500 * time.Millisecond // the backend server is on the same machine
+	endedTimeout       = 100 * time.Millisecond // to find out whether it has ended; a refusal takes no time
 )
 
 // backendConn is a connection to a backend server.
@@ -83,12 +87,40 @@
 		<-p.tokens
 		return nil, fmt.Errorf("dial backend server: %w", err)
 	}
+	return newBackendConn(conn), nil
+}
+
+func newBackendConn(conn net.Conn) *backendConn {
 	return &backendConn{
 		Conn:        conn,
 		reader:      bufio.NewReaderSize(conn, connBuffer),
 		writer:      bufio.NewWriterSize(conn, connBuffer),
 		idleTimeout: defaultIdleTimeout,
-	}, nil
+	}
+}
+
+// Ended reports whether the backend server has ended: its address refuses connections. A
+// server that closes or resets a connection, or is silent, has not ended. The connection that
+// a server accepts is kept for the next request.
+func (p *Pool) Ended() bool {
+	select {
+	case p.tokens <- struct{}{}:
+	default:
+		return false // so many requests are on their way to it that one of them would find out
+	}
+	conn, err := net.DialTimeout("tcp", p.address, endedTimeout)
+	if err != nil {
+		<-p.tokens
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.release(newBackendConn(conn))
+	return false
+}
+
+// IsConnEnd reports whether an exchange failed because the backend server, or its kernel, ended
+// the connection.
+func IsConnEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // popIdle returns the most recently used idle connection that is open and has no
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -33,6 +33,7 @@
 	turns        *time.Timer     // wakes the queue for the next turn under the rate limit
 	arrivals     atomic.Int64    // requests sent to the server
 	stated       stated
+	ending       ending
 	leaving      atomic.Bool // the server has said in a response that it is about to stop
 }
 
@@ -64,6 +65,7 @@
 	calls      btadmit.CallDetector
 	callFailed btclock.Instant // time of the last failed call of a backend server beside the node
 
+	Crashes        atomic.Int64 // backend servers that ended while they had requests
 	InvalidNotices atomic.Int64 // responses whose rate limit is not a decimal number
 
 	mu       sync.Mutex
@@ -292,6 +294,9 @@
 	line := a.Log.Request(event, req).Str("target", s.announcement.Name).Stringer("verdict", err.Verdict).Str("reason", string(err.Reason)).
 		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Int("limit", err.Load.Slots).Int("failing", err.Load.Failing).
 		Dur("work-ms", err.Load.Work).Bool("late", req.Late).Dur("retry-after-ms", err.RetryAfter)
+	if err.Crashed {
+		line = line.Bool("crashed", true).Stringer("digest", req.Digest)
+	}
 	btlog.AddError(line, "cause", err.Err).Send()
 }
 
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btledger"
 )
 
@@ -102,6 +103,7 @@
 	case baobabtide.ReasonMisdirected:
 		r.server.queue.Close() // another backend server has the address
 	case baobabtide.ReasonBackend:
+		err.Crashed = btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server)
 		r.server.queue.RecordRun(r.req.Route, now.Sub(r.started), true)
 	}
 	err.Load = r.server.queue.Load(r.req.Route, now)
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -40,6 +40,7 @@
 	TargetRestored   Event = "target.restored"
 	TargetLimit      Event = "target.limit"   // the rate limit that a backend server names has changed
 	TargetLeaving    Event = "target.leaving" // the backend server has said in a response that it is about to stop
+	TargetCrashed    Event = "target.crashed" // the backend server ended while it had requests
 	NoticeInvalid    Event = "notice.invalid" // a backend server names a rate limit that is not a decimal number
 	HeartbeatRefused Event = "heartbeat.refused"
 	MemberStatus     Event = "member.status"
@@ -59,7 +60,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -146,6 +146,7 @@
 		Retried:           req.Retried,
 		Late:              req.Late,
 		RateLimit:         req.RateLimit,
+		Digest:            req.Digest,
 	}, Last: true}
 	if req.Body == nil {
 		return frame, nil
@@ -200,6 +201,7 @@
 			RetryAfter: time.Duration(r.RetryAfterMicros) * time.Microsecond,
 			Load:       r.Load,
 			Reached:    r.Reached,
+			Crashed:    r.Crashed,
 		}
 		if r.Message != "" {
 			re.Err = errors.New(r.Message)
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -129,6 +129,7 @@
 	ObjectiveMicros   int64                    `cbor:"22,keyasint,omitempty"` // from sending to the objective, 0 for none
 	Late              bool                     `cbor:"23,keyasint,omitempty"`
 	RateLimit         float64                  `cbor:"24,keyasint,omitempty"`
+	Digest            baobabtide.Digest        `cbor:"25,keyasint,omitempty"`
 }
 
 // Check returns an error for the first invalid field.
@@ -190,6 +191,7 @@
 	Message          string             `cbor:"4,keyasint,omitempty"`
 	Load             baobabtide.Load    `cbor:"5,keyasint"`
 	Reached          bool               `cbor:"6,keyasint,omitempty"`
+	Crashed          bool               `cbor:"7,keyasint,omitempty"`
 }
 
 // Check returns an error for the first invalid field.
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -157,6 +157,7 @@
 		RetryAfterMicros: re.RetryAfter.Microseconds(),
 		Load:             re.Load,
 		Reached:          re.Reached,
+		Crashed:          re.Crashed,
 	}
 	if re.Err != nil {
 		refusal.Message = re.Err.Error()
@@ -176,6 +177,7 @@
 		Objective:  objective,
 		Late:       h.Late,
 		RateLimit:  h.RateLimit,
+		Digest:     h.Digest,
 		ID:         h.ID,
 		Origin:     h.Origin,
 		Host:       h.Host,
--- /dev/null
+++ b/btquarantine/digest.go
@@ -0,0 +1,34 @@
+// Package btquarantine decides which requests are not run any more because they crash the
+// backend servers that run them. It does no I/O; nodes exchange its entries by gossip.
+package btquarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+const headSize = 512 // bytes of a request's head that are hashed without an allocation
+
+// DigestOf returns the digest of a request. Of a body that is streamed only the length counts,
+// because the rest is not known before it has been sent. The digest is cryptographic, so that
+// no customer can make a request that has the digest of another one.
+func DigestOf(req *baobabtide.Request) baobabtide.Digest {
+	var head [headSize]byte
+	data := head[:0]
+	for _, part := range [...]string{req.Customer, req.Host, req.Method, req.Target} {
+		data = binary.AppendUvarint(data, uint64(len(part)))
+		data = append(data, part...)
+	}
+	switch body := req.Body.(type) {
+	case nil:
+	case *baobabtide.BytesBody:
+		sum := sha256.Sum256(body.Data)
+		data = append(data, sum[:]...)
+	default:
+		data = binary.AppendVarint(data, req.BodyLength)
+	}
+	sum := sha256.Sum256(data)
+	return baobabtide.Digest(sum[:len(baobabtide.Digest{})])
+}
--- a/request.go
+++ b/request.go
@@ -36,6 +36,7 @@
 	Late       bool      // admit the request even if it can't meet the objective
 	Depth      int       // number of calls between services that led to this request, 0 if it came from outside the mesh
 	Retried    bool      // this request or one that led to it was already retried
+	Digest     Digest    // of the customer, host, method, target and body
 	RateLimit  float64   // requests per second that the target accepts as far as the sending node knows, 0 for no limit
 }
 
--- a/verdict.go
+++ b/verdict.go
@@ -56,6 +56,7 @@
 	Reason     Reason
 	RetryAfter time.Duration // zero if a retry can't help
 	Reached    bool          // a backend server got the request, even if it did not run it
+	Crashed    bool          // the backend server ended while it had the request
 	Load       Load          // of the target that refused, Slots is 0 if unknown
 	Err        error         // cause, may be nil
 }
