btquarantine: refuse requests that crash the servers that run them

Callers saw: one request, sent again and again through any node, ended every server of a service as it came up; all requests that ran there failed with 502, and the service was down for minutes. Cause: nobody remembered what ran when a server crashed, so each repeat, our own retries included, was a new request. The class: failures of a backend server were counted by target and by version, never by request. Evidence: the timeline (13 and 14 servers ended); the failing test, where a fourth server gets the request. Change: a table of digests with the servers that crashed under them, on every node. The node beside the server that crashed and the node where the request began record it and tell the others by gossip; new connections between nodes get all of it. After two crashes a request runs on a server only while no other such request runs there, and not on the last server of a service that is up, so that a third crash tells who is to blame. After three it is refused, as not run, where it begins and beside the server. Why it works: a request that crashes each server that runs it never gets a response, and bystanders do, the next time they run; and what tells a crash is that the address refuses connections, not that one ended.

--- a/btadmit/turn_test.go
+++ b/btadmit/turn_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -10,8 +11,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfixture"
 )
 
+func TestMain(m *testing.M) { os.Exit(btfixture.RunSeeded(m)) }
+
 const limitWindow = 4 * time.Second // the length of the periods in which arrivals are counted
 
 // tolerated returns the number of arrivals that a limit tolerates in limitWindow: half as
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btlog"
+	"github.com/baobabtide/baobabtide/btquarantine"
 	"github.com/baobabtide/baobabtide/btretry"
 	"github.com/baobabtide/baobabtide/btroute"
 )
@@ -67,8 +68,10 @@
 	Peers       baobabtide.Forwarder
 	Local       baobabtide.Admitter
 	Budgets     btretry.Budgets
-	Observer    Observer // nil for none
-	Recorder    Recorder // nil for none
+	Quarantine  *btquarantine.Table            // nil for none
+	OnEntry     func(entry btquarantine.Entry) // called with each change of Quarantine that the dispatcher makes, nil for none
+	Observer    Observer                       // nil for none
+	Recorder    Recorder                       // nil for none
 	Log         *btlog.DecisionLog
 	CallFailed  func(now time.Time) // called when a request on a call route has failed, nil for none
 
@@ -87,6 +90,27 @@
 	FailedLost, MovesLost, RetriesLost                              atomic.Int64
 }
 
+// refuseQuarantined returns the refusal of a request that has crashed the backend servers that
+// ran it, nil for any other.
+func (d *Dispatcher) refuseQuarantined(s *requestState) *baobabtide.RequestError {
+	if d.Quarantine == nil {
+		return nil
+	}
+	return btquarantine.Refuse(d.Quarantine.Standing(s.req.Digest, time.Now()))
+}
+
+// recordCrash records that a target has crashed while it ran a request, as the node beside it
+// has done. This one may hear of it in no other way.
+func (d *Dispatcher) recordCrash(target *btroute.Target, sent *baobabtide.Request, now time.Time) {
+	if d.Quarantine == nil {
+		return
+	}
+	crash := btquarantine.Crash{Server: target.Ref.Name, Incarnation: target.Ref.Incarnation}
+	if entry, changed := d.Quarantine.RecordCrash(sent, crash, now); changed && d.OnEntry != nil {
+		d.OnEntry(entry)
+	}
+}
+
 // errNoTurn is the cause of refusals for want of a turn under rate limits.
 var errNoTurn = errors.New("the rate limits of all backend servers leave no turn in time")
 
@@ -200,6 +224,9 @@
 // reached.
 func (d *Dispatcher) attempt(ctx context.Context, s *requestState) (*baobabtide.Response, *baobabtide.RequestError) {
 	s.unsent = false
+	if refusal := d.refuseQuarantined(s); refusal != nil {
+		return nil, refusal
+	}
 	target := s.target()
 	if target == nil {
 		return nil, baobabtide.Refuse(baobabtide.ReasonNoTarget, noTargetRetryAfter,
@@ -270,6 +297,9 @@
 	if err.Reason == baobabtide.ReasonBackend && err.Verdict != baobabtide.NotRun {
 		d.observe(&sent, now.Sub(started), true)
 	}
+	if err.Crashed {
+		d.recordCrash(target, &sent, now)
+	}
 	if err.Reason == baobabtide.ReasonLost || err.Reason == baobabtide.ReasonUnreached {
 		target.Stats.RecordUnresponsive(now)
 		return
--- a/btdispatch/dispatcher_test.go
+++ b/btdispatch/dispatcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btquarantine"
 	"github.com/baobabtide/baobabtide/btroute"
 )
 
@@ -237,3 +238,46 @@
 		t.Errorf("RetryAfter %s, the first turn comes in 2 minutes", refusal.RetryAfter)
 	}
 }
+
+// crashingPeers lets every backend server crash under every attempt.
+type crashingPeers struct{ fakePeers }
+
+func (p *crashingPeers) Forward(_ context.Context, target baobabtide.TargetRef, _ *baobabtide.Request) (*baobabtide.Response, error) {
+	p.calls = append(p.calls, target.Node)
+	return nil, &baobabtide.RequestError{Reason: baobabtide.ReasonBackend, Reached: true, Crashed: true}
+}
+
+// The node where a request begins counts the crashes of the request's own attempts, and
+// refuses the same request from then on: as not run, and without asking another node.
+func TestRequestThatCrashesServersIsRefused(t *testing.T) {
+	routes := table()
+	peers := &crashingPeers{}
+	var told int
+	d := &Dispatcher{
+		Node: "self", Table: func() *btroute.Table { return routes }, Peers: peers,
+		Quarantine: &btquarantine.Table{}, OnEntry: func(btquarantine.Entry) { told++ },
+	}
+	d.Budgets.SetBurst(100)
+	type result struct {
+		Verdict  baobabtide.Verdict
+		Reason   baobabtide.Reason
+		Attempts int
+		Told     int
+	}
+	serve := func(target string) result {
+		req := request("GET", "")
+		req.Target = target
+		_, err := d.Serve(context.Background(), req)
+		got := baobabtide.AsRequestError(err)
+		return result{got.Verdict, got.Reason, len(peers.calls), told}
+	}
+	if diff := cmp.Diff(result{baobabtide.MayHaveRun, baobabtide.ReasonBackend, 3, 3}, serve("/service-0?a")); diff != "" {
+		t.Errorf("first request (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(result{baobabtide.NotRun, baobabtide.ReasonQuarantined, 3, 3}, serve("/service-0?a")); diff != "" {
+		t.Errorf("the same again (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(4, min(4, serve("/service-0?b").Attempts)); diff != "" {
+		t.Errorf("attempts after another request (-want +got):\n%s", diff)
+	}
+}
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -16,6 +16,7 @@
 	"github.com/baobabtide/baobabtide/btconn"
 	"github.com/baobabtide/baobabtide/btledger"
 	"github.com/baobabtide/baobabtide/btlog"
+	"github.com/baobabtide/baobabtide/btquarantine"
 )
 
 const (
@@ -34,7 +35,8 @@
 	arrivals     atomic.Int64    // requests sent to the server
 	stated       stated
 	ending       ending
-	leaving      atomic.Bool // the server has said in a response that it is about to stop
+	suspects     atomic.Int32 // running requests with standing btquarantine.Suspect, 0 or 1
+	leaving      atomic.Bool  // the server has said in a response that it is about to stop
 }
 
 // recordUnreached records that no connection to the server could be opened.
@@ -57,6 +59,13 @@
 	Partner baobabtide.KeyPartner
 	Names   btbackend.HeaderNames
 	Log     *btlog.DecisionLog
+	// Quarantine holds the requests that are not run, or not together, because of crashes.
+	Quarantine *btquarantine.Table
+	// OnEntry is called with each change of Quarantine that the admitter makes, nil for none.
+	OnEntry func(entry btquarantine.Entry)
+	// Servers returns the number of backend servers of a service that all nodes know of; nil
+	// if that is not known.
+	Servers func(service string) int
 	// OnLeaving is called once for each incarnation of a backend server that says in a
 	// response that it is about to stop, nil for none.
 	OnLeaving func(name string, incarnation uint64)
@@ -88,9 +97,11 @@
 func New(partner baobabtide.KeyPartner) (*Admitter, func()) {
 	a := &Admitter{
 		Limiter: &btadmit.RateLimiter{},
-		Partner: partner,
-		Names:   btbackend.DefaultNames(),
-		servers: make(map[string]*server),
+
+		Quarantine: &btquarantine.Table{},
+		Partner:    partner,
+		Names:      btbackend.DefaultNames(),
+		servers:    make(map[string]*server),
 	}
 	return a, a.close
 }
@@ -259,6 +270,9 @@
 // admit waits for a slot of the server and runs the request. For a repeated request with a
 // key, it returns the stored answer, if there is one.
 func (a *Admitter) admit(ctx context.Context, s *server, req *baobabtide.Request) (*baobabtide.Response, *baobabtide.RequestError) {
+	if refusal := btquarantine.Refuse(a.Quarantine.Standing(req.Digest, time.Now())); refusal != nil {
+		return nil, refusal
+	}
 	if wait := a.Limiter.Take(req.Customer, req.Service, time.Now()); wait > 0 {
 		return nil, baobabtide.Refuse(baobabtide.ReasonRateLimit, wait, nil)
 	}
@@ -272,6 +286,11 @@
 		return nil, refusal
 	}
 	run := &run{admitter: a, server: s, req: req, call: call, started: time.Now()}
+	if refusal := run.isolate(); refusal != nil {
+		run.release()
+		refusal.Load = s.queue.Load(req.Route, time.Now())
+		return nil, refusal
+	}
 	if answer, refusal := run.recordBegin(ctx); answer != nil || refusal != nil {
 		run.release()
 		return replay(answer, a), refusal
--- a/btlocal/crash.go
+++ b/btlocal/crash.go
@@ -1,15 +1,51 @@
 package btlocal
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btlog"
+	"github.com/baobabtide/baobabtide/btquarantine"
 )
 
 const probePause = 50 * time.Millisecond // between two checks whether a server has ended
 
+// isolate refuses a request that has a slot if crashes forbid that it runs now. A suspect
+// request is counted in server.suspects until the run ends.
+func (r *run) isolate() *baobabtide.RequestError {
+	a := r.admitter
+	situation := btquarantine.Situation{Servers: math.MaxInt}
+	if a.Quarantine.Standing(r.req.Digest, r.started) == btquarantine.Suspect {
+		r.suspect = r.server.suspects.CompareAndSwap(0, 1)
+		situation.SuspectRuns = !r.suspect
+		if a.Servers != nil {
+			situation.Servers = a.Servers(r.req.Service)
+		}
+	}
+	_, refusal := a.Quarantine.Admit(r.req.Digest, r.req.Service, situation, r.started)
+	return refusal
+}
+
+// recordCrash records that the server has crashed while it ran the request.
+func (r *run) recordCrash(now time.Time) {
+	a, announcement := r.admitter, &r.server.announcement
+	entry, changed := a.Quarantine.RecordCrash(r.req, btquarantine.Crash{Server: announcement.Name, Incarnation: announcement.Incarnation}, now)
+	if changed && a.OnEntry != nil {
+		a.OnEntry(entry)
+	}
+}
+
+// clear clears the request of the crashes that happened while it ran: the server has run it
+// and responds.
+func (r *run) clear(now time.Time) {
+	a := r.admitter
+	if entry, changed := a.Quarantine.Clear(r.req.Digest, now); changed && a.OnEntry != nil {
+		a.OnEntry(entry)
+	}
+}
+
 // ending is what a node knows of the end of a backend server. The zero value is a server that
 // has not ended.
 type ending struct {
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -25,6 +25,7 @@
 	started  time.Time
 	keyName  string // as btledger.KeyName returns it, empty for an idempotent request or one without a key
 	recorded bool   // the ledger holds the attempt as running
+	suspect  bool   // counted in server.suspects
 	released bool
 }
 
@@ -84,6 +85,9 @@
 		return
 	}
 	r.released = true
+	if r.suspect {
+		r.server.suspects.Add(-1)
+	}
 	now := time.Now()
 	r.server.queue.Release(r.req.Customer, now.Sub(r.started), now)
 }
@@ -103,7 +107,10 @@
 	case baobabtide.ReasonMisdirected:
 		r.server.queue.Close() // another backend server has the address
 	case baobabtide.ReasonBackend:
-		err.Crashed = btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server)
+		if btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server) {
+			err.Crashed = true
+			r.recordCrash(now)
+		}
 		r.server.queue.RecordRun(r.req.Route, now.Sub(r.started), true)
 	}
 	err.Load = r.server.queue.Load(r.req.Route, now)
@@ -114,6 +121,7 @@
 // succeed returns the response with the load of the server and with a body that ends the
 // request when it is closed. A failure is excused if a call has failed during the run.
 func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
+	r.clear(time.Now())
 	resp.Took = time.Since(r.started)
 	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
 	resp.Load.Call = r.call
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -23,36 +23,39 @@
 // Events about the node's own state, the log, the configuration, targets, other nodes and
 // rollouts.
 const (
-	NodeStarted      Event = "node.started"
-	NodeStopped      Event = "node.stopped"
-	NodeDraining     Event = "node.draining"
-	NodeDrained      Event = "node.drained"
-	SignalReceived   Event = "signal.received" // the process got a signal
-	SettingsReloaded Event = "settings.reloaded"
-	SettingsRefused  Event = "settings.refused"
-	LogUp            Event = "log.up"
-	LogDown          Event = "log.down"
-	LogBehind        Event = "log.behind"
-	ConfigInForce    Event = "config.in-force"
-	RecordRejected   Event = "record.rejected"
-	RecordInvalid    Event = "record.invalid"
-	TargetChanged    Event = "target.changed"
-	TargetRestored   Event = "target.restored"
-	TargetLimit      Event = "target.limit"   // the rate limit that a backend server names has changed
-	TargetLeaving    Event = "target.leaving" // the backend server has said in a response that it is about to stop
-	TargetCrashed    Event = "target.crashed" // the backend server ended while it had requests
-	NoticeInvalid    Event = "notice.invalid" // a backend server names a rate limit that is not a decimal number
-	HeartbeatRefused Event = "heartbeat.refused"
-	MemberStatus     Event = "member.status"
-	MemberAccused    Event = "member.accused"
-	PeerUnresponsive Event = "peer.unresponsive" // the requests on a connection to another node were given up
-	RolloutShare     Event = "rollout.share"
-	RolloutTripped   Event = "rollout.tripped"
-	RolloutEnded     Event = "rollout.ended"
-	OutcomeAppend    Event = "outcome.append"
-	OutcomesUnread   Event = "outcomes.unread"
-	DirectoryFailed  Event = "directory.failed"
-	LinesDropped     Event = "log.dropped" // number of lines that were not written since the last such line
+	NodeStarted       Event = "node.started"
+	NodeStopped       Event = "node.stopped"
+	NodeDraining      Event = "node.draining"
+	NodeDrained       Event = "node.drained"
+	SignalReceived    Event = "signal.received" // the process got a signal
+	SettingsReloaded  Event = "settings.reloaded"
+	SettingsRefused   Event = "settings.refused"
+	LogUp             Event = "log.up"
+	LogDown           Event = "log.down"
+	LogBehind         Event = "log.behind"
+	ConfigInForce     Event = "config.in-force"
+	RecordRejected    Event = "record.rejected"
+	RecordInvalid     Event = "record.invalid"
+	TargetChanged     Event = "target.changed"
+	TargetRestored    Event = "target.restored"
+	TargetLimit       Event = "target.limit"       // the rate limit that a backend server names has changed
+	TargetLeaving     Event = "target.leaving"     // the backend server has said in a response that it is about to stop
+	TargetCrashed     Event = "target.crashed"     // the backend server ended while it had requests
+	QuarantineSuspect Event = "quarantine.suspect" // a server crashed under a request
+	QuarantineSet     Event = "quarantine.set"     // a request has crashed so many servers that it is refused
+	QuarantineCleared Event = "quarantine.cleared" // a server has run the request, or an operator cleared it
+	NoticeInvalid     Event = "notice.invalid"     // a backend server names a rate limit that is not a decimal number
+	HeartbeatRefused  Event = "heartbeat.refused"
+	MemberStatus      Event = "member.status"
+	MemberAccused     Event = "member.accused"
+	PeerUnresponsive  Event = "peer.unresponsive" // the requests on a connection to another node were given up
+	RolloutShare      Event = "rollout.share"
+	RolloutTripped    Event = "rollout.tripped"
+	RolloutEnded      Event = "rollout.ended"
+	OutcomeAppend     Event = "outcome.append"
+	OutcomesUnread    Event = "outcomes.unread"
+	DirectoryFailed   Event = "directory.failed"
+	LinesDropped      Event = "log.dropped" // number of lines that were not written since the last such line
 )
 
 // Events returns all events.
@@ -60,7 +63,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -383,6 +383,7 @@
 	n.members.table.Watch(e.name, now)
 	n.members.mu.Unlock()
 	n.sendReports(e)
+	n.sendQuarantine(e)
 	if outcomes := n.config.State().Outcomes; len(outcomes) > 0 {
 		e.send(&btpeer.Gossip{Outcomes: outcomes})
 	}
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -56,6 +56,9 @@
 	if len(m.Outcomes) > 0 {
 		n.addOutcomes(e, m.Outcomes)
 	}
+	if len(m.Quarantine) > 0 {
+		n.handleQuarantine(e, m.Quarantine)
+	}
 	if len(m.Reports) > 0 || len(m.Trips) > 0 {
 		n.handleReports(e, m)
 	}
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -100,6 +100,7 @@
 		return float64(appends)
 	})
 	gauge("baobabtide_requests_active", func() float64 { return float64(n.local.Active()) })
+	gauge("baobabtide_quarantined_requests", n.countQuarantined)
 	gauge("baobabtide_server_crashes_total", func() float64 { return float64(n.local.Crashes.Load()) })
 	gauge("baobabtide_invalid_notices_total", func() float64 { return float64(n.local.InvalidNotices.Load()) })
 	gauge("baobabtide_rate_limited_servers", func() float64 { return float64(len(n.local.RateLimits())) })
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -31,6 +31,7 @@
 	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btpeer"
+	"github.com/baobabtide/baobabtide/btquarantine"
 	"github.com/baobabtide/baobabtide/btroute"
 	"github.com/baobabtide/baobabtide/btsettings"
 	"github.com/baobabtide/baobabtide/bttls"
@@ -85,6 +86,7 @@
 	directoryAddresses chan []string   // addresses from the directory, for tickLoop
 	edges              edges
 	rollouts           rollouts
+	quarantine         btquarantine.Table
 
 	resolving    atomic.Int64 // calls to key partners in progress that report the end of an attempt
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
@@ -161,6 +163,8 @@
 	n.decisions = btlog.NewDecisionLog(n.log)
 	local.Log = n.decisions
 	local.OnLeaving = n.registry.MarkLeaving
+	local.Quarantine, local.Servers = &n.quarantine, n.servers
+	local.OnEntry = func(entry btquarantine.Entry) { n.entryChanged(entry, nil) }
 	n.local = local
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
@@ -172,6 +176,8 @@
 		Table:       n.routes.Load,
 		Peers:       n.peers,
 		Local:       local,
+		Quarantine:  &n.quarantine,
+		OnEntry:     local.OnEntry,
 		Observer:    &n.rollouts,
 		Recorder:    &requestMetrics{set: n.metrics},
 		Log:         n.decisions,
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btmember"
+	"github.com/baobabtide/baobabtide/btquarantine"
 	"github.com/baobabtide/baobabtide/btrollout"
 )
 
@@ -14,6 +15,7 @@
 const (
 	maxMembers  = 1 << 14  // members, versions or wanted names in a gossip message
 	maxReports  = 1 << 12  // reports, and as many trips, in a gossip message
+	maxEntries  = 1 << 14  // quarantine entries in a gossip message
 	maxMessage  = 64 << 20 // bytes of one gRPC message
 	maxBodyPart = 64 << 10 // bytes of body in one frame
 )
@@ -35,6 +37,8 @@
 
 	Outcomes []baobabtide.OutcomeRecord `cbor:"13,keyasint,omitempty"` // stored outside the configuration log
 	Former   []baobabtide.Target        `cbor:"14,keyasint,omitempty"` // targets that the previous process of the receiving node announced
+
+	Quarantine []btquarantine.Entry `cbor:"15,keyasint,omitempty"`
 }
 
 // Hello identifies the node that sends it.
@@ -82,6 +86,14 @@
 			return baobabtide.WithinIndex("Former", i, err)
 		}
 	}
+	if len(g.Quarantine) > maxEntries {
+		return baobabtide.Fieldf("Quarantine", "%d exceed %d", len(g.Quarantine), maxEntries)
+	}
+	for i := range g.Quarantine {
+		if err := g.Quarantine[i].Check(); err != nil {
+			return baobabtide.WithinIndex("Quarantine", i, err)
+		}
+	}
 	if g.Repair != nil && len(g.Repair.Versions) > maxMembers {
 		return baobabtide.Fieldf("Repair.Versions", "%d exceed %d", len(g.Repair.Versions), maxMembers)
 	}
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -291,6 +291,17 @@
 	return t.destinations[btconfig.AssignmentKey(customer, service)]
 }
 
+// Servers returns the number of available targets of a service, whatever their version.
+func (t *Table) Servers(service string) int {
+	count := 0
+	for _, target := range t.targets {
+		if target.Service == service {
+			count++
+		}
+	}
+	return count
+}
+
 // Destinations returns all destinations in no particular order.
 func (t *Table) Destinations() []*Destination {
 	destinations := make([]*Destination, 0, len(t.destinations))
