btquarantine: leave the host out of the digest unless the route has one

Cause: callers without a host name address a node, and the Host header with the node's address was part of the digest. Change: the host of the matched route is part of the digest, which is empty for a route of every host.

--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -51,7 +51,7 @@
 	if req.Depth > maxDepth {
 		return nil, baobabtide.Refuse(baobabtide.ReasonTooDeep, 0, fmt.Errorf("depth %d exceeds %d", req.Depth, maxDepth))
 	}
-	req.Digest = btquarantine.DigestOf(req)
+	req.Digest = btquarantine.DigestOf(req, route.Terms.Host)
 	s := &requestState{req: req, destination: route.Choose(), began: time.Now(), maxReached: route.Terms.MaxAttempts}
 	if s.maxReached == 0 {
 		s.maxReached = defaultAttempts
--- a/btquarantine/digest.go
+++ b/btquarantine/digest.go
@@ -11,13 +11,14 @@
 
 const headSize = 512 // bytes of a request's head that are hashed without an allocation
 
-// DigestOf returns the digest of a request. Of a body that is streamed only the length counts,
+// DigestOf returns the digest of a request whose route is that of a host, empty for a route of
+// every host: callers may name such a route by the address of any node. Of a body that is streamed only the length counts,
 // because the rest is not known before it has been sent. The digest is cryptographic, so that
 // no customer can make a request that has the digest of another one.
-func DigestOf(req *baobabtide.Request) baobabtide.Digest {
+func DigestOf(req *baobabtide.Request, host string) baobabtide.Digest {
 	var head [headSize]byte
 	data := head[:0]
-	for _, part := range [...]string{req.Customer, req.Host, req.Method, req.Target} {
+	for _, part := range [...]string{req.Customer, host, req.Method, req.Target} {
 		data = binary.AppendUvarint(data, uint64(len(part)))
 		data = append(data, part...)
 	}
--- a/digest.go
+++ b/digest.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// Digest identifies requests that are the same: those of one customer with the same host,
-// method, target and body. The zero value means that it is not known.
+// Digest identifies requests that are the same: those of one customer with the same method,
+// target and body, and the same host if their route is that of a host. The zero value means that it is not known.
 type Digest [16]byte
 
 // String returns the digest as logs and the operator API show it.
