btexperiment: play requests that crash their backend servers

The result counts crashes, those of one request from 3 s after its third one on (more than three violate an invariant), and refusals of other requests (as quarantined: none is allowed).

--- a/baobabtide-load/btexperiment/experiment.go
+++ b/baobabtide-load/btexperiment/experiment.go
@@ -44,6 +44,8 @@
 	Behavior btbackendstandin.Behavior `json:",omitzero"`
 }
 
+const maxCrashesLate = 3 // crashes by one request that are tolerated from 3 s after its third on
+
 // FaultKind is the kind of a fault.
 type FaultKind string
 
@@ -160,6 +162,10 @@
 	BadShare                  *float64 // largest share of a service's requests that a bad version got
 	OverLimit                 *int     // largest number of arrivals at a backend server in 4 s beyond those that its rate limit tolerates
 	AfterLeaving              *int     // arrivals at backend servers from nodes that knew for 2 s that the server leaves
+	Crashes                   *int     // runs of requests that crashed a backend server
+	CrashesLate               *int     // largest number of crashes by one request from 3 s after its third on
+	Quarantined               *int     // attempts of other requests that were refused as quarantined
+	Suspect                   *int     // attempts of other requests that were refused as suspect
 	WentBack                  *int     // times a node reported a lower configuration offset than before
 	Problems                  []string
 }
@@ -179,10 +185,14 @@
 		{"WentBack", r.WentBack},
 		{"OverLimit", r.OverLimit},
 		{"AfterLeaving", r.AfterLeaving},
+		{"Quarantined", r.Quarantined},
 	} {
 		if c.value != nil && *c.value > 0 {
 			return fmt.Sprintf("%s is %d", c.name, *c.value)
 		}
 	}
+	if r.CrashesLate != nil && *r.CrashesLate > maxCrashesLate {
+		return fmt.Sprintf("CrashesLate is %d", *r.CrashesLate)
+	}
 	return ""
 }
--- a/baobabtide-load/btexperiment/result.go
+++ b/baobabtide-load/btexperiment/result.go
@@ -8,12 +8,16 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/baobabtide/baobabtide/baobabtide-load/btworkload"
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btbackendstandin"
 	"github.com/baobabtide/baobabtide/btoperator"
 )
 
 const (
 	percentile50 = 50
 	percentile99 = 99
+
+	crashThreshold = 3               // crashes after which a request must not run any more
+	crashSettle    = 3 * time.Second // from the last of them until that holds at all nodes
 )
 
 // result returns the result of a run that took elapsed. The statuses before and
@@ -91,6 +95,8 @@
 // obeyed what the backend servers stated.
 func (r *Runner) executions(result *Result) ([]btworkload.Execution, bool) {
 	var executions []btworkload.Execution
+	var crashes []btbackendstandin.CrashRun
+	defer func() { r.addCrashes(result, crashes) }()
 	var overLimit, afterLeaving int
 	result.OverLimit, result.AfterLeaving = &overLimit, &afterLeaving
 	complete := !r.lostRecords
@@ -110,6 +116,7 @@
 		}
 		overLimit = max(overLimit, report.OverLimit)
 		afterLeaving += report.AfterLeaving
+		crashes = append(crashes, report.CrashRuns...)
 		for _, run := range report.Runs {
 			executions = append(executions, btworkload.Execution{Key: run.Key, Caller: run.Caller, Canceled: run.Canceled})
 		}
@@ -120,6 +127,34 @@
 	return executions, complete
 }
 
+// addCrashes adds the crashes of backend servers by requests, and what other requests suffered
+// from the quarantine.
+func (r *Runner) addCrashes(result *Result, crashes []btbackendstandin.CrashRun) {
+	type culprit struct {
+		path string
+		body uint64
+	}
+	times := make(map[culprit][]time.Time)
+	for _, c := range crashes {
+		key := culprit{c.Path, c.Body}
+		times[key] = append(times[key], c.At)
+	}
+	late := 0
+	for _, at := range times {
+		slices.SortFunc(at, time.Time.Compare)
+		if len(at) < crashThreshold {
+			continue
+		}
+		limit := at[crashThreshold-1].Add(crashSettle)
+		first, _ := slices.BinarySearchFunc(at, limit, time.Time.Compare)
+		late = max(late, len(at)-first)
+	}
+	total := len(crashes)
+	quarantined, suspect := r.tally.Innocent()
+	result.Crashes, result.CrashesLate = &total, &late
+	result.Quarantined, result.Suspect = &quarantined, &suspect
+}
+
 func addConvergence(result *Result, times []time.Duration) {
 	slices.Sort(times)
 	quantile := func(q float64) *float64 {
--- a/baobabtide-load/btworkload/driver.go
+++ b/baobabtide-load/btworkload/driver.go
@@ -109,17 +109,20 @@
 		attempts = maxAttempts
 	}
 	var last attemptResult
+	path := r.path(index)
 	for i := range attempts {
 		if nodes := d.Nodes(); len(nodes) > 0 {
 			address := nodes[(index+uint64(i))%uint64(len(nodes))]
-			last = d.attempt(r, address, name, fmt.Sprintf("%s.%d", name, i), key)
+			last = d.attempt(r, path, address, name, fmt.Sprintf("%s.%d", name, i), key)
 		}
 		if last.outcome == Whole || last.outcome == Failed || i == attempts-1 {
 			break
 		}
 		time.Sleep(retryDelay)
 	}
-	d.Tally.recordRequest(key, last, time.Since(started))
+	if !r.Crashes {
+		d.Tally.recordRequest(key, last, time.Since(started))
+	}
 }
 
 // attemptResult is the result of one attempt.
@@ -131,11 +134,11 @@
 
 // attempt sends one attempt of a request to a node. name identifies the request, caller
 // the attempt; an empty key sends none.
-func (d *Driver) attempt(r *Route, address, name, caller, key string) attemptResult {
+func (d *Driver) attempt(r *Route, path, address, name, caller, key string) attemptResult {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	d.fillRequest(req, r, address, caller)
+	d.fillRequest(req, r, path, address, caller)
 	req.Header.Set(btcaller.HeaderCustomer, d.Customer)
 	req.Header.Set(btcaller.HeaderTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
 	if key != "" {
@@ -148,9 +151,9 @@
 }
 
 // fillRequest sets the parts that requests to nodes and direct requests share.
-func (d *Driver) fillRequest(req *fasthttp.Request, r *Route, address, caller string) {
+func (d *Driver) fillRequest(req *fasthttp.Request, r *Route, path, address, caller string) {
 	req.Header.SetMethod(r.Method)
-	req.SetRequestURI("http://" + address + r.Path)
+	req.SetRequestURI("http://" + address + path)
 	req.Header.Set(btbackendstandin.HeaderCaller, caller)
 	if r.Size > 0 {
 		req.Header.Set(btbackendstandin.HeaderSize, strconv.Itoa(r.Size))
@@ -170,6 +173,9 @@
 	reason := baobabtide.Reason(resp.Header.Peek(btcaller.HeaderReason))
 	refused := reason != ""
 	d.Tally.recordAttempt(caller, verdict, reason)
+	if !r.Crashes {
+		d.Tally.recordInnocent(reason)
+	}
 	version := string(resp.Header.Peek(btcaller.HeaderVersion))
 	switch {
 	case refused && verdict == baobabtide.NotRun:
@@ -231,7 +237,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	d.fillRequest(req, r, servers[index%uint64(len(servers))], caller)
+	d.fillRequest(req, r, r.path(index), servers[index%uint64(len(servers))], caller)
 	started := time.Now()
 	if err := d.client.DoTimeout(req, resp, r.Timeout+clientGrace); err == nil && resp.StatusCode() == fasthttp.StatusOK {
 		d.Tally.recordDirect(time.Since(started))
--- a/baobabtide-load/btworkload/route.go
+++ b/baobabtide-load/btworkload/route.go
@@ -3,6 +3,7 @@
 package btworkload
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -19,6 +20,8 @@
 	Size              int           `json:",omitempty"` // bytes of the response's body, 0 for a short one
 	BodySize          int           `json:",omitempty"` // bytes of the request's body
 	Timeout           time.Duration // of the caller for one attempt
+	Paths             int           `json:",omitempty"` // number of paths below Path that the requests are spread over, 0 for Path alone
+	Crashes           bool          `json:",omitempty"` // the requests crash the backend servers that run them; their outcomes are not counted
 	DirectShare       float64       `json:",omitempty"` // share of requests sent directly to a backend server, for comparison
 }
 
@@ -38,3 +41,11 @@
 	}
 	return nil
 }
+
+// path returns the path of a request. The index chooses one of Paths.
+func (r *Route) path(index uint64) string {
+	if r.Paths <= 0 {
+		return r.Path
+	}
+	return r.Path + "/" + strconv.FormatUint(index>>32%uint64(r.Paths), 10) // the low bits choose the node
+}
--- a/baobabtide-load/btworkload/tally.go
+++ b/baobabtide-load/btworkload/tally.go
@@ -40,6 +40,8 @@
 	keys        map[string]Outcome // by idempotency key
 	notRun      map[string]bool    // attempts that were refused with not-run, by caller
 	givenUp     map[string]bool    // attempts that ended with connection-lost after they were sent, by caller
+	quarantined int                // attempts of requests that crash no server, refused as quarantined
+	suspect     int                // the same, refused as suspect
 	mayHaveRun  map[baobabtide.Reason]int
 	failed      map[baobabtide.Reason]int // the reason is empty for a response of the service
 	via, direct *hdrhistogram.Histogram   // latencies in microseconds, through nodes and of direct requests
@@ -112,6 +114,26 @@
 	}
 }
 
+// recordInnocent records the reason of an attempt of a request that crashes no backend server.
+func (t *Tally) recordInnocent(reason baobabtide.Reason) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch reason {
+	case baobabtide.ReasonQuarantined:
+		t.quarantined++
+	case baobabtide.ReasonSuspect:
+		t.suspect++
+	}
+}
+
+// Innocent returns the numbers of attempts of requests that crash no backend server that were
+// refused as quarantined and as suspect.
+func (t *Tally) Innocent() (quarantined, suspect int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.quarantined, t.suspect
+}
+
 // recordWrongCaller counts a response that belongs to another caller.
 func (t *Tally) recordWrongCaller(problem string) {
 	t.mu.Lock()
