btquarantine: give quarantined requests a trial after some time

Cause: three crashes tell who is to blame as long as few requests crash servers. Change: ten minutes after the third crash the request runs again as a suspect: alone among suspects and not on the last server. What it takes to tell the blame with many culprits, suspects that run all alone on a server, was not built.

--- a/baobabtide-load/btworkload/tally.go
+++ b/baobabtide-load/btworkload/tally.go
@@ -126,9 +126,9 @@
 	}
 }
 
-// Innocent returns the numbers of attempts of requests that crash no backend server that were
-// refused as quarantined and as suspect.
-func (t *Tally) Innocent() (quarantined, suspect int) {
+// Innocent returns how many attempts of requests that crash no backend server were refused as
+// quarantined, and how many as suspect.
+func (t *Tally) Innocent() (int, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.quarantined, t.suspect
--- a/btquarantine/table.go
+++ b/btquarantine/table.go
@@ -21,6 +21,9 @@
 	recentCrash        = 10 * time.Second       // after which a server that crashed should be back
 )
 
+// trialPauses holds how long requests are refused after the third crash and after further ones.
+var trialPauses = [...]time.Duration{10 * time.Minute, time.Hour, quarantineLifetime}
+
 // Standing is what the crashes of servers allow requests with one digest.
 type Standing uint8
 
@@ -32,7 +35,7 @@
 	// Suspect requests run one at a time on a server, so that a further crash tells which of
 	// them is to blame.
 	Suspect
-	// Quarantined requests are refused.
+	// Quarantined requests are refused, but for a trial after some time.
 	Quarantined
 )
 
@@ -91,6 +94,14 @@
 	return suspectLifetime
 }
 
+// trialAfter returns how long quarantined requests are refused before one of them runs as a
+// suspect: a crash under an innocent request at the same time as others may have put it here,
+// and new versions of servers may run it. Each further crash makes the time longer.
+func (r *record) trialAfter() time.Duration {
+	i := min(len(r.Crashes)-threshold, len(trialPauses)-1)
+	return trialPauses[i]
+}
+
 // Standing returns the standing of requests with a digest.
 func (t *Table) Standing(digest baobabtide.Digest, now time.Time) Standing {
 	if t.size.Load() == 0 {
@@ -102,9 +113,9 @@
 	switch {
 	case r == nil || now.Sub(r.changedAt) > r.lifetime():
 		return Clear
-	case r.Quarantined():
+	case r.Quarantined() && now.Sub(r.changedAt) <= r.trialAfter():
 		return Quarantined
-	case len(r.Crashes) == threshold-1:
+	case len(r.Crashes) >= threshold-1:
 		return Suspect
 	default:
 		return Clear
