--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -182,8 +182,7 @@
 	}
 }
 
-// Drop removes an incarnation of a server that has crashed. If it lives after all, its next
-// announcement adds it again.
+// Drop removes an incarnation of a server to which the node could not connect.
 func (r *Registry) Drop(name string, incarnation uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -63,9 +63,6 @@
 	Quarantine *btquarantine.Table
 	// OnEntry is called with each change of Quarantine that the admitter makes, nil for none.
 	OnEntry func(entry btquarantine.Entry)
-	// OnCrash is called once for each incarnation of a backend server that has crashed, nil for
-	// none.
-	OnCrash func(name string, incarnation uint64)
 	// Servers returns the number of backend servers of a service that all nodes know of; nil
 	// if that is not known.
 	Servers func(service string) int
--- a/btlocal/crash.go
+++ b/btlocal/crash.go
@@ -72,9 +72,6 @@
 		a.Crashes.Add(1)
 		a.Log.Server(btlog.TargetCrashed, s.announcement.Name).Uint64("incarnation", s.announcement.Incarnation).
 			Int("requests", s.queue.Load("", time.Now()).InFlight).Send()
-		if a.OnCrash != nil {
-			a.OnCrash(s.announcement.Name, s.announcement.Incarnation)
-		}
 	}
 	return s.ending.crashed
 }
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -164,7 +164,6 @@
 	local.Log = n.decisions
 	local.OnLeaving = n.registry.MarkLeaving
 	local.Quarantine, local.Servers = &n.quarantine, n.servers
-	local.OnCrash = n.registry.Drop
 	local.OnEntry = func(entry btquarantine.Entry) { n.entryChanged(entry, nil) }
 	n.local = local
 	n.rollouts.node = n
