btroute: avoid servers that are known to have crashed

Change: a crash that is told by gossip marks the target at every node for 10 s, until it responds. It is picked last and not counted as up.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -249,6 +249,7 @@
 		d.recordFailure(target, *s.req, requestErr, started)
 		return nil, requestErr
 	}
+	target.Stats.RecordUp()
 	d.recordLoad(target, s.req.Route, resp.Load)
 	if resp.Length >= 0 {
 		d.sizes.Record(s.req.Route, resp.Length)
--- a/btnode/quarantine.go
+++ b/btnode/quarantine.go
@@ -24,6 +24,11 @@
 		line = line.Str("member", from.name)
 	}
 	line.Send()
+	if table := n.routes.Load(); table != nil {
+		for _, crash := range entry.Crashes {
+			table.RecordDown(crash.Server, crash.Incarnation, time.Now())
+		}
+	}
 	n.sendToAll(&btpeer.Gossip{Quarantine: []btquarantine.Entry{entry}}, from)
 }
 
@@ -68,7 +73,7 @@
 // servers returns the number of backend servers of a service in the route table.
 func (n *Node) servers(service string) int {
 	if table := n.routes.Load(); table != nil {
-		return table.Servers(service)
+		return table.Servers(service, time.Now())
 	}
 	return 0
 }
--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -22,6 +22,7 @@
 	crossZoneBytePenalty = 2.5e-6                // seconds per byte, cost of traffic between zones
 	avoidPenalty         = 10.0                  // seconds, for a target that did not respond recently
 	suspectPenalty       = 100.0                 // seconds, for a target whose node is suspect
+	downPenalty          = 300.0                 // seconds, for a target whose backend server has crashed
 	ejectedPenalty       = 1000.0                // seconds, for an ejected target
 	jitter               = 0.1                   // maximum relative random increase of a score, so that nodes with the same reports differ in their choice
 	jitterSteps          = 64                    // number of distinct jitter values
@@ -63,6 +64,9 @@
 	if s.avoidUntil.After(now) {
 		score += avoidPenalty
 	}
+	if s.downUntil.After(now) {
+		score += downPenalty
+	}
 	if s.ejectUntil.After(now) {
 		score += ejectedPenalty
 	}
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -19,6 +19,7 @@
 	unanswered          atomic.Int64    // number of consecutive requests lost or without a connection to the backend server
 	avoidUntil          btclock.Instant // set when such a request ends
 	firstUse            btclock.Instant
+	downUntil           btclock.Instant
 	leaving             atomic.Bool // the backend server has said that it is about to stop
 
 	mu          sync.Mutex
@@ -35,6 +36,7 @@
 	maxEjectShift    = 4                      // ejections double per ejectThreshold further failures, up to ejectBase << maxEjectShift
 	avoidBase        = 200 * time.Millisecond // time for which a target is avoided after the first unanswered request
 	maxAvoidShift    = 3                      // the longest avoidance is avoidBase << maxAvoidShift
+	downTime         = 10 * time.Second       // a crashed server comes back as a new incarnation within this time, or its announcement ends
 	reportLifetime   = time.Second            // the weight of a load report falls linearly to 0 in this time
 	limitLifetime    = 10 * time.Second       // the weight of a rate limit that is not reported again falls linearly to 0 in this time
 	maxRunTimeRoutes = 1 << 10                // routes with a stored expected run time
@@ -74,6 +76,13 @@
 	s.avoidUntil.Set(now.Add(avoidBase << min(n-1, maxAvoidShift)))
 }
 
+// RecordDown records that the backend server has crashed. The target is avoided for downTime,
+// in which this incarnation is not back, unless it responds after all.
+func (s *Stats) RecordDown(now time.Time) { s.downUntil.Set(now.Add(downTime)) }
+
+// RecordUp records that the backend server responds.
+func (s *Stats) RecordUp() { s.downUntil.Clear() }
+
 // RecordLoad records the load that the target reported with a response or a refusal on
 // a route, and ends the avoidance of the target. A load without slots is unknown
 // and not stored.
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -291,17 +292,28 @@
 	return t.destinations[btconfig.AssignmentKey(customer, service)]
 }
 
-// Servers returns the number of available targets of a service, whatever their version.
-func (t *Table) Servers(service string) int {
+// Servers returns the number of available targets of a service, whatever their version,
+// without those that have crashed.
+func (t *Table) Servers(service string, now time.Time) int {
 	count := 0
 	for _, target := range t.targets {
-		if target.Service == service {
+		if target.Service == service && !target.Stats.downUntil.After(now) {
 			count++
 		}
 	}
 	return count
 }
 
+// RecordDown records that an incarnation of a backend server has crashed. The target stays in
+// its pool, because the homes of keys depend on the targets.
+func (t *Table) RecordDown(name string, incarnation uint64, now time.Time) {
+	for _, target := range t.targets {
+		if target.Ref.Name == name && target.Ref.Incarnation == incarnation {
+			target.Stats.RecordDown(now)
+		}
+	}
+}
+
 // Destinations returns all destinations in no particular order.
 func (t *Table) Destinations() []*Destination {
 	destinations := make([]*Destination, 0, len(t.destinations))
--- a/btroute/table_test.go
+++ b/btroute/table_test.go
@@ -134,6 +134,18 @@
 				t.Stats.ejectUntil.Set(now.Add(time.Second))
 			}
 		}, func(t *Target) bool { return t != nil }},
+		"avoids crashed targets": {func(targets map[string]*Target) {
+			for _, t := range targets {
+				if t.Ref.Node != "node-0003" {
+					t.Stats.RecordDown(now)
+				}
+			}
+		}, func(t *Target) bool { return t.Ref.Node == "node-0003" }},
+		"uses a crashed target if all have crashed": {func(targets map[string]*Target) {
+			for _, t := range targets {
+				t.Stats.RecordDown(now)
+			}
+		}, func(t *Target) bool { return t != nil }},
 		"avoids suspect targets": {func(targets map[string]*Target) {
 			for _, t := range targets {
 				t.Suspect = t.Ref.Node != "node-0004"
