btnode, platform: store quarantined requests in the platform's log

Callers saw: after a restart of all nodes a request that had crashed three servers crashes more of them, as often as all nodes restart. Cause: nodes learn of quarantined requests from each other only. Change: the node that finds that a request is quarantined, or clears one that was, stores the entry: under its digest in a keyed topic on the users' platform, in a stream of its own elsewhere. Each node reads them once when it starts, and again until that succeeds. One write per quarantined request, at most one in 10 s while it crashes further servers; one read per start of a node. Entries with fewer crashes are not worth a write.

--- a/btlog/events.go
+++ b/btlog/events.go
@@ -44,6 +44,7 @@
 	QuarantineSuspect Event = "quarantine.suspect" // a server crashed under a request
 	QuarantineSet     Event = "quarantine.set"     // a request has crashed so many servers that it is refused
 	QuarantineCleared Event = "quarantine.cleared" // a server has run the request, or an operator cleared it
+	QuarantineFailed  Event = "quarantine.failed"  // quarantined requests could not be read from or written to the platform's log
 	NoticeInvalid     Event = "notice.invalid"     // a backend server names a rate limit that is not a decimal number
 	HeartbeatRefused  Event = "heartbeat.refused"
 	MemberStatus      Event = "member.status"
@@ -63,7 +64,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btnode/adapters.go
+++ b/btnode/adapters.go
@@ -21,6 +21,7 @@
 	Log               baobabtide.Log
 	Outcomes          baobabtide.OutcomeLog         // nil if outcomes are stored in the configuration log
 	Directory         baobabtide.Directory          // nil if the platform has none and only the seeds of the settings are used
+	Quarantine        baobabtide.QuarantineLog      // nil if it is stored in QuarantineStream of Log
 	Calls             func() (reads, appends int64) // number of calls sent to the platform so far
 	NewAnnounceServer AnnounceServerFunc
 
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -87,6 +87,7 @@
 	edges              edges
 	rollouts           rollouts
 	quarantine         btquarantine.Table
+	unstored           unstored
 
 	resolving    atomic.Int64 // calls to key partners in progress that report the end of an attempt
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
@@ -152,6 +153,7 @@
 		tls:                loader,
 		dirty:              make(chan struct{}, 1),
 		drained:            make(chan struct{}),
+		unstored:           unstored{changed: make(chan struct{}, 1)},
 		directoryAddresses: make(chan []string),
 		metrics:            metrics.NewSet(),
 	}
@@ -164,7 +166,10 @@
 	local.Log = n.decisions
 	local.OnLeaving = n.registry.MarkLeaving
 	local.Quarantine, local.Servers = &n.quarantine, n.servers
-	local.OnEntry = func(entry btquarantine.Entry) { n.entryChanged(entry, nil) }
+	local.OnEntry = func(entry btquarantine.Entry) {
+		n.unstored.add(&entry)
+		n.entryChanged(entry, nil)
+	}
 	n.local = local
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
--- a/btnode/quarantine.go
+++ b/btnode/quarantine.go
@@ -24,6 +24,9 @@
 		line = line.Str("member", from.name)
 	}
 	line.Send()
+	if entry.Quarantined() {
+		n.unstored.markKnown(entry.Digest)
+	}
 	if table := n.routes.Load(); table != nil {
 		for _, crash := range entry.Crashes {
 			table.RecordDown(crash.Server, crash.Incarnation, time.Now())
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	n.tick(time.Now()) // before readLoop starts, so that a reader starts to read at once
-	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop, n.summaryLoop} {
+	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop, n.summaryLoop, n.quarantineLoop} {
 		n.wg.Go(loop)
 	}
 	n.log.Info().Str("event", "node.started").Str("zone", n.locality.Zone).Uint64("incarnation", n.incarnation).Send()
--- a/log.go
+++ b/log.go
@@ -18,6 +18,8 @@
 const (
 	ConfigStream   Stream = "config"   // records of type Record
 	SnapshotStream Stream = "snapshot" // chunks of folded states
+
+	QuarantineStream Stream = "quarantine" // quarantined requests, unless the platform has a QuarantineLog
 )
 
 // Entry is one record of a stream with its offset and time.
@@ -75,6 +77,15 @@
 	Nodes(ctx context.Context) ([]Listing, error)
 }
 
+// QuarantineLog stores which requests are quarantined, for the case that all nodes restart.
+type QuarantineLog interface {
+	// Put stores data in place of the data with the same digest. ErrUncertain means that it
+	// may have been stored.
+	Put(ctx context.Context, digest Digest, data []byte) error
+	// Quarantine returns the data that is stored for each digest, in no particular order.
+	Quarantine(ctx context.Context) ([][]byte, error)
+}
+
 // Listing is the entry of one node in a Directory.
 type Listing struct {
 	Name        string
