btbackendstandin: end connections that are accepted during a crash

Cause: a connection that the stand-in was about to accept when it crashed (OpenCost delays that) was not among those it closed. A fault of the stand-in, not of a node. Change: such a connection is closed, and so is that of a request that comes too late to crash the server.

--- a/baobabtide-standin/btbackendstandin/crash.go
+++ b/baobabtide-standin/btbackendstandin/crash.go
@@ -89,8 +89,9 @@
 	net.Listener
 	delay time.Duration
 
-	mu    sync.Mutex
-	conns map[*trackedConn]struct{}
+	mu      sync.Mutex
+	conns   map[*trackedConn]struct{}
+	crashed bool
 }
 
 // trackedConn is a connection of a crashListener.
@@ -119,6 +120,10 @@
 	tracked := &trackedConn{TCPConn: tcp, listener: l}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.crashed {
+		_ = tcp.Close()
+		return nil, net.ErrClosed
+	}
 	l.conns[tracked] = struct{}{}
 	return tracked, nil
 }
@@ -141,4 +146,5 @@
 		_ = c.TCPConn.Close()
 	}
 	clear(l.conns)
+	l.crashed = true
 }
--- a/baobabtide-standin/btbackendstandin/handle.go
+++ b/baobabtide-standin/btbackendstandin/handle.go
@@ -203,6 +203,7 @@
 	case t.crash:
 		s.recordCrash(path, attempt, body.Sum64())
 		s.crash(t.generation)
+		_ = ctx.Conn().Close() // if another request has crashed the server before
 	case canceled:
 		ctx.Error("canceled or deadline exceeded\n", fasthttp.StatusGatewayTimeout)
 	case t.fail:
--- a/baobabtide-standin/btbackendstandin/notice_test.go
+++ b/baobabtide-standin/btbackendstandin/notice_test.go
@@ -1,6 +1,8 @@
 package btbackendstandin
 
 import (
+	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -58,3 +60,33 @@
 		})
 	}
 }
+
+// A connection that is being accepted when the server crashes must end with it: its request
+// got an empty response.
+func TestCrashEndsConnectionsBeingAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{}
+	crashing := s.newListener(listener)
+	crashing.delay = 100 * time.Millisecond
+	accepted := make(chan error)
+	go func() {
+		_, err := crashing.Accept()
+		accepted <- err
+	}()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	time.Sleep(crashing.delay / 2) // accepted, and being delayed
+	crashing.crash()
+	if err := <-accepted; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accepted after the crash: %v", err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection is open after the crash")
+	}
+}
