--- a/btnode/quarantine.go
+++ b/btnode/quarantine.go
@@ -1,9 +1,16 @@
 package btnode
 
 import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btlog"
+	"github.com/baobabtide/baobabtide/btoperator"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btquarantine"
 )
@@ -73,6 +80,45 @@
 	return float64(count)
 }
 
+// Quarantine implements btoperator.Node.
+func (n operators) Quarantine(context.Context) (*btoperator.Quarantine, error) {
+	now := time.Now()
+	entries := n.quarantine.Entries(now)
+	slices.SortStableFunc(entries, func(a, b btquarantine.Entry) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
+	result := &btoperator.Quarantine{}
+	for i := range entries {
+		e := &entries[i]
+		if len(e.Crashes) == 0 {
+			continue
+		}
+		request := btoperator.QuarantinedRequest{
+			Digest: e.Digest, Service: e.Service, Method: e.Method, Path: e.Path,
+			Refused: n.quarantine.Standing(e.Digest, now) == btquarantine.Quarantined, Since: now.Add(-e.Age).UTC(),
+		}
+		for _, crash := range e.Crashes {
+			request.Crashed = append(request.Crashed, crash.Server)
+		}
+		result.Requests = append(result.Requests, request)
+	}
+	return result, nil
+}
+
+// Clear implements btoperator.Node. It clears the requests even if the log is down.
+func (n operators) Clear(ctx context.Context, req *btoperator.ClearRequest) (*btoperator.ClearResult, error) {
+	entry, cleared := n.quarantine.Clear(req.Digest, time.Now())
+	if !cleared {
+		return nil, &btoperator.Error{Code: btoperator.CodeNotFound, Err: fmt.Errorf("no backend server crashed under requests with digest %s", req.Digest)}
+	}
+	n.unstored.add(&entry)
+	n.entryChanged(entry, nil)
+	record := &baobabtide.Record{
+		ID:    fmt.Sprintf("clear.%x", rand.Uint64()),
+		Actor: req.Actor,
+		Clear: &baobabtide.ClearRecord{Digest: req.Digest, Reason: req.Reason},
+	}
+	return &btoperator.ClearResult{Recorded: n.appendRecord(ctx, record) == nil}, nil
+}
+
 // servers returns the number of backend servers of a service in the route table.
 func (n *Node) servers(service string) int {
 	if table := n.routes.Load(); table != nil {
--- a/btoperator/api.go
+++ b/btoperator/api.go
@@ -18,6 +18,9 @@
 	pathVersions  = "/v1/versions"
 	pathAudit     = "/v1/audit"
 	pathDrain     = "/v1/drain"
+
+	pathQuarantine = "/v1/quarantine"
+	pathClear      = "/v1/quarantine/clear"
 )
 
 // Node is the operator API of a node.
@@ -36,6 +39,10 @@
 	// Drain starts the planned stop of a node and returns without waiting for
 	// its end.
 	Drain(ctx context.Context, req *DrainRequest) (*DrainResult, error)
+	// Quarantine returns the requests under which backend servers crashed.
+	Quarantine(ctx context.Context) (*Quarantine, error)
+	// Clear lets quarantined requests run again, on all nodes.
+	Clear(ctx context.Context, req *ClearRequest) (*ClearResult, error)
 }
 
 // PublishResult holds the audit entry of a published record.
@@ -158,6 +165,43 @@
 	Recorded bool // the stop was appended to the log
 }
 
+// Quarantine holds the requests under which backend servers crashed, as one node knows them,
+// with the most crashes first.
+type Quarantine struct {
+	Requests []QuarantinedRequest
+}
+
+// QuarantinedRequest describes all requests with one digest.
+type QuarantinedRequest struct {
+	Digest  baobabtide.Digest
+	Service string
+	Method  string
+	Path    string // without the query, cut to 256 bytes
+	Refused bool   // such requests are refused; otherwise too few servers crashed
+	Since   time.Time
+	Crashed []string // backend servers that crashed, a few of them if there are many
+}
+
+// ClearRequest asks to let requests run again.
+type ClearRequest struct {
+	Digest baobabtide.Digest
+	Reason string `json:",omitempty"`
+	Actor  string // operator, for the audit log
+}
+
+// Check returns an error for the first field that is invalid.
+func (r *ClearRequest) Check() error {
+	if r.Digest == (baobabtide.Digest{}) {
+		return baobabtide.Fieldf("Digest", "empty")
+	}
+	return nil
+}
+
+// ClearResult tells whether the audit log holds that requests were cleared.
+type ClearResult struct {
+	Recorded bool
+}
+
 // ErrorBody is the JSON body of every response with a status other than 200.
 type ErrorBody struct {
 	Code    ErrorCode
--- a/btoperator/client.go
+++ b/btoperator/client.go
@@ -57,6 +57,16 @@
 	return post[DrainResult](ctx, c, pathDrain, req)
 }
 
+// Clear implements Node.
+func (c *Client) Clear(ctx context.Context, req *ClearRequest) (*ClearResult, error) {
+	return post[ClearResult](ctx, c, pathClear, req)
+}
+
+// Quarantine implements Node.
+func (c *Client) Quarantine(ctx context.Context) (*Quarantine, error) {
+	return get[Quarantine](ctx, c, pathQuarantine)
+}
+
 // Status implements Node.
 func (c *Client) Status(ctx context.Context) (*Status, error) {
 	return get[Status](ctx, c, pathStatus)
--- a/btoperator/server.go
+++ b/btoperator/server.go
@@ -29,12 +29,14 @@
 // NewServer returns a server for a node and a function that stops it.
 func NewServer(node Node) (*Server, func()) {
 	routes := map[string]fasthttp.RequestHandler{
-		"POST " + pathPublish:  handlePost(node.Publish),
-		"POST " + pathDrain:    handlePost(node.Drain),
-		"GET " + pathStatus:    handleGet(node.Status),
-		"GET " + pathContracts: handleGet(node.Contracts),
-		"GET " + pathVersions:  handleGet(node.Versions),
-		"GET " + pathAudit:     handleGet(node.Audit),
+		"POST " + pathPublish:   handlePost(node.Publish),
+		"POST " + pathDrain:     handlePost(node.Drain),
+		"POST " + pathClear:     handlePost(node.Clear),
+		"GET " + pathQuarantine: handleGet(node.Quarantine),
+		"GET " + pathStatus:     handleGet(node.Status),
+		"GET " + pathContracts:  handleGet(node.Contracts),
+		"GET " + pathVersions:   handleGet(node.Versions),
+		"GET " + pathAudit:      handleGet(node.Audit),
 	}
 	s := &Server{http: &fasthttp.Server{
 		Handler: func(ctx *fasthttp.RequestCtx) {
--- a/record.go
+++ b/record.go
@@ -6,7 +6,7 @@
 )
 
 // Record is one complete change of the configuration in the log. Exactly one of
-// Contract, Release, Outcome and Drain is set.
+// Contract, Release, Outcome, Drain and Clear is set.
 type Record struct {
 	ID       string         // chosen by the publisher; a later record with the same ID has no effect
 	Actor    string         // who published the record
@@ -15,6 +15,7 @@
 	Release  *Release       `json:",omitempty"`
 	Outcome  *OutcomeRecord `json:",omitempty"`
 	Drain    *DrainRecord   `json:",omitempty"`
+	Clear    *ClearRecord   `json:",omitempty"`
 }
 
 // Release starts a rollout: the move of customers' traffic to a version of a service.
@@ -64,6 +65,13 @@
 	Reason string `json:",omitempty"`
 }
 
+// ClearRecord records in the audit log that an operator has cleared requests that were
+// quarantined. It changes no configuration.
+type ClearRecord struct {
+	Digest Digest // of the requests
+	Reason string `json:",omitempty"`
+}
+
 // Counts holds the numbers of requests to one version on one route.
 type Counts struct {
 	Requests int `cbor:"1,keyasint"`
@@ -130,7 +138,7 @@
 	return r.checkBody()
 }
 
-// checkBody checks the one of Contract, Release, Outcome and Drain that is set. It
+// checkBody checks the one of Contract, Release, Outcome, Drain and Clear that is set. It
 // returns an error unless there is exactly one.
 func (r *Record) checkBody() error {
 	bodies := 0
@@ -143,6 +151,7 @@
 		{"Release", r.Release != nil, r.Release.Check},
 		{"Outcome", r.Outcome != nil, r.Outcome.Check},
 		{"Drain", r.Drain != nil, r.Drain.Check},
+		{"Clear", r.Clear != nil, r.Clear.Check},
 	} {
 		if !body.set {
 			continue
@@ -153,7 +162,7 @@
 		}
 	}
 	if bodies != 1 {
-		return Fieldf("Contract, Release, Outcome, Drain", "%d are set, 1 is needed", bodies)
+		return Fieldf("Contract, Release, Outcome, Drain, Clear", "%d are set, 1 is needed", bodies)
 	}
 	return nil
 }
@@ -216,8 +225,19 @@
 	return checkName("Node", d.Node)
 }
 
-// Kind returns the name of the one field that is set: Contract, Release, Outcome
-// or Drain.
+// Check returns a FieldError for the first field that is invalid, nil if none is.
+func (c *ClearRecord) Check() error {
+	if len(c.Reason) > maxReasonLength {
+		return Fieldf("Reason", "%d bytes exceed %d", len(c.Reason), maxReasonLength)
+	}
+	if c.Digest == (Digest{}) {
+		return Fieldf("Digest", "empty")
+	}
+	return nil
+}
+
+// Kind returns the name of the one field that is set: Contract, Release, Outcome,
+// Drain or Clear.
 func (r *Record) Kind() string {
 	switch {
 	case r.Contract != nil:
@@ -226,13 +246,15 @@
 		return "Release"
 	case r.Outcome != nil:
 		return "Outcome"
+	case r.Clear != nil:
+		return "Clear"
 	default:
 		return "Drain"
 	}
 }
 
 // Subject returns the name of the object that the record changes: a customer, a
-// service, customer and service joined by a slash, or a node.
+// service, customer and service joined by a slash, a node, or a digest.
 func (r *Record) Subject() string {
 	switch {
 	case r.Contract != nil:
@@ -243,6 +265,8 @@
 		return r.Outcome.Customer + "/" + r.Outcome.Service
 	case r.Drain != nil:
 		return r.Drain.Node
+	case r.Clear != nil:
+		return r.Clear.Digest.String()
 	default:
 		return ""
 	}
