--- a/baobabtide-load/btdeploy/backends.go
+++ b/baobabtide-load/btdeploy/backends.go
@@ -206,6 +206,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(url)
 	req.SetBodyRaw(data)
+	req.SetConnectionClose() // a stand-in that crashes would break a kept connection
 	if err := fasthttp.Do(req, resp); err != nil {
 		return fmt.Errorf("post to %s: %w", url, err)
 	}
