btbackend: pass on Retry-After of a server that refuses

Callers saw: a server that refuses requests and says when to come back got them back after 0.2 s, or another time that had nothing to do with what it said. It was found by going through all that backend servers say. Change: the Retry-After of a response that reports that the request has not run, in seconds with or without a fraction, is the one of the refusal, 200 ms at least and 10 minutes at most. Result: TestRetryAfterOfServerIsPassedOn, 7 cases (each was 200 ms).

--- a/btbackend/notice.go
+++ b/btbackend/notice.go
@@ -41,26 +41,26 @@
 // list, the lowest counts.
 func (n *Notice) addRateLimit(value string) {
 	for item := range strings.SplitSeq(value, ",") {
-		limit, ok := parseRateLimit(strings.TrimSpace(item))
+		limit, ok := parseDecimal(strings.TrimSpace(item))
 		if !ok {
 			n.Invalid = strconv.Quote(value)
 			continue
 		}
-		if !n.HasRateLimit || limit < n.RateLimit {
+		if limit = min(limit, maxRateLimit); !n.HasRateLimit || limit < n.RateLimit {
 			n.RateLimit, n.HasRateLimit = limit, true
 		}
 	}
 }
 
-// parseRateLimit parses a decimal number of requests per second. Signs, exponents and
-// names such as NaN are invalid.
-func parseRateLimit(text string) (float64, bool) {
+// parseDecimal parses a decimal number that is not negative. Signs, exponents and names such
+// as NaN are invalid.
+func parseDecimal(text string) (float64, bool) {
 	if strings.Trim(text, "0123456789.") != "" {
 		return 0, false
 	}
-	limit, err := strconv.ParseFloat(text, 64)
-	if err != nil && limit == 0 {
+	number, err := strconv.ParseFloat(text, 64)
+	if err != nil && number == 0 {
 		return 0, false
 	}
-	return min(limit, maxRateLimit), true // a number out of range is +Inf
+	return number, true // a number out of range is +Inf
 }
--- a/btbackend/notice_test.go
+++ b/btbackend/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
@@ -42,3 +43,26 @@
 		})
 	}
 }
+
+// A server that refuses requests and says when to come back was not heard: callers came back
+// after 0.2 s, all of them.
+func TestRetryAfterOfServerIsPassedOn(t *testing.T) {
+	tests := map[string]time.Duration{
+		"":                              shedRetryAfter,
+		"3":                             3 * time.Second,
+		"1.5":                           1500 * time.Millisecond,
+		"0":                             shedRetryAfter,
+		"-1":                            shedRetryAfter,
+		"99999999999999999999":          maxRetryAfter,
+		"Fri, 31 Dec 1999 23:59:59 GMT": shedRetryAfter,
+	}
+	for value, want := range tests {
+		t.Run(value, func(t *testing.T) {
+			var resp fasthttp.Response
+			resp.Header.Set(fasthttp.HeaderRetryAfter, value)
+			if diff := cmp.Diff(want, retryAfter(&resp)); diff != "" {
+				t.Errorf("RetryAfter (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/btbackend/response.go
+++ b/btbackend/response.go
@@ -17,6 +17,8 @@
 	idleMargin       = time.Second // a connection is closed this long before the backend server would close it
 	lengthUntilClose = -2          // fasthttp's content length of a body that ends when the connection is closed
 
+	maxRetryAfter = 10 * time.Minute // the longest timeout of a request
+
 	maxShedBody = 64 << 10              // bytes of the body of a response that reports that the request has not run
 	shedTimeout = 50 * time.Millisecond // to receive that body; the request could go to another target meanwhile
 )
@@ -51,15 +53,26 @@
 	if shed {
 		body.atEOF = body.reuse && discardBody(c, in, maxShedBody, shedTimeout, req.Deadline) == nil
 		_ = body.Close()
-		return nil, shedError(resp.Status)
+		return nil, shedError(resp.Status, retryAfter(in))
 	}
 	return resp, nil
 }
 
+// retryAfter returns the time after which the backend server wants a refused request back:
+// that of its Retry-After header, in seconds with or without a fraction, at least
+// shedRetryAfter and at most maxRetryAfter. A date is not understood.
+func retryAfter(in *fasthttp.Response) time.Duration {
+	seconds, ok := parseDecimal(strings.TrimSpace(string(in.Header.Peek(fasthttp.HeaderRetryAfter))))
+	if !ok {
+		return shedRetryAfter
+	}
+	return max(shedRetryAfter, time.Duration(min(seconds, maxRetryAfter.Seconds())*float64(time.Second)))
+}
+
 // shedError returns the error of a request that the backend server did not run.
 // Status 421 means that another backend server has the address.
-func shedError(status int) *baobabtide.RequestError {
-	err := baobabtide.Refuse(baobabtide.ReasonOverload, shedRetryAfter, fmt.Errorf("backend server did not run the request, status %d", status))
+func shedError(status int, retryAfter time.Duration) *baobabtide.RequestError {
+	err := baobabtide.Refuse(baobabtide.ReasonOverload, retryAfter, fmt.Errorf("backend server did not run the request, status %d", status))
 	if status == fasthttp.StatusMisdirectedRequest {
 		err.Reason = baobabtide.ReasonMisdirected
 		err.Err = errors.New("another backend server has the address")
