btcaller, btquarantine: let the start of a streamed body count

Cause: a body in chunks, or of more than 64 KiB, counted towards the digest by its length only, so requests to one path with different bodies were taken to be the same, and a response to one cleared the one that crashes servers. Change: the first 16 KiB of a streamed body are kept and count. They are waited for once the route is known; the first frame to another node waits for as much already. A body in chunks that is no longer than that can be sent again after a failure, which it couldn't before. Result: TestPrefixOfStreamedBody: the digest follows the content, not the chunks, and the body is read whole.

--- a/btcaller/body.go
+++ b/btcaller/body.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// prefixBytes is the size of the start of a streamed body that Prefix keeps. The first frame to
+// another node waits for as much.
+const prefixBytes = 16 << 10
+
 var errBodyTooLarge = errors.New("body exceeds the limit")
 
 // streamBody reads a request body from the caller's connection. Read returns
@@ -23,9 +27,12 @@
 
 	consumed chan struct{} // closed when the body has been read to its end
 
-	readMu sync.Mutex // held during a read
-	reader io.Reader
-	read   int64 // bytes
+	readMu    sync.Mutex // held during a read
+	reader    io.Reader
+	read      int64  // bytes read from the connection
+	prefix    []byte // start of the body, kept in memory once Prefix was called
+	prefixErr error  // that ended the reading of prefix, io.EOF if it is the whole body
+	position  int    // bytes of prefix that Read has returned
 
 	mu       sync.Mutex // protects the connection's read deadline as well
 	detached bool       // the body is no longer read
@@ -43,6 +50,36 @@
 func (b *streamBody) Read(p []byte) (int, error) {
 	b.readMu.Lock()
 	defer b.readMu.Unlock()
+	if b.position < len(b.prefix) {
+		n := copy(p, b.prefix[b.position:])
+		b.position += n
+		return n, nil
+	}
+	if b.prefixErr != nil {
+		return 0, b.prefixErr
+	}
+	return b.readConn(p)
+}
+
+// Prefix reads the start of the body, prefixBytes or less if the body is shorter, and returns
+// it. Read returns it as well.
+func (b *streamBody) Prefix() []byte {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	if b.prefix != nil || b.read > 0 {
+		return b.prefix
+	}
+	b.prefix = make([]byte, 0, prefixBytes)
+	for len(b.prefix) < prefixBytes && b.prefixErr == nil {
+		var n int
+		n, b.prefixErr = b.readConn(b.prefix[len(b.prefix):prefixBytes])
+		b.prefix = b.prefix[:len(b.prefix)+n]
+	}
+	return b.prefix
+}
+
+// readConn reads from the connection. The caller holds b.readMu.
+func (b *streamBody) readConn(p []byte) (int, error) {
 	if err := b.beginRead(); err != nil {
 		return 0, err
 	}
@@ -94,14 +131,21 @@
 	return true
 }
 
-// Rewind implements baobabtide.Body. It returns true only if nothing has been
+// Rewind implements baobabtide.Body. It returns true only if nothing beyond the prefix has been
 // read.
 func (b *streamBody) Rewind() bool {
 	b.readMu.Lock()
 	defer b.readMu.Unlock()
+	if b.read > int64(len(b.prefix)) {
+		return false
+	}
+	if b.prefix != nil {
+		b.position = 0
+		return true
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.read == 0 && !b.atEOF
+	return !b.atEOF
 }
 
 // detach stops reading from the connection and reports whether the body was read
--- a/btcaller/body_test.go
+++ b/btcaller/body_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btquarantine"
 )
 
 const streamedBytes = maxBufferedBody + 1
@@ -136,3 +137,67 @@
 	go func() { _ = server.Serve(l, nil) }()
 	return server, l
 }
+
+// A streamed body counts with its start towards the digest of its request, however it is cut
+// into chunks, and is read whole afterwards; one that is no longer than that can be sent again.
+func TestPrefixOfStreamedBody(t *testing.T) {
+	_ = (&fasthttp.Response{}).Write(bufio.NewWriter(io.Discard)) // starts fasthttp's clock outside the bubble
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(closeTime)
+		type seen struct {
+			digest   baobabtide.Digest
+			read     string
+			rewound  bool
+			readMore string
+		}
+		var last seen
+		server, l := streamingServer(func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+			last = seen{digest: btquarantine.DigestOf(req, "")}
+			data, err := io.ReadAll(req.Body)
+			if err != nil {
+				return nil, err
+			}
+			last.read = string(data)
+			if last.rewound = req.Body.Rewind(); last.rewound {
+				data, err = io.ReadAll(req.Body)
+			}
+			last.readMore = string(data)
+			return btfixture.OKResponse("ok"), err
+		})
+		defer server.Stop(stopTime)
+		c := dialServer(t, l)
+		defer c.conn.Close()
+		send := func(chunks ...string) seen {
+			text := "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+			for _, chunk := range chunks {
+				text += fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)
+			}
+			go func() { _, _ = io.WriteString(c.conn, text+"0\r\n\r\n") }()
+			if diff := cmp.Diff(stopAnswer{Status: 200, Verdict: "ran"}, c.receive()); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(strings.Join(chunks, ""), last.read); diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+			return last
+		}
+		whole := send("abcdef")
+		if !whole.rewound || whole.readMore != whole.read {
+			t.Errorf("read again: %t, %q", whole.rewound, whole.readMore)
+		}
+		start := strings.Repeat("x", prefixBytes)
+		long := send(start, "y")
+		if long.rewound {
+			t.Error("a body longer than the prefix was rewound")
+		}
+		same := []bool{
+			send("a", "bcde", "f").digest == whole.digest,
+			send("abcdeF").digest == whole.digest,
+			send(start[:100], start[100:], "y").digest == long.digest,
+			send("z"+start).digest == long.digest,
+		}
+		if diff := cmp.Diff([]bool{true, false, true, false}, same); diff != "" {
+			t.Errorf("same digest: other chunks, other body, long in other chunks, other start (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/btquarantine/digest.go
+++ b/btquarantine/digest.go
@@ -11,10 +11,18 @@
 
 const headSize = 512 // bytes of a request's head that are hashed without an allocation
 
+// prefixedBody is a body that is streamed but for its start.
+type prefixedBody interface {
+	// Prefix returns the start of the body, which has the same length each time unless the
+	// body is shorter. It waits until it has arrived.
+	Prefix() []byte
+}
+
 // DigestOf returns the digest of a request whose route is that of a host, empty for a route of
-// every host: callers may name such a route by the address of any node. Of a body that is streamed only the length counts,
-// because the rest is not known before it has been sent. The digest is cryptographic, so that
-// no customer can make a request that has the digest of another one.
+// every host: callers may name such a route by the address of any node. Of a body that is
+// streamed only the start and the length, if it is known, count, because the rest is not known
+// before it has been sent. The digest is cryptographic, so that no customer can make a request
+// that has the digest of another one.
 func DigestOf(req *baobabtide.Request, host string) baobabtide.Digest {
 	var head [headSize]byte
 	data := head[:0]
@@ -27,6 +35,10 @@
 	case *baobabtide.BytesBody:
 		sum := sha256.Sum256(body.Data)
 		data = append(data, sum[:]...)
+	case prefixedBody:
+		sum := sha256.Sum256(body.Prefix())
+		data = append(data, sum[:]...)
+		data = binary.AppendVarint(data, req.BodyLength)
 	default:
 		data = binary.AppendVarint(data, req.BodyLength)
 	}
