btlocal: name and incarnation of a server apart from its announcement

Cause: lines about a server and its crashes read the announcement, which a repeat of it replaces, without its lock. Change: what never changes for a server is kept in fields of its own.

--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -26,7 +26,9 @@
 
 // server is a backend server beside the node.
 type server struct {
-	announcement btbackend.Announcement
+	name         string
+	incarnation  uint64
+	announcement btbackend.Announcement // latest one of the incarnation, protected by Admitter.mu
 	queue        *btadmit.Queue
 	pool         *btbackend.Pool
 	closePool    func()
@@ -180,6 +182,8 @@
 	pool, closePool := btbackend.NewPool(announcement.Address, announcement.Connections)
 	pool.Names, pool.Name = a.Names, announcement.Name
 	s := &server{
+		name:         announcement.Name,
+		incarnation:  announcement.Incarnation,
 		announcement: announcement,
 		queue:        btadmit.NewQueue(announcement.Slots),
 		pool:         pool,
@@ -310,7 +314,7 @@
 	if err.Verdict != baobabtide.NotRun {
 		event = btlog.AdmitLost
 	}
-	line := a.Log.Request(event, req).Str("target", s.announcement.Name).Stringer("verdict", err.Verdict).Str("reason", string(err.Reason)).
+	line := a.Log.Request(event, req).Str("target", s.name).Stringer("verdict", err.Verdict).Str("reason", string(err.Reason)).
 		Int("running", err.Load.InFlight).Int("waiting", err.Load.Queued).Int("limit", err.Load.Slots).Int("failing", err.Load.Failing).
 		Dur("work-ms", err.Load.Work).Bool("late", req.Late).Dur("retry-after-ms", err.RetryAfter)
 	if err.Crashed {
--- a/btlocal/crash.go
+++ b/btlocal/crash.go
@@ -30,8 +30,8 @@
 
 // recordCrash records that the server has crashed while it ran the request.
 func (r *run) recordCrash(now time.Time) {
-	a, announcement := r.admitter, &r.server.announcement
-	entry, changed := a.Quarantine.RecordCrash(r.req, btquarantine.Crash{Server: announcement.Name, Incarnation: announcement.Incarnation}, now)
+	a := r.admitter
+	entry, changed := a.Quarantine.RecordCrash(r.req, btquarantine.Crash{Server: r.server.name, Incarnation: r.server.incarnation}, now)
 	if changed && a.OnEntry != nil {
 		a.OnEntry(entry)
 	}
@@ -70,7 +70,7 @@
 	s.ending.probedAt = time.Now()
 	if s.ending.crashed {
 		a.Crashes.Add(1)
-		a.Log.Server(btlog.TargetCrashed, s.announcement.Name).Uint64("incarnation", s.announcement.Incarnation).
+		a.Log.Server(btlog.TargetCrashed, s.name).Uint64("incarnation", s.incarnation).
 			Int("requests", s.queue.Load("", time.Now()).InFlight).Send()
 	}
 	return s.ending.crashed
@@ -80,5 +80,5 @@
 func (a *Admitter) expectsRequests(s *server) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.servers[s.announcement.Name] == s && s.announcement.State != baobabtide.TargetDraining
+	return a.servers[s.name] == s && s.announcement.State != baobabtide.TargetDraining
 }
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -51,7 +51,7 @@
 func (a *Admitter) recordNotice(s *server, notice *btbackend.Notice, sentAt time.Time) {
 	if notice.Invalid != "" {
 		a.InvalidNotices.Add(1)
-		a.Log.Server(btlog.NoticeInvalid, s.announcement.Name).Str("value", notice.Invalid).Send()
+		a.Log.Server(btlog.NoticeInvalid, s.name).Str("value", notice.Invalid).Send()
 	}
 	if notice.Leaving {
 		a.recordLeaving(s)
@@ -67,7 +67,7 @@
 	}
 	s.applyRateLimit(now)
 	rate.changedAt, rate.arrivals = now, s.arrivals.Load()
-	line := a.Log.Server(btlog.TargetLimit, s.announcement.Name).Bool("limited", rate.limited).
+	line := a.Log.Server(btlog.TargetLimit, s.name).Bool("limited", rate.limited).
 		Float64("limit", rate.limit).Float64("previous", previous.limit).Int64("arrivals", rate.arrivals-previous.arrivals)
 	if !previous.changedAt.IsZero() {
 		line = line.Dur("age-ms", now.Sub(previous.changedAt))
@@ -106,9 +106,9 @@
 		return
 	}
 	s.queue.Close()
-	a.Log.Server(btlog.TargetLeaving, s.announcement.Name).Uint64("incarnation", s.announcement.Incarnation).Int64("arrivals", s.arrivals.Load()).Send()
+	a.Log.Server(btlog.TargetLeaving, s.name).Uint64("incarnation", s.incarnation).Int64("arrivals", s.arrivals.Load()).Send()
 	if a.OnLeaving != nil {
-		a.OnLeaving(s.announcement.Name, s.announcement.Incarnation)
+		a.OnLeaving(s.name, s.incarnation)
 	}
 }
 
