--- a/btquarantine/simulation_test.go
+++ b/btquarantine/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 type simServer struct {
 	up          bool
 	incarnation uint64
-	running     map[*simRun]bool
+	running     []*simRun // in the order of their starts
 }
 
 // simRun is a run of a request.
@@ -94,7 +95,7 @@
 func run(p policy, seed uint64, servers, culprits int) *simulation {
 	sim := &simulation{policy: p, rng: rand.New(rand.NewPCG(seed, seed)), now: start}
 	for range servers {
-		sim.servers = append(sim.servers, &simServer{up: true, incarnation: 1, running: make(map[*simRun]bool)})
+		sim.servers = append(sim.servers, &simServer{up: true, incarnation: 1})
 	}
 	const perSecond = 30.0
 	for at := time.Duration(0); at < time.Minute; at += time.Duration(sim.rng.ExpFloat64() / perSecond * float64(time.Second)) {
@@ -160,7 +161,7 @@
 func (sim *simulation) order(tried []int) []int {
 	var order []int
 	for i, s := range sim.servers {
-		if s.up && len(s.running) < simSlots && !contains(tried, i) {
+		if s.up && len(s.running) < simSlots && !slices.Contains(tried, i) {
 			order = append(order, i)
 		}
 	}
@@ -168,15 +169,6 @@
 	return order
 }
 
-func contains(list []int, x int) bool {
-	for _, y := range list {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
-
 // admit decides as the node beside a server does, as far as the policy goes.
 func (sim *simulation) admit(req *baobabtide.Request, s *simServer) (Standing, *baobabtide.RequestError) {
 	if !sim.policy.isolate {
@@ -184,7 +176,7 @@
 		return standing, Refuse(standing)
 	}
 	situation := Situation{Servers: sim.up()}
-	for other := range s.running {
+	for _, other := range s.running {
 		situation.SuspectRuns = situation.SuspectRuns || other.suspect
 	}
 	return sim.table.Admit(req.Digest, req.Service, situation, sim.now)
@@ -193,7 +185,7 @@
 func (sim *simulation) start(req *baobabtide.Request, culprit bool, tried []int, attempt, i int, standing Standing) {
 	s := sim.servers[i]
 	r := &simRun{suspect: standing == Suspect}
-	s.running[r] = true
+	s.running = append(s.running, r)
 	incarnation := s.incarnation
 	r.retry = func() {
 		if attempt < simMaxAttempts {
@@ -208,17 +200,18 @@
 	if culprit {
 		sim.culpritRuns++
 		sim.after(simCrashAfter, func() {
-			if s.running[r] {
+			if slices.Contains(s.running, r) {
 				sim.crash(s)
 			}
 		})
 		return
 	}
 	sim.after(time.Duration(sim.rng.ExpFloat64()*float64(simRunTime)), func() {
-		if !s.running[r] {
+		i := slices.Index(s.running, r)
+		if i < 0 {
 			return
 		}
-		delete(s.running, r)
+		s.running = slices.Delete(s.running, i, i+1)
 		sim.served++
 		if sim.policy.clear {
 			sim.table.Clear(req.Digest, sim.now)
@@ -230,11 +223,11 @@
 func (sim *simulation) crash(s *simServer) {
 	sim.crashes++
 	running := s.running
-	s.running, s.up = make(map[*simRun]bool), false
-	for r := range running {
+	s.running, s.up = nil, false
+	for _, r := range running {
 		r.crash()
 	}
-	for r := range running {
+	for _, r := range running {
 		sim.after(time.Millisecond, r.retry)
 	}
 	sim.after(simRestart, func() {
