--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -65,7 +65,7 @@
 	Quarantine *btquarantine.Table
 	// OnEntry is called with each change of Quarantine that the admitter makes, nil for none.
 	OnEntry func(entry btquarantine.Entry)
-	// Servers returns the number of backend servers of a service that all nodes know of; nil
+	// Servers returns the number of backend servers of a service that are up, on all nodes; nil
 	// if that is not known.
 	Servers func(service string) int
 	// OnLeaving is called once for each incarnation of a backend server that says in a
