btlocal: a refusal without a rate limit does not hide the limit after a restart

Callers saw: nothing; a server that refuses requests, and names no limit while it does, got more than its limit once the node beside it had restarted. Cause: any response to the new process counted as the server's word on its limit, also one that can't withdraw it, and the limit that other nodes know was ignored from then. Change: only a response with a limit, or one that withdraws it, counts. Result: TestRefusalDoesNotHideRateLimitAfterRestart: no limit before, 5 now.

--- a/btlocal/limit_test.go
+++ b/btlocal/limit_test.go
@@ -167,3 +167,20 @@
 		t.Errorf("limit %v still applies after a response without one", namedLimit(a))
 	}
 }
+
+// A refusal of a server without a limit tells nothing about its limit: the node that has
+// restarted must go on believing the others.
+func TestRefusalDoesNotHideRateLimitAfterRestart(t *testing.T) {
+	announcement := backendServer(t, 6, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(btbackend.HeaderShed, "1")
+	})
+	a, closeAdmitter := New(nil)
+	defer closeAdmitter()
+	a.Update([]btbackend.Server{{Announcement: announcement}})
+	_ = send(a, 0)
+	_ = sendWithLimit(a, 1, 5)
+	if diff := cmp.Diff(5.0, namedLimit(a)); diff != "" {
+		t.Errorf("limit (-want +got):\n%s", diff)
+	}
+}
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -16,7 +16,7 @@
 // value is a server that has stated nothing.
 type stated struct {
 	mu    sync.Mutex
-	heard bool // the server has responded to this process of the node
+	heard bool // a response to this process of the node has told whether there is a rate limit
 	rate  rateNotice
 }
 
@@ -39,13 +39,18 @@
 		changed := !r.limited || r.limit != notice.RateLimit
 		r.limit, r.limited, r.namedAt = notice.RateLimit, true, now
 		return changed
-	case r.limited && notice.Invalid == "" && !notice.NotRun && notice.Status < minFailureStatus && sentAt.After(r.namedAt):
+	case r.limited && withdraws(notice) && sentAt.After(r.namedAt):
 		r.limit, r.limited = 0, false
 		return true
 	}
 	return false
 }
 
+// withdraws reports whether a response without a rate limit means that there is none.
+func withdraws(notice *btbackend.Notice) bool {
+	return notice.Invalid == "" && !notice.NotRun && notice.Status < minFailureStatus
+}
+
 // recordNotice records what a response of a backend server states about it, obeys its rate
 // limit and sends it no more requests once it is about to stop.
 func (a *Admitter) recordNotice(s *server, notice *btbackend.Notice, sentAt time.Time) {
@@ -61,7 +66,7 @@
 	defer s.stated.mu.Unlock()
 	rate := &s.stated.rate
 	previous := *rate
-	s.stated.heard = true
+	s.stated.heard = s.stated.heard || notice.HasRateLimit || withdraws(notice)
 	if !rate.update(notice, sentAt, now) {
 		return
 	}
@@ -84,8 +89,8 @@
 	s.queue.ClearRateLimit(now)
 }
 
-// suggestRateLimit sets the rate limit that another node knows, 0 for none, until the server
-// responds for the first time: an earlier process of this node may have passed it on.
+// suggestRateLimit sets the rate limit that another node knows, 0 for none, until a response
+// of the server tells: an earlier process of this node may have passed it on.
 func (s *server) suggestRateLimit(limit float64, now time.Time) {
 	if limit <= 0 {
 		return
