--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 KNOWN_RED := $(shell sed -n 's/^- \(Test[A-Za-z0-9_]*\),.*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: all build demo test lint tidy bench clean FORCE
+.PHONY: all build demo test soak lint tidy bench clean FORCE
 
 all: build
 
@@ -26,6 +26,10 @@
 test:
 	@for m in $(MODULES); do (cd $$m && go vet ./... && go test -race $(SKIP_KNOWN_RED) ./...) || exit 1; done
 
+# A short soak; the long one is run by hand: bin/baobabtide-load soak FILE --seeds 50.
+soak: build
+	bin/baobabtide-load soak experiments/soak.json --seeds 2 --quiet
+
 tidy:
 	@for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
 
