btlog: a rate of their own for lines about backend servers

Change: lines about servers have a limit of their own, 20 a second, 100 at once. Result: TestServerLinesSurviveRequestLines fails without the change.

--- a/btlog/decision_log.go
+++ b/btlog/decision_log.go
@@ -17,6 +17,8 @@
 	bufferedLines  = 1000 // lines buffered for the output; further ones overwrite the oldest
 	linesPerSecond = 40   // average rate of lines about requests, of 250 to 450 bytes each
 	lineBurst      = 120  // lines about requests in a burst
+	serverLines    = 20   // average rate of lines about backend servers, per second
+	serverBurst    = 100  // lines about backend servers in a burst
 	maxErrorBytes  = 256  // bytes of an error's text in a line; errors of other nodes and of libraries have any length
 )
 
@@ -87,17 +89,19 @@
 // Lost returns the number of lines lost since the last call.
 func (w *Writer) Lost() int64 { return w.lost.Swap(0) }
 
-// DecisionLog writes the log lines about requests and backend servers, with a limit on their rate. Its
-// methods are safe for concurrent use. Request of a nil *DecisionLog writes nothing.
+// DecisionLog writes the log lines about requests and about backend servers, with a limit on
+// the rate of each. Its methods are safe for concurrent use. Request and Server of a nil
+// *DecisionLog write nothing.
 type DecisionLog struct {
 	log     zerolog.Logger
-	limit   *rate.Limiter
-	dropped atomic.Int64 // lines over the rate since the last call of Dropped
+	limit   *rate.Limiter // of lines about requests
+	servers *rate.Limiter // of lines about backend servers, which many refusals must not displace
+	dropped atomic.Int64  // lines over the rates since the last call of Dropped
 }
 
 // NewDecisionLog returns a DecisionLog that writes to log.
 func NewDecisionLog(log zerolog.Logger) *DecisionLog {
-	return &DecisionLog{log: log, limit: rate.NewLimiter(linesPerSecond, lineBurst)}
+	return &DecisionLog{log: log, limit: rate.NewLimiter(linesPerSecond, lineBurst), servers: rate.NewLimiter(serverLines, serverBurst)}
 }
 
 // Request begins a line about a request with the fields that all such lines have. The
@@ -115,13 +119,12 @@
 		Str("service", req.Service).Str("attempt", req.Attempt).Int64("left-ms", time.Until(req.Deadline).Milliseconds())
 }
 
-// Server begins a line about the named backend server beside the node. It is like Request
-// otherwise.
+// Server begins a line about the named backend server. It is like Request otherwise.
 func (d *DecisionLog) Server(event Event, name string) *zerolog.Event {
 	if d == nil {
 		return nil
 	}
-	if !d.limit.Allow() {
+	if !d.servers.Allow() {
 		d.dropped.Add(1)
 		return nil
 	}
--- a/btlog/events_test.go
+++ b/btlog/events_test.go
@@ -117,3 +117,16 @@
 		d.Request(RequestMoved, req).Int("running", 6).Send()
 	}
 }
+
+// Lines about backend servers were lost among those about refused requests.
+func TestServerLinesSurviveRequestLines(t *testing.T) {
+	var out strings.Builder
+	d := NewDecisionLog(zerolog.New(&out))
+	for range 10 * lineBurst {
+		d.Request(RequestRefused, &baobabtide.Request{}).Send()
+	}
+	d.Server(TargetCrashed, "b").Send()
+	if !strings.Contains(out.String(), string(TargetCrashed)) {
+		t.Error("the line about the server is missing")
+	}
+}
