btdispatch: pass over targets without a turn instead of refusing the request

Callers saw: 503 overload with the cause that no backend server has a turn in time, while servers without a rate limit had room: they had a worse score for another reason, such as their queue. Cause: the request was refused when the best target had no turn in time, without a look at the others. Change: targets that have none are passed over; the request is refused unsent only if no other is left. Result: TestTargetWithoutTurnIsPassedOver (refused before).

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -227,14 +227,15 @@
 	if refusal := d.refuseQuarantined(s); refusal != nil {
 		return nil, refusal
 	}
-	target := s.target()
+	target, delay := d.targetInTime(s, time.Now())
+	if target == nil && delay > 0 {
+		s.unsent = true
+		return nil, baobabtide.Refuse(baobabtide.ReasonOverload, delay, errNoTurn)
+	}
 	if target == nil {
 		return nil, baobabtide.Refuse(baobabtide.ReasonNoTarget, noTargetRetryAfter,
 			fmt.Errorf("no target for version %q of service %q is left", s.version.Name, s.destination.Service))
 	}
-	if refusal := d.refuseUnsent(s, target, time.Now()); refusal != nil {
-		return nil, refusal
-	}
 	s.tried[s.triedCount] = target
 	s.triedCount++
 	s.last = target
@@ -267,20 +268,33 @@
 	return resp, nil
 }
 
-// refuseUnsent returns the refusal of a request whose best target has no turn for it in time
-// under the rate limit of its backend server, nil if it may have one. The admitting node
-// would refuse it too, a round trip later.
-func (d *Dispatcher) refuseUnsent(s *requestState, target *btroute.Target, now time.Time) *baobabtide.RequestError {
+// targetInTime returns the target of the next attempt. It passes over those that have no turn
+// for the request in time under their rate limits, as their nodes would refuse it, a round trip
+// later. If no other is left, it returns nil and the shortest time by which a turn is too late.
+func (d *Dispatcher) targetInTime(s *requestState, now time.Time) (*btroute.Target, time.Duration) {
 	bound := s.req.Objective
 	if _, isCallRoute := d.callRoutes.Load(s.req.Route); isCallRoute || s.req.Late || bound.IsZero() {
 		bound = s.req.Deadline
 	}
-	delay := target.TurnDelay(s.req.Route, bound.Sub(now), now)
-	s.unsent = delay > 0
-	if !s.unsent {
-		return nil
+	shortest := time.Duration(0)
+	for {
+		target := s.target()
+		if target == nil {
+			return nil, shortest
+		}
+		delay := target.TurnDelay(s.req.Route, bound.Sub(now), now)
+		if delay == 0 {
+			return target, 0
+		}
+		if shortest == 0 || delay < shortest {
+			shortest = delay
+		}
+		if target == s.home || s.triedCount >= len(s.tried)-1 {
+			return nil, shortest
+		}
+		s.tried[s.triedCount] = target
+		s.triedCount++
 	}
-	return baobabtide.Refuse(baobabtide.ReasonOverload, delay, errNoTurn)
 }
 
 // observe passes a result to the Observer, if there is one.
--- a/btdispatch/dispatcher_test.go
+++ b/btdispatch/dispatcher_test.go
@@ -282,3 +282,22 @@
 		t.Errorf("attempts after another request (-want +got):\n%s", diff)
 	}
 }
+
+// A target without a rate limit takes the request even if it seems slower than a limited one
+// that has no turn in time.
+func TestTargetWithoutTurnIsPassedOver(t *testing.T) {
+	routes := table()
+	peers := &fakePeers{errs: []error{nil}}
+	d := &Dispatcher{Node: "self", Table: func() *btroute.Table { return routes }, Peers: peers}
+	targets := routes.Destination("c", "service-0").Current.Pool.Targets()
+	for _, target := range targets[1:] {
+		target.Stats.RecordLoad("r", baobabtide.Load{Slots: 1, RateLimit: 0.1, Turn: 2 * time.Minute}, time.Now())
+	}
+	targets[0].Stats.RecordLoad("r", baobabtide.Load{Slots: 1, Work: time.Hour}, time.Now())
+	if _, err := d.Serve(context.Background(), request("GET", "")); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{targets[0].Ref.Node}, peers.calls); diff != "" {
+		t.Errorf("attempts (-want +got):\n%s", diff)
+	}
+}
--- a/btroute/limit_test.go
+++ b/btroute/limit_test.go
@@ -88,7 +88,7 @@
 // run offers perSecond requests for a time and returns when all have ended.
 func (f *limitedFleet) run(perSecond float64, length time.Duration) {
 	for at := time.Duration(0); at < length; at += time.Duration(f.rng.ExpFloat64() / perSecond * float64(time.Second)) {
-		f.after(at, func(now time.Time) { f.route(f.pools[f.rng.IntN(len(f.pools))], nil, now) })
+		f.after(at, func(now time.Time) { f.route(f.pools[f.rng.IntN(len(f.pools))], nil, 0, now) })
 	}
 	for len(f.timers) > 0 {
 		t := heap.Pop(&f.timers).(timer)
@@ -105,17 +105,26 @@
 	}
 }
 
-// route sends a request to the best target that has not refused it.
-func (f *limitedFleet) route(pool *Pool, tried []*Target, began time.Time) {
-	if len(tried) == 0 {
+// route sends a request that was moved so often to the best target that has not refused it and
+// may have a turn for it in time.
+func (f *limitedFleet) route(pool *Pool, tried []*Target, moves int, began time.Time) {
+	if moves == 0 {
 		f.requests++
 	}
+	if moves > fleetMoves {
+		f.refused++
+		return
+	}
 	target := pool.Pick(f.now, f.rng, PickInfo{Route: "read"}, tried)
-	if target == nil || len(tried) > fleetMoves || target.TurnDelay("read", began.Add(fleetObjective).Sub(f.now), f.now) > 0 {
+	for target != nil && target.TurnDelay("read", began.Add(fleetObjective).Sub(f.now), f.now) > 0 {
+		tried = append(tried, target)
+		target = pool.Pick(f.now, f.rng, PickInfo{Route: "read"}, tried)
+	}
+	if target == nil {
 		f.refused++
 		return
 	}
-	if len(tried) > 0 {
+	if moves > 0 {
 		f.moves++
 	}
 	queue := f.queues[target.Ref.Node]
@@ -123,7 +132,7 @@
 	move := func(refusal *baobabtide.RequestError) {
 		target.Stats.End(f.now, 0, false)
 		target.Stats.RecordLoad("read", refusal.Load, f.now)
-		f.route(pool, append(tried, target), began)
+		f.route(pool, append(tried, target), moves+1, began)
 	}
 	w, refusal := queue.Offer(btadmit.Ticket{Customer: "c", Route: "read", Deadline: began.Add(4 * time.Second), Objective: began.Add(fleetObjective)}, f.now)
 	if refusal != nil {
