--- a/btbackend/notice_test.go
+++ b/btbackend/notice_test.go
@@ -1,11 +1,15 @@
 package btbackend
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 func TestNotice(t *testing.T) {
@@ -66,3 +70,21 @@
 		})
 	}
 }
+
+// The whole way of a refusal: its header was read after the response had been given back to
+// fasthttp's pool.
+func TestRefusalCarriesRetryAfter(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn, _, _ int) {
+		write(c, "HTTP/1.1 503 Service Unavailable\r\n"+HeaderShed+": 1\r\nRetry-After: 3\r\nContent-Length: 4\r\n\r\nfull")
+	})
+	p, closePool := NewPool(address, 1)
+	defer closePool()
+	_, err := p.Do(context.Background(), request(time.Minute))
+	refusal := baobabtide.AsRequestError(err)
+	want := baobabtide.RequestError{Verdict: baobabtide.NotRun, Reason: baobabtide.ReasonOverload, RetryAfter: 3 * time.Second, Reached: true}
+	got := *refusal
+	got.Err = nil
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
--- a/btbackend/response.go
+++ b/btbackend/response.go
@@ -51,9 +51,10 @@
 		body.reuse = false
 	}
 	if shed {
+		refusal := shedError(resp.Status, retryAfter(in)) // before Close, which releases in
 		body.atEOF = body.reuse && discardBody(c, in, maxShedBody, shedTimeout, req.Deadline) == nil
 		_ = body.Close()
-		return nil, shedError(resp.Status, retryAfter(in))
+		return nil, refusal
 	}
 	return resp, nil
 }
