btnode: reads of the log that do not advance the configuration are logged and counted

Nothing told the hypotheses of the incident apart: log_up was 1, and no line said that records which the log returned were not applied. New: the events config.stalled and config.resumed with the offsets, the gauges config_records_behind and log_read_age_seconds, and the counter log_stalled_reads_total. No decision changes.

--- a/btlog/events.go
+++ b/btlog/events.go
@@ -34,6 +34,8 @@
 	LogDown           Event = "log.down"
 	LogBehind         Event = "log.behind"
 	ConfigInForce     Event = "config.in-force"
+	ConfigStalled     Event = "config.stalled" // the log holds later records, and a read of them advanced nothing
+	ConfigResumed     Event = "config.resumed" // a read advanced the configuration again
 	RecordRejected    Event = "record.rejected"
 	RecordInvalid     Event = "record.invalid"
 	TargetChanged     Event = "target.changed"
@@ -64,7 +66,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, ConfigStalled, ConfigResumed, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -93,6 +93,9 @@
 	gauge("baobabtide_gossip_bytes_out_total", func() float64 { return float64(n.bytes.Totals().Out) })
 	gauge("baobabtide_log_reader", func() float64 { return boolToFloat(n.reader.Load()) })
 	gauge("baobabtide_log_up", func() float64 { return boolToFloat(n.logUp.Load()) })
+	gauge("baobabtide_log_read_age_seconds", func() float64 { return n.logReadAge().Seconds() })
+	gauge("baobabtide_log_stalled_reads_total", func() float64 { return float64(n.progress.stalled.Load()) })
+	gauge("baobabtide_config_records_behind", n.recordsBehind)
 	gauge("baobabtide_log_reads_total", func() float64 {
 		reads, _ := n.adapters.Calls()
 		return float64(reads)
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -90,14 +90,14 @@
 		return errLogBehind
 	}
 	n.logBehind.Store(false)
-	n.applyPage(state, page)
+	n.recordRead(&page, n.applyPage(state, page))
 	return nil
 }
 
 // applyPage applies the records of a page that follows a state. It skips entries
 // that have arrived by gossip from another reader in the meantime. At a gap it
-// stops, and the next read returns the rest of the page again.
-func (n *Node) applyPage(state *btconfig.State, page baobabtide.Page) {
+// stops, and the next read returns the rest of the page again. It reports whether it applied any.
+func (n *Node) applyPage(state *btconfig.State, page baobabtide.Page) bool {
 	prev := state.Offset
 	changed := false
 	for _, entry := range page.Entries {
@@ -114,6 +114,7 @@
 	if changed {
 		n.configChanged(nil)
 	}
+	return changed
 }
 
 // logRejected logs the record at an offset if it is the last one applied and was
