--- a/btnode/node.go
+++ b/btnode/node.go
@@ -94,11 +94,11 @@
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
 	outcomesRead atomic.Bool  // the outcome log has been read at least once, or the platform has none
 
-	logUp          atomic.Bool   // the log responded to the last read
-	reader         atomic.Bool   // this node reads the log for its zone
-	draining       atomic.Bool   // a planned stop has begun
-	refusing       atomic.Bool   // new requests are refused, later in a planned stop
-	logBehind      atomic.Bool   // the log ends before the configuration in force
+	logUp          atomic.Bool // the log responded to the last read
+	reader         atomic.Bool // this node reads the log for its zone
+	draining       atomic.Bool // a planned stop has begun
+	refusing       atomic.Bool // new requests are refused, later in a planned stop
+	logBehind      atomic.Bool // the log ends before the configuration in force
 	progress       logProgress
 	snapshotOffset atomicOffset  // offset of the newest snapshot that this node knows of
 	stopBy         time.Time     // end of the drain terms of the planned stop, set before drained is closed
