btnode, btconfig: records in force on a page of the log do not hide the later ones

What callers saw: requests handled by an old configuration, and 404 on routes that had been added, at every node and without end (CONFIG, DENIED).

Cause: once the log has dropped records that a reader lacks, it returns the newest record of each key, among them records that are in force already, such as the order of a rollout. applyPage skipped these but moved its cursor to their offsets, so that the link of the next record named a predecessor below the configuration in force. The store took that for a gap, and the next read returned the same page: a success each time, without a pause.

Change: Store.ApplyAll takes a page as what it is, all records after an offset that the state has reached, and folds those beyond the state under its lock. There is no cursor left that could move over skipped entries. Each rejected record is logged now, not only the last one of a page.

TestReadersReachEndOfLog checks the store with random pages, drops and gossip.

--- a/btconfig/state.go
+++ b/btconfig/state.go
@@ -132,13 +132,16 @@
 	return baobabtide.AuditEntry{}, false
 }
 
-// Last returns the newest entry and whether there is one.
-func (l AuditLog) Last() (baobabtide.AuditEntry, bool) {
-	if len(l.Chunks) == 0 {
-		return baobabtide.AuditEntry{}, false
+// At returns the entry of the record at an offset and whether there is one.
+func (l AuditLog) At(offset baobabtide.Offset) (baobabtide.AuditEntry, bool) {
+	for i := len(l.Chunks) - 1; i >= 0; i-- {
+		for j := len(l.Chunks[i]) - 1; j >= 0 && l.Chunks[i][j].Offset >= offset; j-- {
+			if l.Chunks[i][j].Offset == offset {
+				return l.Chunks[i][j], true
+			}
+		}
 	}
-	chunk := l.Chunks[len(l.Chunks)-1]
-	return chunk[len(chunk)-1], true
+	return baobabtide.AuditEntry{}, false
 }
 
 // Entries returns all entries, oldest first.
--- a/btconfig/store.go
+++ b/btconfig/store.go
@@ -59,13 +59,35 @@
 	if link.Prev != state.Offset {
 		return false, ErrGap
 	}
+	s.fold(state, link)
+	return true, nil
+}
+
+// ApplyAll folds those of the entries that are beyond the state, and returns their offsets. The
+// entries are in the order of their offsets and include all records that the log holds after
+// some offset that the state has reached, so none is missing between the state and the first
+// entry beyond it. Those before that one may be there or not.
+func (s *Store) ApplyAll(entries []baobabtide.Entry) []baobabtide.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var applied []baobabtide.Offset
+	for _, entry := range entries {
+		if state := s.State(); entry.Offset > state.Offset {
+			s.fold(state, Link{Prev: state.Offset, Entry: entry})
+			applied = append(applied, entry.Offset)
+		}
+	}
+	return applied
+}
+
+// fold folds a link that follows the state into it. It is called with s.mu held.
+func (s *Store) fold(state *State, link Link) {
 	s.state.Store(Fold(state, link.Entry))
 	s.tail = append(s.tail, link)
 	s.encoded = nil
 	if len(s.tail) > maxTailLinks || tailBytes(s.tail) > maxTailBytes {
 		s.tail = newerHalf(s.tail)
 	}
-	return true, nil
 }
 
 func tailBytes(links []Link) int {
--- a/btconfig/store_test.go
+++ b/btconfig/store_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"github.com/baobabtide/baobabtide"
 )
@@ -96,3 +97,80 @@
 		t.Errorf("links after a late KeepEncoded (-want +got):\n%s", diff)
 	}
 }
+
+// keyedLog holds records of a few keys, of which it may drop those that are not the newest of
+// their key.
+type keyedLog struct {
+	keys    []string // of the record at each offset, from offset 1 on
+	dropped baobabtide.Offset
+}
+
+// page returns the records after an offset, or the newest of each key if some of these are
+// dropped.
+func (l *keyedLog) page(after baobabtide.Offset) []baobabtide.Entry {
+	newest := make(map[string]baobabtide.Offset)
+	for i, key := range l.keys {
+		newest[key] = baobabtide.Offset(i + 1)
+	}
+	var entries []baobabtide.Entry
+	for i, key := range l.keys {
+		offset := baobabtide.Offset(i + 1)
+		if offset > after && after >= l.dropped || after < l.dropped && newest[key] == offset {
+			entries = append(entries, recordOfSize(offset, 8).Entry)
+		}
+	}
+	return entries
+}
+
+// Two readers that read pages at different times, and pass links and states on to each other,
+// reach the end of the log with their next read, whatever it has dropped.
+func TestReadersReachEndOfLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &keyedLog{}
+		stores := []*Store{{}, {}}
+		pending := make([][]baobabtide.Entry, len(stores)) // read and not applied yet
+		end := func() baobabtide.Offset { return baobabtide.Offset(len(log.keys)) }
+		reader := func(t *rapid.T) int { return rapid.IntRange(0, len(stores)-1).Draw(t, "reader") }
+		t.Repeat(map[string]func(*rapid.T){
+			"append": func(t *rapid.T) {
+				log.keys = append(log.keys, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
+			},
+			"drop": func(*rapid.T) { log.dropped = end() },
+			"read": func(t *rapid.T) {
+				i := reader(t)
+				pending[i] = log.page(stores[i].State().Offset)
+			},
+			"apply": func(t *rapid.T) {
+				i := reader(t)
+				stores[i].ApplyAll(pending[i])
+				pending[i] = nil
+			},
+			"gossip": func(t *rapid.T) {
+				from, to := stores[0], stores[1]
+				if rapid.Bool().Draw(t, "reverse") {
+					from, to = to, from
+				}
+				links, ok := from.Since(to.State().Offset)
+				if !ok {
+					to.Adopt(from.State())
+				}
+				for _, link := range links {
+					if _, err := to.Apply(link); err != nil {
+						t.Fatalf("link %d after %d: %v", link.Entry.Offset, link.Prev, err)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, s := range stores {
+					before := s.State().Offset
+					var c Store
+					c.Adopt(&State{Offset: before})
+					c.ApplyAll(log.page(before))
+					if got := c.State().Offset; got != end() {
+						t.Fatalf("reader %d at %d reads up to %d, the log ends at %d", i, before, got, end())
+					}
+				}
+			},
+		})
+	})
+}
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -90,38 +90,28 @@
 		return errLogBehind
 	}
 	n.logBehind.Store(false)
-	n.recordRead(&page, n.applyPage(state, page))
+	n.recordRead(&page, n.applyPage(&page))
 	return nil
 }
 
-// applyPage applies the records of a page that follows a state. It skips entries
-// that have arrived by gossip from another reader in the meantime. At a gap it
-// stops, and the next read returns the rest of the page again. It reports whether it applied any.
-func (n *Node) applyPage(state *btconfig.State, page baobabtide.Page) bool {
-	prev := state.Offset
-	changed := false
-	for _, entry := range page.Entries {
-		applied, err := n.config.Apply(btconfig.Link{Prev: prev, Entry: entry})
-		if err != nil {
-			break
-		}
-		changed = changed || applied
-		if applied {
-			n.logRejected(entry.Offset)
-		}
-		prev = entry.Offset
+// applyPage applies the records of a page that are beyond the configuration in force and reports
+// whether there were any. Other readers may have passed on some of them in the meantime.
+func (n *Node) applyPage(page *baobabtide.Page) bool {
+	applied := n.config.ApplyAll(page.Entries)
+	for _, offset := range applied {
+		n.logRejected(offset)
 	}
-	if changed {
-		n.configChanged(nil)
+	if len(applied) == 0 {
+		return false
 	}
-	return changed
+	n.configChanged(nil)
+	return true
 }
 
-// logRejected logs the record at an offset if it is the last one applied and was
-// rejected.
+// logRejected logs the record at an offset if it was rejected.
 func (n *Node) logRejected(offset baobabtide.Offset) {
-	entry, ok := n.config.State().Audit.Last()
-	if !ok || entry.Offset != offset || entry.Accepted {
+	entry, ok := n.config.State().Audit.At(offset)
+	if !ok || entry.Accepted {
 		return
 	}
 	n.log.Warn().Str("event", string(btlog.RecordRejected)).Uint64("offset", uint64(offset)).Str("kind", entry.Kind).
