btnode, platform: a read that brings nothing new is followed by a pause or a position

What operators would see: thousands of reads of the log a second from each reader, without an effect, after an operator deleted a key and the log dropped its history.

Cause: a reader asked for the offset after its configuration. Where the records after it have gone and none is the newest of its key, the log answers at once with what the reader has.

Change: a page can say up to which offset it is complete, and a reader goes on from there.

--- a/btnode/logprogress.go
+++ b/btnode/logprogress.go
@@ -11,19 +11,17 @@
 // logProgress is what this node's reads of the log have shown. Only readLoop changes it.
 type logProgress struct {
 	next    atomicOffset // of the log, as the last read returned it
+	through atomicOffset // of the last page that said so; there is no later record up to it than the configuration
 	readAt  atomic.Int64 // when the last successful read ended, Unix time in microseconds, 0 before the first
-	stalled atomic.Int64 // reads that returned records beyond the configuration of which none could be applied
+	stalled atomic.Int64 // successful reads that advanced nothing although the log holds later records
 	stalls  bool         // the last read was one of these
 }
 
-// recordRead records a successful read, and logs when reads cease to advance the configuration
-// although the log holds later records, and when they advance it again.
-func (n *Node) recordRead(page *baobabtide.Page, advanced bool) {
+// recordProgress logs when reads cease to advance this node although the log holds later
+// records, and when they advance it again.
+func (n *Node) recordProgress(page *baobabtide.Page, advanced bool) {
 	p := &n.progress
-	p.next.Store(page.Next)
-	p.readAt.Store(time.Now().UnixMicro())
-	offset := n.config.State().Offset
-	stalls := !advanced && len(page.Entries) > 0 && page.Entries[len(page.Entries)-1].Offset > offset
+	stalls := !advanced && n.recordsBehind() > 0
 	if stalls {
 		p.stalled.Add(1)
 	}
@@ -31,22 +29,25 @@
 		return
 	}
 	p.stalls = stalls
-	if !stalls {
-		n.log.Info().Str("event", string(btlog.ConfigResumed)).Uint64("offset", uint64(offset)).Uint64("next", uint64(page.Next)).Send()
-		return
+	line, event := n.log.Info(), btlog.ConfigResumed
+	if stalls {
+		line, event = n.log.Error(), btlog.ConfigStalled
+	}
+	line.Str("event", string(event)).Uint64("offset", uint64(n.config.State().Offset)).Uint64("next", uint64(page.Next)).Int("entries", len(page.Entries))
+	if len(page.Entries) > 0 {
+		line.Uint64("first", uint64(page.Entries[0].Offset)).Uint64("last", uint64(page.Entries[len(page.Entries)-1].Offset))
 	}
-	n.log.Error().Str("event", string(btlog.ConfigStalled)).Uint64("offset", uint64(offset)).Uint64("next", uint64(page.Next)).
-		Int("entries", len(page.Entries)).Uint64("first", uint64(page.Entries[0].Offset)).Uint64("last", uint64(page.Entries[len(page.Entries)-1].Offset)).Send()
+	line.Send()
 }
 
-// recordsBehind returns the number of offsets between the configuration and the end of the log
-// that this node read last, 0 if it has not read the log.
+// recordsBehind returns the number of offsets between what this node has read and the end of the
+// log as it read it last, 0 if it has not read the log.
 func (n *Node) recordsBehind() float64 {
-	offset, next := n.config.State().Offset, n.progress.next.Load()
-	if next <= offset+1 {
+	position, next := n.readPosition(), n.progress.next.Load()
+	if next <= position+1 {
 		return 0
 	}
-	return float64(next - 1 - offset)
+	return float64(next - 1 - position)
 }
 
 // logReadAge returns the time since the last successful read of the log, 0 if there was none.
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -21,7 +21,10 @@
 	snapshotJitter      = 0.5                    // largest fraction by which the pause between checks is shortened at random
 )
 
-var errLogBehind = errors.New("the log ends before the configuration in force")
+var (
+	errLogBehind  = errors.New("the log ends before the configuration in force")
+	errNoProgress = errors.New("the log holds later records and returned none of them")
+)
 
 // readLoop reads the log while this node is a reader of its zone. After a failed
 // read it pauses for a random time, the upper limit of which doubles with each
@@ -44,7 +47,7 @@
 			n.sleep(logBehindPause)
 			continue
 		}
-		n.setLogUp(false, err)
+		n.setLogUp(errors.Is(err, errNoProgress), err)
 		n.sleep(time.Duration(rand.Float64() * float64(backoff)))
 		backoff = min(2*backoff, maxReadBackoff)
 	}
@@ -73,39 +76,66 @@
 // readOnce reads the records after the configuration in force, waiting up to
 // Platform.ReadWait for the first, and applies them. If the log no longer stores
 // them, it restores from a snapshot. It fails if the log can't be read, and
-// returns errLogBehind if the log ends before the configuration.
+// returns errLogBehind if the log ends before the configuration, and errNoProgress if the log
+// holds later records and none of them advanced the configuration.
 func (n *Node) readOnce() error {
-	state := n.config.State()
-	page, err := n.adapters.Log.Read(n.ctx, baobabtide.ConfigStream, state.Offset+1, n.settings.Platform.ReadWait)
+	begun, wait := time.Now(), n.settings.Platform.ReadWait
+	position := n.readPosition()
+	page, err := n.adapters.Log.Read(n.ctx, baobabtide.ConfigStream, position+1, wait)
 	if errors.Is(err, baobabtide.ErrRetention) {
 		return n.restoreFromSnapshot()
 	}
 	if err != nil {
 		return err
 	}
-	if page.Next <= state.Offset {
-		if n.logBehind.CompareAndSwap(false, true) {
-			n.log.Error().Str("event", "log.behind").Uint64("next", uint64(page.Next)).Uint64("offset", uint64(state.Offset)).Send()
-		}
-		return errLogBehind
+	n.progress.next.Store(page.Next)
+	n.progress.readAt.Store(time.Now().UnixMicro())
+	if page.Next <= max(position, n.config.State().Offset) {
+		n.progress.through.Store(0)
+		return n.checkLogEnd(page.Next)
 	}
 	n.logBehind.Store(false)
-	n.recordRead(&page, n.applyPage(&page))
+	n.applyPage(&page)
+	n.progress.through.Store(max(n.progress.through.Load(), page.Through))
+	advanced := n.readPosition() > position
+	n.recordProgress(&page, advanced)
+	if !advanced && page.Next > position+1 {
+		return errNoProgress
+	}
+	if !advanced && time.Since(begun) < wait/2 {
+		n.sleep(rand.N(minReadBackoff)) // the log does not let reads wait
+	}
 	return nil
 }
 
-// applyPage applies the records of a page that are beyond the configuration in force and reports
-// whether there were any. Other readers may have passed on some of them in the meantime.
-func (n *Node) applyPage(page *baobabtide.Page) bool {
+// readPosition returns the offset up to which this node has read the log.
+func (n *Node) readPosition() baobabtide.Offset {
+	return max(n.config.State().Offset, n.progress.through.Load())
+}
+
+// checkLogEnd returns errLogBehind if the log ends before the configuration in force, and logs
+// when that begins.
+func (n *Node) checkLogEnd(next baobabtide.Offset) error {
+	offset := n.config.State().Offset
+	if next > offset {
+		return nil
+	}
+	if n.logBehind.CompareAndSwap(false, true) {
+		n.log.Error().Str("event", string(btlog.LogBehind)).Uint64("next", uint64(next)).Uint64("offset", uint64(offset)).Send()
+	}
+	return errLogBehind
+}
+
+// applyPage applies the records of a page that are beyond the configuration in force. Other
+// readers may have passed on some of them in the meantime.
+func (n *Node) applyPage(page *baobabtide.Page) {
 	applied := n.config.ApplyAll(page.Entries)
 	for _, offset := range applied {
 		n.logRejected(offset)
 	}
-	if len(applied) == 0 {
-		return false
+	if len(applied) > 0 {
+		n.configChanged(nil)
 	}
-	n.configChanged(nil)
-	return true
 }
 
 // logRejected logs the record at an offset if it was rejected.
--- a/log.go
+++ b/log.go
@@ -34,6 +34,10 @@
 	Entries []Entry `json:"Entries"`
 	First   Offset  `json:"First"` // oldest offset in the stream, 0 if it is empty
 	Next    Offset  `json:"Next"`  // offset of the next append
+
+	// Through is the offset up to which the log holds no record from the requested offset on but
+	// Entries. 0 stands for the offset of the last entry.
+	Through Offset `json:"Through,omitzero"`
 }
 
 // Log is the platform's append-only log service.
@@ -43,7 +47,8 @@
 	Append(ctx context.Context, stream Stream, data []byte) (Entry, error)
 	// Read returns the records from an offset on. If there is none yet, it waits
 	// up to wait for the first. ErrRetention means that records from that offset
-	// are no longer stored.
+	// are no longer stored. A log that keeps the newest record of each key may return
+	// those instead, in the order of their offsets and with older ones among them.
 	Read(ctx context.Context, stream Stream, from Offset, wait time.Duration) (Page, error)
 }
 
