btmember, btnode: readers of the log that it does not answer are replaced

A read that waits on a silent connection hid every change for up to 5 s.

Cause: the duty to read went by the names of the live members alone; whether a reader's reads succeed changed nothing.

Change: a reader whose read times out, or fails twice, announces it (Member.LogDown). Its zone gets one more reader for each, among the first ten by hash, and the first two again if the log answers none of these. It goes on trying and takes the duty back once it is answered. The readers of all zones end their waits by turns, 0.5 s apart: two reads a second, whatever the number of nodes.

--- a/btlog/events.go
+++ b/btlog/events.go
@@ -33,6 +33,7 @@
 	LogUp             Event = "log.up"
 	LogDown           Event = "log.down"
 	LogBehind         Event = "log.behind"
+	LogReader         Event = "log.reader" // this node has become one of those that read the log, or is no longer one
 	ConfigInForce     Event = "config.in-force"
 	ConfigStalled     Event = "config.stalled" // the log holds later records, and a read of them advanced nothing
 	ConfigResumed     Event = "config.resumed" // a read advanced the configuration again
@@ -65,7 +66,7 @@
 func Events() []Event {
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
-		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
+		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogReader,
 		ConfigInForce, ConfigStalled, ConfigResumed, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
--- a/btmember/detect.go
+++ b/btmember/detect.go
@@ -1,7 +1,6 @@
 package btmember
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -223,30 +222,6 @@
 	return gone[t.rng.IntN(len(gone))], true
 }
 
-// LogReaders returns the names of the members of this node's zone that read the log:
-// up to count alive members, those with the lowest hash of their name.
-func (t *Table) LogReaders(count int) []string {
-	if t.readers.generation == t.generation && count == t.readerCount {
-		return slices.Clone(t.readers.value)
-	}
-	zone := t.Self().Zone
-	var candidates []*entry
-	for _, e := range t.entries {
-		if e.member.Zone == zone && e.member.Status == baobabtide.Alive {
-			candidates = append(candidates, e)
-		}
-	}
-	slices.SortFunc(candidates, func(a, b *entry) int {
-		return cmp.Compare(a.positions[0], b.positions[0])
-	})
-	names := make([]string, 0, count)
-	for _, e := range candidates[:min(count, len(candidates))] {
-		names = append(names, e.member.Name)
-	}
-	t.readers, t.readerCount = cached[[]string]{t.generation, names}, count
-	return slices.Clone(names)
-}
-
 // SnapshotWriter returns the name of the member that writes snapshots: the alive
 // member with the lowest position on ring 1. It returns "" if none is alive.
 func (t *Table) SnapshotWriter() string {
--- /dev/null
+++ b/btmember/readers.go
@@ -0,0 +1,78 @@
+package btmember
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// maxSubstitutes is the number of members of a zone that may read the log in place of those that it
+// does not answer. It bounds the changes of the membership when the log answers nobody.
+const maxSubstitutes = 8
+
+// SetLogDown announces whether the log does not answer this node's reads, and returns the change,
+// which is empty if that is announced already or this node has left.
+func (t *Table) SetLogDown(down bool, now time.Time) Delta {
+	self := t.Self()
+	if self.Status == baobabtide.Left || self.LogDown == down {
+		return Delta{}
+	}
+	self.LogDown = down
+	self.Sequence++
+	t.put(self, now)
+	return Delta{Members: []baobabtide.Member{self}}
+}
+
+// LogReaders returns the names of the members that read the log, in the order in which they take
+// turns. Each zone has perZone of them, the alive members with the lowest hash of their name. For
+// each one that the log does not answer, one more of its zone reads, up to maxSubstitutes.
+func (t *Table) LogReaders(perZone int) []string {
+	if t.readers.generation == t.generation && perZone == t.readerCount {
+		return slices.Clone(t.readers.value)
+	}
+	zones := make(map[string][]*entry)
+	for _, e := range t.entries {
+		if e.member.Status == baobabtide.Alive {
+			zones[e.member.Zone] = append(zones[e.member.Zone], e)
+		}
+	}
+	type turn struct {
+		rank   int // within the zone
+		member *baobabtide.Member
+	}
+	var turns []turn
+	for _, alive := range zones {
+		for rank, e := range zoneReaders(alive, perZone) {
+			turns = append(turns, turn{rank, &e.member})
+		}
+	}
+	slices.SortFunc(turns, func(a, b turn) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.member.Zone, b.member.Zone))
+	})
+	names := make([]string, 0, len(turns))
+	for _, turn := range turns {
+		names = append(names, turn.member.Name)
+	}
+	t.readers, t.readerCount = cached[[]string]{t.generation, names}, perZone
+	return slices.Clone(names)
+}
+
+// zoneReaders returns those of the alive members of a zone that read the log. If it answers none
+// of the candidates, the first ones keep reading. It reorders alive.
+func zoneReaders(alive []*entry, perZone int) []*entry {
+	slices.SortFunc(alive, func(a, b *entry) int { return cmp.Compare(a.positions[0], b.positions[0]) })
+	candidates := alive[:min(perZone+maxSubstitutes, len(alive))]
+	answered := make([]*entry, 0, len(candidates))
+	for _, e := range candidates {
+		if !e.member.LogDown {
+			answered = append(answered, e)
+		}
+	}
+	if len(answered) == 0 {
+		return candidates[:min(perZone, len(candidates))]
+	}
+	down := len(candidates) - len(answered)
+	return answered[:min(perZone+down, len(answered))]
+}
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -69,6 +69,9 @@
 	n.members.table.RecordMessage(e.name, now)
 	fresh := n.members.table.Merge(d, now)
 	n.members.mu.Unlock()
+	if n.mayAffectReaders(fresh.Members) {
+		n.updateReadDuty(now)
+	}
 	n.disseminate(fresh, e)
 }
 
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -100,6 +100,7 @@
 	refusing       atomic.Bool // new requests are refused, later in a planned stop
 	logBehind      atomic.Bool // the log ends before the configuration in force
 	progress       logProgress
+	duty           readDuty
 	snapshotOffset atomicOffset  // offset of the newest snapshot that this node knows of
 	stopBy         time.Time     // end of the drain terms of the planned stop, set before drained is closed
 	drained        chan struct{} // closed once no request is left or the drain terms have ended
--- /dev/null
+++ b/btnode/readduty.go
@@ -0,0 +1,66 @@
+package btnode
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btlog"
+)
+
+const (
+	joinGrace      = 2 * time.Second        // minimum uptime before a node without an edge may read the log
+	readInterval   = 500 * time.Millisecond // between the ends of the waits of two readers; a change that no reader is told of is found after it
+	minWaitDivisor = 4                      // a wait of less than 1/4 of a reader's period is extended by a period
+)
+
+// readDuty is this node's part in reading the log.
+type readDuty struct {
+	slot    atomic.Int64 // position of this node among the readers of all zones
+	readers atomic.Int64 // of all zones
+	changed broadcast    // signaled when this node becomes a reader or ceases to be one
+}
+
+// updateReadDuty determines from the membership whether this node reads the log.
+func (n *Node) updateReadDuty(now time.Time) {
+	n.members.mu.Lock()
+	readers := n.members.table.LogReaders(n.settings.Platform.ReadersPerZone)
+	n.members.mu.Unlock()
+	slot := slices.Index(readers, n.locality.Node)
+	n.duty.slot.Store(int64(max(slot, 0)))
+	n.duty.readers.Store(int64(len(readers)))
+	reader := slot >= 0 && n.mayReadLog(now)
+	if n.reader.Swap(reader) == reader {
+		return
+	}
+	n.log.Info().Str("event", string(btlog.LogReader)).Bool("reader", reader).Int("readers", len(readers)).Send()
+	n.duty.changed.signal()
+}
+
+// mayAffectReaders reports whether a change of these members may change the readers of this
+// node's zone.
+func (n *Node) mayAffectReaders(members []baobabtide.Member) bool {
+	return slices.ContainsFunc(members, func(m baobabtide.Member) bool { return m.Zone == n.locality.Zone })
+}
+
+// mayReadLog reports whether this node may read the log: it has no seeds, it has an
+// edge, or it has been up for longer than joinGrace plus jitter. The delay keeps nodes
+// that start together and don't know each other yet from all reading the log.
+func (n *Node) mayReadLog(now time.Time) bool {
+	return len(n.settings.Peer.Seeds) == 0 || n.edges.count() > 0 || now.Sub(n.started) > joinGrace+n.jitter()
+}
+
+// readWait returns how long a read that begins now waits for new records. The readers' waits end
+// by turns, readInterval apart, unless that takes longer than longest. They go by the time of
+// day: a node whose clock differs only takes its turn at another moment.
+func readWait(now time.Time, slot, readers int64, longest time.Duration) time.Duration {
+	readers = max(readers, 1)
+	period := min(readInterval*time.Duration(readers), longest-longest/minWaitDivisor)
+	end := period * time.Duration(slot) / time.Duration(readers)
+	wait := now.Add(-end).Truncate(period).Add(end + period).Sub(now)
+	if wait < period/minWaitDivisor {
+		wait += period
+	}
+	return wait
+}
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	readerCheckPeriod   = tickPeriod             // how often a node that does not read the log checks whether it should
 	minReadBackoff      = 100 * time.Millisecond // upper limit of the random pause after the first failed read; doubles with each further one
 	maxReadBackoff      = 2 * time.Second        // limit of the doubling
 	logBehindPause      = time.Second            // between reads while the log ends before the configuration in force
@@ -26,33 +25,64 @@
 	errNoProgress = errors.New("the log holds later records and returned none of them")
 )
 
-// readLoop reads the log while this node is a reader of its zone. After a failed
-// read it pauses for a random time, the upper limit of which doubles with each
-// failure from minReadBackoff to maxReadBackoff.
+// readLoop reads the log while this node is a reader of its zone. A node that the log does not
+// answer goes on trying, without a wait for new records, although others read in its place. After
+// a failed read it pauses for a random time, the upper limit of which doubles with each failure
+// from minReadBackoff to maxReadBackoff.
 func (n *Node) readLoop() {
-	backoff := minReadBackoff
+	backoff, down := minReadBackoff, false
 	for n.ctx.Err() == nil {
-		if !n.reader.Load() {
-			n.sleep(readerCheckPeriod)
+		changed := n.duty.changed.wait()
+		if !n.reader.Load() && !down {
+			select {
+			case <-changed:
+			case <-n.ctx.Done():
+			}
 			continue
 		}
-		err := n.readOnce()
-		if err == nil {
-			backoff = minReadBackoff
-			n.setLogUp(true, nil)
-			continue
+		wait := time.Duration(0)
+		if !down {
+			wait = readWait(time.Now(), n.duty.slot.Load(), n.duty.readers.Load(), n.settings.Platform.ReadWait)
+		}
+		begun := time.Now()
+		err := n.readOnce(wait)
+		if n.ctx.Err() != nil {
+			return
 		}
-		if errors.Is(err, errLogBehind) {
+		if err == nil || errors.Is(err, errLogBehind) || errors.Is(err, errNoProgress) {
+			down = false
 			n.setLogUp(true, nil)
+		} else {
+			// One quick failure may be the end of a connection that the log has closed.
+			down = down || backoff > minReadBackoff || time.Since(begun) >= n.settings.Platform.Timeout
+			n.setLogUp(false, err)
+		}
+		n.announceLogDown(down)
+		switch {
+		case err == nil:
+			backoff = minReadBackoff
+		case errors.Is(err, errLogBehind):
 			n.sleep(logBehindPause)
-			continue
+		default:
+			n.sleep(time.Duration(rand.Float64() * float64(backoff)))
+			backoff = min(2*backoff, maxReadBackoff)
 		}
-		n.setLogUp(errors.Is(err, errNoProgress), err)
-		n.sleep(time.Duration(rand.Float64() * float64(backoff)))
-		backoff = min(2*backoff, maxReadBackoff)
 	}
 }
 
+// announceLogDown tells the other nodes whether the log does not answer this one.
+func (n *Node) announceLogDown(down bool) {
+	now := time.Now()
+	n.members.mu.Lock()
+	delta := n.members.table.SetLogDown(down, now)
+	n.members.mu.Unlock()
+	if delta.Empty() {
+		return
+	}
+	n.updateReadDuty(now)
+	n.disseminate(delta, nil)
+}
+
 // sleep waits for d or until the node's context ends.
 func (n *Node) sleep(d time.Duration) {
 	select {
@@ -74,12 +104,12 @@
 }
 
 // readOnce reads the records after the configuration in force, waiting up to
-// Platform.ReadWait for the first, and applies them. If the log no longer stores
+// wait for the first, and applies them. If the log no longer stores
 // them, it restores from a snapshot. It fails if the log can't be read, and
 // returns errLogBehind if the log ends before the configuration, and errNoProgress if the log
 // holds later records and none of them advanced the configuration.
-func (n *Node) readOnce() error {
-	begun, wait := time.Now(), n.settings.Platform.ReadWait
+func (n *Node) readOnce(wait time.Duration) error {
+	begun := time.Now()
 	position := n.readPosition()
 	page, err := n.adapters.Log.Read(n.ctx, baobabtide.ConfigStream, position+1, wait)
 	if errors.Is(err, baobabtide.ErrRetention) {
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -247,32 +247,22 @@
 }
 
 // tickMembers advances failure detection, sets this node's share of the retry
-// burst, determines whether it reads the log and disseminates status changes.
+// burst, updates its part in reading the log and disseminates status changes.
 func (n *Node) tickMembers(now time.Time) {
 	n.members.mu.Lock()
 	delta := n.members.table.Tick(now)
-	readers := n.members.table.LogReaders(n.settings.Platform.ReadersPerZone)
 	live := n.members.table.Live()
 	n.members.mu.Unlock()
 	if burst := n.settings.Terms.RetryBurst; burst > 0 {
 		n.dispatch.Budgets.SetBurst(burst * retryBurstShare / float64(live))
 	}
-	n.reader.Store(containsName(readers, n.locality.Node) && n.mayReadLog(now))
+	n.updateReadDuty(now)
 	for _, s := range delta.Statuses {
 		n.log.Info().Str("event", "member.status").Str("member", s.Name).Stringer("status", s.Status).Send()
 	}
 	n.disseminate(delta, nil)
 }
 
-const joinGrace = 2 * time.Second // minimum uptime before a node without an edge may read the log
-
-// mayReadLog reports whether this node may read the log: it has no seeds, it has an
-// edge, or it has been up for longer than joinGrace plus jitter. The delay keeps nodes
-// that start together and don't know each other yet from all reading the log.
-func (n *Node) mayReadLog(now time.Time) bool {
-	return len(n.settings.Peer.Seeds) == 0 || n.edges.count() > 0 || now.Sub(n.started) > joinGrace+n.jitter()
-}
-
 // jitterFraction returns a number in [0, 1) that is derived from the node's name.
 func (n *Node) jitterFraction() float64 {
 	return float64(xxhash.Sum64String(n.locality.Node)>>11) / (1 << 53)
@@ -283,15 +273,6 @@
 	return time.Duration(n.jitterFraction() * float64(joinGrace))
 }
 
-func containsName(names []string, name string) bool {
-	for _, other := range names {
-		if other == name {
-			return true
-		}
-	}
-	return false
-}
-
 // submit runs a job on a worker. It blocks while all workers are busy, and drops
 // the job if the pool is closed.
 func (n *Node) submit(job func()) {
--- a/member.go
+++ b/member.go
@@ -75,6 +75,10 @@
 	// Departed are backend servers that have departed from the node lately, MaxDepartures at most.
 	// The next process of the node gets them back, so that no late announcement returns one.
 	Departed []Departure `cbor:"11,keyasint,omitempty" json:"Departed,omitempty"`
+
+	// LogDown says that the platform's log does not answer the node's reads. Other members read
+	// it in its place.
+	LogDown bool `cbor:"12,keyasint,omitempty" json:"LogDown,omitempty"`
 }
 
 // MaxDepartures is the largest number of departures in a Member.
