btbackend: a response without an ID on a used connection proves nothing

Callers got 503 with verdict not-run for a request that the backend server ran, or the request ran at a second server, when the server wrote an earlier refusal once more without its request ID on a kept connection. A copy without the marker reached the caller as its response (408, 429 and 503 also promise that nothing ran).

Cause: a response with a status of 400 or more without an ID was taken for the response to the request that was just written, whatever the connection had carried before. A refusal that names another ID was believed for a request that has none.

Change: such a response is believed only as the first one on its connection. Otherwise the request may have run, and the connection is closed. Reading on for the true response was not chosen: a server that omits the ID of its own errors would hold each of them until its deadline.

Ruled out: copies that name the earlier ID are skipped, also two at once, in two segments, or behind the start of a body; a copy that arrives before the next request ends its connection.

--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -26,6 +26,8 @@
 	statusLineStart        = "HTTP/"
 )
 
+var errUnknownSender = errors.New("read response: it may belong to an earlier request on the connection")
+
 // Do implements baobabtide.Backend. If ctx is canceled or the deadline passes, the
 // exchange fails and its connection is closed.
 func (p *Pool) Do(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
@@ -103,8 +105,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if !p.mismatched(req, resp) {
+		from := p.senderOf(c, req, resp)
+		c.used = true
+		switch from {
+		case senderThis:
 			return resp, nil
+		case senderUnknown:
+			fasthttp.ReleaseResponse(resp)
+			return nil, errUnknownSender
 		}
 		err = discardBody(c, resp, maxSkippedBody, skipTimeout, req.Deadline)
 		fasthttp.ReleaseResponse(resp)
@@ -188,18 +196,35 @@
 	return nil
 }
 
-// mismatched reports whether a response belongs to another request, such as a
-// second response to the previous one. A response with a status below 400 must
-// repeat the request's ID; one with a higher status may omit it.
-func (p *Pool) mismatched(req *baobabtide.Request, resp *fasthttp.Response) bool {
-	if p.Names.RequestID == "" || req.ID == "" {
-		return false
+// sender states to which request a response belongs.
+type sender uint8
+
+const (
+	senderUnknown sender = iota
+	senderThis           // the request that waits for it
+	senderOther          // another one, such as a second response to the previous request
+)
+
+// senderOf returns to which request a response on c belongs. A response must repeat the
+// request's ID. One with a status of 400 or more may omit it if it is the first on its
+// connection: no earlier request can have caused it.
+func (p *Pool) senderOf(c *backendConn, req *baobabtide.Request, resp *fasthttp.Response) sender {
+	if p.Names.RequestID == "" {
+		return senderThis
 	}
 	id := resp.Header.Peek(p.Names.RequestID)
-	if len(id) == 0 {
-		return resp.StatusCode() < fasthttp.StatusBadRequest
+	switch {
+	case req.ID == "" && c.used && len(id) > 0 && p.notRun(resp):
+		return senderUnknown
+	case req.ID == "", string(id) == req.ID:
+		return senderThis
+	case len(id) > 0, resp.StatusCode() < fasthttp.StatusBadRequest:
+		return senderOther
+	case c.used:
+		return senderUnknown
+	default:
+		return senderThis
 	}
-	return string(id) != req.ID
 }
 
 // discardBody reads and discards the body of a response, so that the next response on the
--- a/btbackend/notice.go
+++ b/btbackend/notice.go
@@ -37,6 +37,9 @@
 	return n
 }
 
+// notRun reports whether a response states that its request has not run.
+func (p *Pool) notRun(in *fasthttp.Response) bool { return p.notice(in).NotRun }
+
 // addRateLimit adds a value of the rate limit header. If there are several, also in one
 // list, the lowest counts.
 func (n *Notice) addRateLimit(value string) {
--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -29,6 +29,7 @@
 	writer      *bufio.Writer
 	idleAt      time.Time     // start of the idle time
 	idleTimeout time.Duration // closed after this time without a request
+	used        bool          // a response has arrived on it
 }
 
 // Pool sends requests to one backend server over reused connections. It
