btbackend: send a refused request again only on another connection

Callers got 503 with verdict not-run for a request that the server ran, when the request came back to the server that had refused it (in its late round, after a move) on the same connection, and the server wrote that refusal once more. Both attempts have the caller's ID, so the copy passed for the response to the second one.

Change: a connection remembers the requests that were refused on it, each until its deadline and 256 at most, and is closed when one of them would be sent on it again. A connection that can remember no more is not reused.

--- a/btbackend/duplicate_test.go
+++ b/btbackend/duplicate_test.go
@@ -46,18 +46,20 @@
 		first, none := refusal(status, shed, name, "r1"), refusal(status, shed, name, "")
 		unmarked := refusal(status, "", name, "")
 		for kind, tt := range map[string]test{
-			"before the next request":    {first, nil, "r2", ran, 2},
-			"start before the next":      {first[:20], nil, "r2", ran, 2},
-			"after the next request":     {"", []string{first, okTo("r2")}, "r2", ran, 1},
-			"in one segment":             {"", []string{first + okTo("r2")}, "r2", ran, 1},
-			"in two segments":            {"", []string{first[:20], first[20:], okTo("r2")}, "r2", ran, 1},
-			"twice":                      {"", []string{first + first + okTo("r2")}, "r2", ran, 1},
-			"and the connection ends":    {"", []string{first, ""}, "r2", unproven, 1},
-			"without an ID":              {"", []string{none, okTo("r2")}, "r2", unproven, 1},
-			"behind one, without an ID":  {"", []string{first + none + okTo("r2")}, "r2", unproven, 1},
-			"unmarked":                   {"", []string{unmarked + okTo("r2")}, "r2", unproven, 1},
-			"to a request without an ID": {"", []string{first + okTo("")}, "", unproven, 1},
-			"behind the start of a body": {"", []string{okTo("r2")[:len(okTo("r2"))-1], "k" + first}, "r2", ran, 1},
+			"before the next request":     {first, nil, "r2", ran, 2},
+			"start before the next":       {first[:20], nil, "r2", ran, 2},
+			"after the next request":      {"", []string{first, okTo("r2")}, "r2", ran, 1},
+			"in one segment":              {"", []string{first + okTo("r2")}, "r2", ran, 1},
+			"in two segments":             {"", []string{first[:20], first[20:], okTo("r2")}, "r2", ran, 1},
+			"twice":                       {"", []string{first + first + okTo("r2")}, "r2", ran, 1},
+			"and the connection ends":     {"", []string{first, ""}, "r2", unproven, 1},
+			"without an ID":               {"", []string{none, okTo("r2")}, "r2", unproven, 1},
+			"behind one, without an ID":   {"", []string{first + none + okTo("r2")}, "r2", unproven, 1},
+			"unmarked":                    {"", []string{unmarked + okTo("r2")}, "r2", unproven, 1},
+			"to a request without an ID":  {"", []string{first + okTo("")}, "", unproven, 1},
+			"behind the start of a body":  {"", []string{okTo("r2")[:len(okTo("r2"))-1], "k" + first}, "r2", ran, 1},
+			"of the same request":         {"", []string{first + okTo("r1")}, "r1", ran, 2},
+			"behind interim, of the same": {"", []string{"HTTP/1.1 103 Hints\r\n\r\n" + first + okTo("r1")}, "r1", ran, 2},
 		} {
 			tests[fmt.Sprintf("%d %s", status, kind)] = tt
 		}
@@ -102,3 +104,25 @@
 		})
 	}
 }
+
+// A connection remembers a bounded number of refused requests, each until its deadline.
+func TestRefusalsOfConnectionAreBounded(t *testing.T) {
+	past, future := time.Now().Add(-time.Minute), time.Now().Add(time.Minute)
+	for name, tt := range map[string]struct {
+		deadline time.Time // of the requests that fill the memory
+		want     bool
+	}{"expired": {past, true}, "unexpired": {future, false}} {
+		t.Run(name, func(t *testing.T) {
+			c := &backendConn{}
+			for i := range maxRefusals {
+				if !c.recordRefusal(fmt.Sprint(i), tt.deadline) {
+					t.Fatalf("refusal %d was not recorded", i)
+				}
+			}
+			got := c.recordRefusal("next", future)
+			if diff := cmp.Diff([]bool{tt.want, tt.want}, []bool{got, c.refused("next")}); diff != "" {
+				t.Errorf("recorded, refused (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -35,7 +35,7 @@
 	if !req.Idempotent {
 		maxIdle = maxIdleNonIdempotent
 	}
-	c, err := p.acquire(ctx, maxIdle)
+	c, err := p.acquire(ctx, req.ID, maxIdle)
 	if err != nil {
 		return nil, errorBeforeSend(ctx, req.Deadline, err)
 	}
--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
@@ -19,6 +20,7 @@
 	defaultConns       = 128                    // open connections if the announcement sets no limit
 	defaultIdleTimeout = 30 * time.Second       // if the backend server sends no Keep-Alive timeout
 	dialTimeout        = 500 * time.Millisecond // the backend server is on the same machine
+	maxRefusals        = 256                    // refused requests that a connection remembers until their deadlines
 	endedTimeout       = 100 * time.Millisecond // to find out whether it has ended; a refusal takes no time
 )
 
@@ -30,6 +32,32 @@
 	idleAt      time.Time     // start of the idle time
 	idleTimeout time.Duration // closed after this time without a request
 	used        bool          // a response has arrived on it
+
+	refusals map[string]time.Time // deadlines of the requests that were refused on it, by their IDs
+}
+
+// recordRefusal records that a request was refused on the connection. It returns false if the
+// connection can record no more.
+func (c *backendConn) recordRefusal(id string, deadline time.Time) bool {
+	if len(c.refusals) >= maxRefusals {
+		now := time.Now()
+		maps.DeleteFunc(c.refusals, func(_ string, deadline time.Time) bool { return deadline.Before(now) })
+	}
+	if len(c.refusals) >= maxRefusals {
+		return false
+	}
+	if c.refusals == nil {
+		c.refusals = make(map[string]time.Time)
+	}
+	c.refusals[id] = deadline
+	return true
+}
+
+// refused reports whether the request was refused on the connection. Its ID can't tell a second
+// copy of that refusal from the response to another attempt.
+func (c *backendConn) refused(id string) bool {
+	_, ok := c.refusals[id]
+	return ok
 }
 
 // Pool sends requests to one backend server over reused connections. It
@@ -71,15 +99,15 @@
 	p.idle = nil
 }
 
-// acquire returns an idle or a new connection. It waits while all connections are
-// in use and fails if ctx is canceled.
-func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*backendConn, error) {
+// acquire returns an idle or a new connection for the request with an ID. It waits while all
+// connections are in use and fails if ctx is canceled.
+func (p *Pool) acquire(ctx context.Context, id string, maxIdle time.Duration) (*backendConn, error) {
 	select {
 	case p.tokens <- struct{}{}:
 	case <-ctx.Done():
 		return nil, fmt.Errorf("wait for a connection to %s: %w", p.address, context.Cause(ctx))
 	}
-	if c := p.popIdle(maxIdle); c != nil {
+	if c := p.popIdle(id, maxIdle); c != nil {
 		return c, nil
 	}
 	d := net.Dialer{Timeout: dialTimeout}
@@ -124,10 +152,11 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// popIdle returns the most recently used idle connection that is open and has no
-// unread input. It returns nil if there is none or if that connection has been
-// idle for maxIdle or longer. It closes the unusable connections that it finds.
-func (p *Pool) popIdle(maxIdle time.Duration) *backendConn {
+// popIdle returns the most recently used idle connection that is open, has no unread input
+// and has not refused the request with the ID. It returns nil if there is none or if that
+// connection has been idle for maxIdle or longer. It closes the unusable connections that it
+// finds.
+func (p *Pool) popIdle(id string, maxIdle time.Duration) *backendConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -137,7 +166,7 @@
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
-		if idle < c.idleTimeout && c.reader.Buffered() == 0 && btconn.Reusable(c.Conn) {
+		if idle < c.idleTimeout && !c.refused(id) && c.reader.Buffered() == 0 && btconn.Reusable(c.Conn) {
 			return c
 		}
 		_ = c.Close()
--- a/btbackend/response.go
+++ b/btbackend/response.go
@@ -52,6 +52,9 @@
 	}
 	if shed {
 		refusal := shedError(resp.Status, retryAfter(in)) // before Close, which releases in
+		if p.Names.RequestID != "" {
+			body.reuse = body.reuse && c.recordRefusal(req.ID, req.Deadline)
+		}
 		body.atEOF = body.reuse && discardBody(c, in, maxShedBody, shedTimeout, req.Deadline) == nil
 		_ = body.Close()
 		return nil, refusal
