btbackend: a refusal under the product's own headers names its attempt

Callers got 503 with verdict not-run for a request that the server ran, or it ran at a second server, when a server without request IDs wrote an earlier refusal once more on a kept connection: nothing told the copy from the response to the next request.

Change: a response may repeat Baobabtide-Attempt, which is unique, and is then skipped if it belongs to another attempt. A refusal without it ends its connection, so that no copy of it can follow. The header is not passed on to callers. Nothing changes where request IDs are used, as on the users' platform.

Ruled out: to call each refusal on a used connection unproven. Servers that keep to today's interface would have their refusals answered 502.

Result: TestRepeatedRefusalOfAttemptIsNoProof, both cases failed before (want 200, got not-run overload), pass now.

--- a/btbackend/duplicate_test.go
+++ b/btbackend/duplicate_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
 )
@@ -105,6 +106,45 @@
 	}
 }
 
+// The same with the headers of this package, which have no ID of the caller.
+func TestRepeatedRefusalOfAttemptIsNoProof(t *testing.T) {
+	ok := outcome{Status: 200, Body: "ok", Verdict: baobabtide.Ran}
+	tests := map[string]struct {
+		attempt     string // that the refusal repeats
+		connections int64
+	}{
+		"with the attempt":    {"a1", 1},
+		"without the attempt": {"", 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			first := refusal(fasthttp.StatusServiceUnavailable, HeaderShed, HeaderAttempt, tt.attempt)
+			address, connections := rawServer(t, func(c net.Conn, request, connection int) {
+				switch {
+				case connection > 1:
+					write(c, okResponse)
+				case request == 1:
+					write(c, first)
+				default:
+					write(c, first+okResponse)
+				}
+			})
+			p, closePool := NewPool(address, 2)
+			defer closePool()
+			for i, want := range []outcome{{Verdict: baobabtide.NotRun, Reason: baobabtide.ReasonOverload}, ok} {
+				req := request(time.Minute)
+				req.Attempt = fmt.Sprintf("a%d", i+1)
+				if diff := cmp.Diff(want, do(context.Background(), p, req)); diff != "" {
+					t.Errorf("request %d (-want +got):\n%s", i+1, diff)
+				}
+			}
+			if diff := cmp.Diff(tt.connections, connections.Load()); diff != "" {
+				t.Errorf("connections (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A connection remembers a bounded number of refused requests, each until its deadline.
 func TestRefusalsOfConnectionAreBounded(t *testing.T) {
 	past, future := time.Now().Add(-time.Minute), time.Now().Add(time.Minute)
--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -207,26 +207,34 @@
 
 // senderOf returns to which request a response on c belongs. A response must repeat the
 // request's ID. One with a status of 400 or more may omit it if it is the first on its
-// connection: no earlier request can have caused it.
+// connection: no earlier request can have caused it. Without IDs, a response may repeat the
+// attempt.
 func (p *Pool) senderOf(c *backendConn, req *baobabtide.Request, resp *fasthttp.Response) sender {
-	if p.Names.RequestID == "" {
-		return senderThis
-	}
-	id := resp.Header.Peek(p.Names.RequestID)
+	name, want := p.identity(req)
+	id := resp.Header.Peek(name)
+	required := p.Names.RequestID != "" && req.ID != ""
 	switch {
-	case req.ID == "" && c.used && len(id) > 0 && p.notRun(resp):
+	case want == "" && c.used && len(id) > 0 && p.notRun(resp):
 		return senderUnknown
-	case req.ID == "", string(id) == req.ID:
+	case want == "", string(id) == want:
 		return senderThis
-	case len(id) > 0, resp.StatusCode() < fasthttp.StatusBadRequest:
+	case len(id) > 0, required && resp.StatusCode() < fasthttp.StatusBadRequest:
 		return senderOther
-	case c.used:
+	case required && c.used:
 		return senderUnknown
 	default:
 		return senderThis
 	}
 }
 
+// identity returns the name and the value of the header by which a response names its request.
+func (p *Pool) identity(req *baobabtide.Request) (string, string) {
+	if p.Names.RequestID != "" {
+		return p.Names.RequestID, req.ID
+	}
+	return p.Names.Attempt, req.Attempt
+}
+
 // discardBody reads and discards the body of a response, so that the next response on the
 // connection can be read. It fails if the body exceeds limit bytes, has not arrived within
 // the timeout or before the deadline, or ends only with the connection. It changes the
--- a/btbackend/response.go
+++ b/btbackend/response.go
@@ -34,6 +34,7 @@
 			shed = true
 		case "Keep-Alive":
 			c.idleTimeout = keepAliveTimeout(string(value))
+		case p.Names.Attempt: // of no use to callers
 		default:
 			if !hopByHop(string(name)) {
 				resp.Header = append(resp.Header, baobabtide.HeaderField{Name: string(name), Value: string(value)})
@@ -52,9 +53,7 @@
 	}
 	if shed {
 		refusal := shedError(resp.Status, retryAfter(in)) // before Close, which releases in
-		if p.Names.RequestID != "" {
-			body.reuse = body.reuse && c.recordRefusal(req.ID, req.Deadline)
-		}
+		body.reuse = body.reuse && p.tellsRefusals(c, req, in)
 		body.atEOF = body.reuse && discardBody(c, in, maxShedBody, shedTimeout, req.Deadline) == nil
 		_ = body.Close()
 		return nil, refusal
@@ -62,6 +61,15 @@
 	return resp, nil
 }
 
+// tellsRefusals reports whether a second copy of a refusal can be told from the response to
+// a later request on the connection.
+func (p *Pool) tellsRefusals(c *backendConn, req *baobabtide.Request, refusal *fasthttp.Response) bool {
+	if p.Names.RequestID != "" {
+		return c.recordRefusal(req.ID, req.Deadline)
+	}
+	return p.Names.Attempt != "" && len(refusal.Header.Peek(p.Names.Attempt)) > 0
+}
+
 // retryAfter returns the time after which the backend server wants a refused request back:
 // that of its Retry-After header, in seconds with or without a fraction, at least
 // shedRetryAfter and at most maxRetryAfter. A date is not understood.
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -77,7 +77,8 @@
 	HeaderDepth = "Baobabtide-Depth"
 	// HeaderRetried marks a request that a node has already retried.
 	HeaderRetried = "Baobabtide-Retried"
-	// HeaderAttempt holds the ID of the attempt, which is unique per attempt.
+	// HeaderAttempt holds the ID of the attempt, which is unique per attempt. A response
+	// that repeats it is never taken for the response to another request.
 	HeaderAttempt = "Baobabtide-Attempt"
 	// HeaderShed marks a response, normally a 503, to a request that was not run.
 	HeaderShed = "Baobabtide-Shed"
