platform, btbackend: refuse a backend server's ID that peers can't read

What others saw: one deregistration with an ID of 200 bytes, or one heartbeat or deregistration with an ID that is no UTF-8 (POST /instances/i%FF/heartbeat), got 200, and from then on every peer refused each message that holds the node's record: the edge ends, also the next one, which begins with that record. The node follows neither members nor configurations by gossip until the entry has expired (a lease, a minute for departures).

Cause: the ID comes from the path of the request. Heartbeats were checked for its length only, deregistrations not at all. Peers decode with the checks of Target and Departure and refuse CBOR text that is not UTF-8, and they refuse the whole message.

Change: CheckName is exported. What peers accept is unchanged, so nodes of both versions can run together.

--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -42,6 +42,12 @@
 	if err := target.Check(); err != nil {
 		return err
 	}
+	// A peer refuses the whole message that holds a name with invalid UTF-8.
+	for _, name := range []struct{ field, value string }{{"Name", a.Name}, {"Service", a.Service}, {"Version", a.Version}} {
+		if err := baobabtide.CheckName(name.field, name.value); err != nil {
+			return err
+		}
+	}
 	if a.Address == "" {
 		return baobabtide.Fieldf("Address", "empty")
 	}
--- a/contract.go
+++ b/contract.go
@@ -101,7 +101,7 @@
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (c *Contract) Check() error {
-	if err := checkName("Customer", c.Customer); err != nil {
+	if err := CheckName("Customer", c.Customer); err != nil {
 		return err
 	}
 	if len(c.Services) == 0 || len(c.Services) > maxServices {
@@ -168,14 +168,14 @@
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (s *ServiceTerms) Check() error {
-	if err := checkName("Service", s.Service); err != nil {
+	if err := CheckName("Service", s.Service); err != nil {
 		return err
 	}
 	if len(s.Versions) > maxVersions {
 		return Fieldf("Versions", "%d entries exceed %d", len(s.Versions), maxVersions)
 	}
 	for i, v := range s.Versions {
-		if err := checkName(fmt.Sprintf("Versions[%d]", i), v); err != nil {
+		if err := CheckName(fmt.Sprintf("Versions[%d]", i), v); err != nil {
 			return err
 		}
 	}
@@ -219,7 +219,7 @@
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (r *RouteTerms) Check() error {
-	if err := checkName("Name", r.Name); err != nil {
+	if err := CheckName("Name", r.Name); err != nil {
 		return err
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") {
@@ -256,7 +256,7 @@
 	}
 	sum := 0
 	for i, share := range r.Split {
-		if err := checkName("Service", share.Service); err != nil {
+		if err := CheckName("Service", share.Service); err != nil {
 			return WithinIndex("Split", i, err)
 		}
 		if share.Weight < 0 || share.Weight > maxWeight {
@@ -339,9 +339,9 @@
 	return nil
 }
 
-// checkName returns an error if a name is empty, too long or has a character
+// CheckName returns a FieldError if a name is empty, too long or has a character
 // other than printable ASCII without space, quotation mark and slash.
-func checkName(field, name string) error {
+func CheckName(field, name string) error {
 	if name == "" || len(name) > maxNameLength {
 		return Fieldf(field, "%q, 1 to %d bytes are allowed", name, maxNameLength)
 	}
--- a/record.go
+++ b/record.go
@@ -169,10 +169,10 @@
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (r *Release) Check() error {
-	if err := checkName("Service", r.Service); err != nil {
+	if err := CheckName("Service", r.Service); err != nil {
 		return err
 	}
-	if err := checkName("Version", r.Version); err != nil {
+	if err := CheckName("Version", r.Version); err != nil {
 		return err
 	}
 	if len(r.Customers) > maxCustomers {
@@ -187,7 +187,7 @@
 		}
 	}
 	for i, c := range r.Customers {
-		if err := checkName(fmt.Sprintf("Customers[%d]", i), c); err != nil {
+		if err := CheckName(fmt.Sprintf("Customers[%d]", i), c); err != nil {
 			return err
 		}
 	}
@@ -199,10 +199,10 @@
 	if o.Rollout == 0 {
 		return Fieldf("Rollout", "0 is no offset")
 	}
-	if err := checkName("Customer", o.Customer); err != nil {
+	if err := CheckName("Customer", o.Customer); err != nil {
 		return err
 	}
-	if err := checkName("Service", o.Service); err != nil {
+	if err := CheckName("Service", o.Service); err != nil {
 		return err
 	}
 	if o.Result != Completed && o.Result != Reverted {
@@ -222,7 +222,7 @@
 	if len(d.Reason) > maxReasonLength {
 		return Fieldf("Reason", "%d bytes exceed %d", len(d.Reason), maxReasonLength)
 	}
-	return checkName("Node", d.Node)
+	return CheckName("Node", d.Node)
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
