btbackend: the registry takes no more servers than a node may announce

What others would see: once 65 backend servers had announced themselves at a node whose settings name no address of its backend server, all peers refused the node's record and ended their edges to it, as long as the 65th held its lease.

Cause: Member.Check allows 64 targets, the registry any number.

Change: MaxTargets is exported, and Announce returns false for a server beyond it. Known servers and successors at their addresses are taken as before.

Result: TestSurplusServerIsNotAnnounced failed before with "a peer refuses the member: Targets: 65 exceed 64"; passes now. With an address in the settings, as deploy/ has it, there is one server at most, so this could not happen there.

--- a/btbackend/announce.go
+++ b/btbackend/announce.go
@@ -39,7 +39,7 @@
 }
 
 // handleAnnounce responds with 204 to an announcement that is recorded, 400 to an
-// invalid one, 409 to an outdated one and 404 to any other request.
+// invalid one, 409 to one that the registry refuses and 404 to any other request.
 func handleAnnounce(ctx *fasthttp.RequestCtx, registry *Registry) {
 	if string(ctx.Path()) != AnnouncePath || !ctx.IsPost() {
 		ctx.Error("no such page", fasthttp.StatusNotFound)
--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -55,6 +55,9 @@
 		return true
 	}
 	r.removePredecessors(&a, now)
+	if !known && len(r.servers) >= baobabtide.MaxTargets {
+		return false // peers would refuse this node's whole record
+	}
 	if known && old.Announcement.Incarnation != a.Incarnation {
 		r.remove(a.Name, now)
 	}
--- a/btbackend/registry_test.go
+++ b/btbackend/registry_test.go
@@ -1,6 +1,7 @@
 package btbackend
 
 import (
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -110,3 +111,29 @@
 		}
 	}
 }
+
+// A server too many made all peers refuse what the node announces.
+func TestSurplusServerIsNotAnnounced(t *testing.T) {
+	var r Registry
+	now := time.Unix(1000, 0)
+	announce := func(i int) bool {
+		a := announcement(fmt.Sprintf("b%d", i), 1, 1, baobabtide.TargetReady)
+		a.Address = fmt.Sprintf("127.0.0.1:%d", i)
+		return r.Announce(a, now)
+	}
+	for i := 1; i <= baobabtide.MaxTargets; i++ {
+		if !announce(i) {
+			t.Fatalf("server %d is refused", i)
+		}
+	}
+	if announce(baobabtide.MaxTargets + 1) {
+		t.Error("a server too many is accepted")
+	}
+	if !announce(1) {
+		t.Error("a known server is refused")
+	}
+	m := baobabtide.Member{Name: "n", Zone: "z", Targets: r.Targets()}
+	if err := m.Check(); err != nil {
+		t.Errorf("a peer refuses the member: %v", err)
+	}
+}
--- a/member.go
+++ b/member.go
@@ -77,8 +77,11 @@
 	Departed []Departure `cbor:"11,keyasint,omitempty" json:"Departed,omitempty"`
 }
 
-// MaxDepartures is the largest number of departures in a Member.
-const MaxDepartures = 16
+// Largest numbers of targets and of departures in a Member.
+const (
+	MaxTargets    = 64
+	MaxDepartures = 16
+)
 
 // Departure identifies a backend server that has departed.
 type Departure struct {
@@ -97,7 +100,6 @@
 // Bounds on the fields of a Member and a Target.
 const (
 	maxNameLength    = 128
-	maxTargets       = 64
 	maxAccusers      = 8
 	maxSlots         = 1 << 16
 	maxAddressLength = 256
@@ -120,7 +122,7 @@
 	if len(m.Accusers) > maxAccusers {
 		return Fieldf("Accusers", "%d exceed %d", len(m.Accusers), maxAccusers)
 	}
-	if err := CheckEach("Targets", m.Targets, maxTargets); err != nil {
+	if err := CheckEach("Targets", m.Targets, MaxTargets); err != nil {
 		return err
 	}
 	return CheckEach("Departed", m.Departed, MaxDepartures)
