platform, btbackend: refuse heartbeats with numbers and addresses out of range

What others saw: "very deeply nested, with a number too large, or with a port out of range". An address that can't be dialed was announced to all nodes as a target.

Of an address only "not empty" was checked. coldRemainingMs had no upper limit, and Go leaves open what the conversion of a float64 out of range returns: the longest duration on arm64, a negative one on amd64.

Ruled out: 100,000 levels of nesting, 1e400, 2^64, -1, 1.5 and NaN in integers, duplicate fields, text after the object, invalid UTF-8. The decoder refused these before, within milliseconds.

--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -17,6 +17,7 @@
 const (
 	minLease = 500 * time.Millisecond
 	maxLease = time.Minute
+	maxCold  = time.Hour
 )
 
 // Announcement describes a backend server. The server repeats it before the lease
@@ -48,11 +49,11 @@
 			return err
 		}
 	}
-	if a.Address == "" {
-		return baobabtide.Fieldf("Address", "empty")
+	if err := baobabtide.CheckAddress("Address", a.Address); err != nil {
+		return err
 	}
-	if a.Cold < 0 {
-		return baobabtide.Fieldf("Cold", "%s is negative", a.Cold)
+	if a.Cold < 0 || a.Cold > maxCold {
+		return baobabtide.Fieldf("Cold", "%s, 0s to %s are allowed", a.Cold, maxCold)
 	}
 	if a.Lease < minLease || a.Lease > maxLease {
 		return baobabtide.Fieldf("Lease", "%s, %s to %s are allowed", a.Lease, minLease, maxLease)
--- a/member.go
+++ b/member.go
@@ -1,6 +1,12 @@
 package baobabtide
 
-import "time"
+import (
+	"net"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+)
 
 // Status is the liveness of a node as the other members see it. Within an
 // incarnation, higher values override lower ones.
@@ -150,3 +156,22 @@
 	}
 	return nil
 }
+
+// CheckAddress returns a FieldError unless an address is host:port with a host and a port
+// from 1 to 65535, at most 256 bytes long and without spaces and control characters.
+func CheckAddress(field, address string) error {
+	if len(address) > maxAddressLength {
+		return Fieldf(field, "%d bytes exceed %d", len(address), maxAddressLength)
+	}
+	if strings.ContainsFunc(address, func(c rune) bool { return unicode.IsSpace(c) || !unicode.IsGraphic(c) }) {
+		return Fieldf(field, "%q holds a space or a control character", address)
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return Fieldf(field, "%q is not host:port", address)
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return Fieldf(field, "%q, port %q is not 1 to 65535", address, port)
+	}
+	return nil
+}
