--- a/field_error.go
+++ b/field_error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"unicode/utf8"
 )
 
 // FieldError reports an invalid field.
@@ -19,9 +20,23 @@
 	return e.Path + ": " + e.Rule
 }
 
-// Fieldf returns a FieldError with a formatted rule.
+const maxRuleLength = 512 // bytes; an invalid value may be far longer
+
+// Fieldf returns a FieldError with a formatted rule, of which it keeps the first 512 bytes.
 func Fieldf(path, format string, args ...any) error {
-	return &FieldError{Path: path, Rule: fmt.Sprintf(format, args...)}
+	return &FieldError{Path: path, Rule: Truncate(fmt.Sprintf(format, args...), maxRuleLength)}
+}
+
+// Truncate returns the first bytes of a text, up to most, without a part of a character at
+// the end.
+func Truncate(text string, most int) string {
+	if len(text) <= most {
+		return text
+	}
+	for most > 0 && !utf8.RuneStart(text[most]) {
+		most--
+	}
+	return text[:most]
 }
 
 // Within prefixes the path of a FieldError with that of the enclosing field. It
