platform: skip statuses of rollouts with odd names, orders or starts

What others would see: a status under the key of an odd service (bytes, a path, 200 bytes), with a version of 1 MB, without an order or with a start in the year 292,278,994 was taken over. An outcome with such a version goes to all nodes and stays in their states. A start in the future marks the start of the rollout as recorded, so that none is.

Cause: RolloutStart had no check, and OutcomeRecord.Check left the version out.

--- a/record.go
+++ b/record.go
@@ -205,6 +205,11 @@
 	if err := CheckName("Service", o.Service); err != nil {
 		return err
 	}
+	if o.Version != "" {
+		if err := CheckName("Version", o.Version); err != nil {
+			return err
+		}
+	}
 	if o.Result != Completed && o.Result != Reverted {
 		return Fieldf("Result", "%q is neither %q nor %q", o.Result, Completed, Reverted)
 	}
@@ -217,6 +222,19 @@
 	return nil
 }
 
+// Check returns a FieldError for the first field that is invalid, nil if none is.
+func (s *RolloutStart) Check() error {
+	if s.Rollout == 0 {
+		return Fieldf("Rollout", "0 is no offset")
+	}
+	for _, name := range []struct{ field, value string }{{"Customer", s.Customer}, {"Service", s.Service}, {"Version", s.Version}} {
+		if err := CheckName(name.field, name.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (d *DrainRecord) Check() error {
 	if len(d.Reason) > maxReasonLength {
