--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -17,6 +17,7 @@
 const (
 	minLease = 500 * time.Millisecond
 	maxLease = time.Minute
+	maxCold  = time.Hour
 )
 
 // Announcement describes a backend server. The server repeats it before the lease
@@ -42,11 +43,17 @@
 	if err := target.Check(); err != nil {
 		return err
 	}
-	if a.Address == "" {
-		return baobabtide.Fieldf("Address", "empty")
+	// A peer refuses the whole message that holds a name with invalid UTF-8.
+	for _, name := range []struct{ field, value string }{{"Name", a.Name}, {"Service", a.Service}, {"Version", a.Version}} {
+		if err := baobabtide.CheckName(name.field, name.value); err != nil {
+			return err
+		}
 	}
-	if a.Cold < 0 {
-		return baobabtide.Fieldf("Cold", "%s is negative", a.Cold)
+	if err := baobabtide.CheckAddress("Address", a.Address); err != nil {
+		return err
+	}
+	if a.Cold < 0 || a.Cold > maxCold {
+		return baobabtide.Fieldf("Cold", "%s, 0s to %s are allowed", a.Cold, maxCold)
 	}
 	if a.Lease < minLease || a.Lease > maxLease {
 		return baobabtide.Fieldf("Lease", "%s, %s to %s are allowed", a.Lease, minLease, maxLease)
--- a/member.go
+++ b/member.go
@@ -1,6 +1,12 @@
 package baobabtide
 
-import "time"
+import (
+	"net"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+)
 
 // Status is the liveness of a node as the other members see it. Within an
 // incarnation, higher values override lower ones.
@@ -81,8 +87,11 @@
 	LogDown bool `cbor:"12,keyasint,omitempty" json:"LogDown,omitempty"`
 }
 
-// MaxDepartures is the largest number of departures in a Member.
-const MaxDepartures = 16
+// Largest numbers of targets and of departures in a Member.
+const (
+	MaxTargets    = 64
+	MaxDepartures = 16
+)
 
 // Departure identifies a backend server that has departed.
 type Departure struct {
@@ -101,7 +110,6 @@
 // Bounds on the fields of a Member and a Target.
 const (
 	maxNameLength    = 128
-	maxTargets       = 64
 	maxAccusers      = 8
 	maxSlots         = 1 << 16
 	maxAddressLength = 256
@@ -124,7 +132,7 @@
 	if len(m.Accusers) > maxAccusers {
 		return Fieldf("Accusers", "%d exceed %d", len(m.Accusers), maxAccusers)
 	}
-	if err := CheckEach("Targets", m.Targets, maxTargets); err != nil {
+	if err := CheckEach("Targets", m.Targets, MaxTargets); err != nil {
 		return err
 	}
 	return CheckEach("Departed", m.Departed, MaxDepartures)
@@ -152,3 +160,22 @@
 	}
 	return nil
 }
+
+// CheckAddress returns a FieldError unless an address is host:port with a host and a port
+// from 1 to 65535, at most 256 bytes long and without spaces and control characters.
+func CheckAddress(field, address string) error {
+	if len(address) > maxAddressLength {
+		return Fieldf(field, "%d bytes exceed %d", len(address), maxAddressLength)
+	}
+	if strings.ContainsFunc(address, func(c rune) bool { return unicode.IsSpace(c) || !unicode.IsGraphic(c) }) {
+		return Fieldf(field, "%q holds a space or a control character", address)
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return Fieldf(field, "%q is not host:port", address)
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return Fieldf(field, "%q, port %q is not 1 to 65535", address, port)
+	}
+	return nil
+}
