btnode: a record that gossip brings during a read is not a log that lost its end

What operators would see: log.behind, and no read of that node for a second, when another reader passes a record on while a read that waits in vain ends.

Cause: since the end that a read names was compared with the configuration after the read; it is compared with the one before it again.

TestRecordThatArrivesDuringReadIsNotLostByLog failed before (log.behind) and passes now.

--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -38,6 +38,7 @@
 			case <-changed:
 			case <-n.ctx.Done():
 			}
+			backoff = minReadBackoff
 			continue
 		}
 		wait := time.Duration(0)
@@ -109,8 +110,8 @@
 // returns errLogBehind if the log ends before the configuration, and errNoProgress if the log
 // holds later records and none of them advanced the configuration.
 func (n *Node) readOnce(wait time.Duration) error {
-	begun := time.Now()
-	position := n.readPosition()
+	begun, offset := time.Now(), n.config.State().Offset
+	position := max(offset, n.progress.through.Load())
 	page, err := n.adapters.Log.Read(n.ctx, baobabtide.ConfigStream, position+1, wait)
 	if errors.Is(err, baobabtide.ErrRetention) {
 		return n.restoreFromSnapshot()
@@ -120,9 +121,9 @@
 	}
 	n.progress.next.Store(page.Next)
 	n.progress.readAt.Store(time.Now().UnixMicro())
-	if page.Next <= max(position, n.config.State().Offset) {
+	if page.Next <= position {
 		n.progress.through.Store(0)
-		return n.checkLogEnd(page.Next)
+		return n.checkLogEnd(page.Next, offset)
 	}
 	n.logBehind.Store(false)
 	n.applyPage(&page)
@@ -143,10 +144,9 @@
 	return max(n.config.State().Offset, n.progress.through.Load())
 }
 
-// checkLogEnd returns errLogBehind if the log ends before the configuration in force, and logs
+// checkLogEnd returns errLogBehind if the log ends before the configuration at an offset, and logs
 // when that begins.
-func (n *Node) checkLogEnd(next baobabtide.Offset) error {
-	offset := n.config.State().Offset
+func (n *Node) checkLogEnd(next, offset baobabtide.Offset) error {
 	if next > offset {
 		return nil
 	}
