btnode: a reader whose waiting connection ends once keeps its duty

What operators would see: all readers replaced for a moment, with two changes of the membership and a read for each, whenever the log closes the connections of reads that have waited for longer than Platform.Timeout, as when it drops its history.

Cause: the time of the failed read was compared with the timeout alone, without the wait.

TestReaderIsReplacedOnlyIfLogDoesNotAnswer, case 'a connection ends after a wait', failed before (two changes of the record) and passes now.

--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -55,7 +55,7 @@
 			n.setLogUp(true, nil)
 		} else {
 			// One quick failure may be the end of a connection that the log has closed.
-			down = down || backoff > minReadBackoff || time.Since(begun) >= n.settings.Platform.Timeout
+			down = down || backoff > minReadBackoff || time.Since(begun) >= wait+n.settings.Platform.Timeout
 			n.setLogUp(false, err)
 		}
 		n.announceLogDown(down)
--- a/btnode/reader_test.go
+++ b/btnode/reader_test.go
@@ -82,11 +82,12 @@
 		steps []readStep
 		want  uint64 // sequence of the node's record, which begins with 1 and changes with LogDown
 	}{
-		"the log answers":        {nil, 1},
-		"a connection ends":      {[]readStep{{err: errReset}}, 1},
-		"two failures":           {[]readStep{{err: errReset}, {err: errReset}}, 3},
-		"no answer":              {[]readStep{{after: timeout + readInterval*2, err: baobabtide.ErrUnavailable}}, 3},
-		"refused at other times": {[]readStep{{err: errReset}, {after: time.Second, page: baobabtide.Page{Next: 1}}, {err: errReset}}, 1},
+		"the log answers":                {nil, 1},
+		"a connection ends":              {[]readStep{{err: errReset}}, 1},
+		"a connection ends after a wait": {[]readStep{{after: timeout, err: errReset}}, 1},
+		"two failures":                   {[]readStep{{err: errReset}, {err: errReset}}, 3},
+		"no answer":                      {[]readStep{{after: timeout + readInterval*2, err: baobabtide.ErrUnavailable}}, 3},
+		"refused at other times":         {[]readStep{{err: errReset}, {after: time.Second, page: baobabtide.Page{Next: 1}}, {err: errReset}}, 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
