btnode: a starting node waits for the later configuration that a neighbor has

Callers saw: 404 on routes that were added, and answers of services that a route had left, from a node that was started again and had served the later configuration before.

Cause: from an uptime of 3 s catchUp.done allowed any configuration, also while the node knew from a heartbeat that a connected neighbor was ahead. An answer to its pull that was lost or late thus ended in the older configuration.

Change: after 3 s a higher offset still counts if its neighbor is connected and not doubted, until an uptime of 10 s.

--- a/btnode/catchup.go
+++ b/btnode/catchup.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	minCatchUpNeighbors = 2               // neighbors whose offsets a starting node needs before it puts a configuration in force
-	catchUpTimeout      = 3 * time.Second // uptime from which a node puts any configuration in force
+	minCatchUpNeighbors = 2                // neighbors whose offsets a starting node needs before it puts a configuration in force
+	catchUpTimeout      = 3 * time.Second  // uptime from which a node no longer waits for neighbors that have not told their offsets
+	catchUpLimit        = 10 * time.Second // uptime from which a node puts any configuration in force
 )
 
 // catchUp keeps a restarted node from putting a configuration in force that is
@@ -43,22 +44,24 @@
 // done reports whether the configuration at offset own may come into force as the
 // first one of this process: no neighbor has sent a higher offset, and at least
 // minCatchUpNeighbors have sent one, or all others if there are fewer. others is the
-// number of other live members that this node knows. After catchUpTimeout any configuration
+// number of other live members that this node knows. After catchUpTimeout only a
+// neighbor that is still connected keeps it from coming into force, by a higher offset, as
+// this node can get the later configuration there. After catchUpLimit any configuration
 // may. It returns false for offset 0, which means that there is no configuration.
-func (c *catchUp) done(own baobabtide.Offset, others int, uptime time.Duration) bool {
+func (c *catchUp) done(own baobabtide.Offset, others int, uptime time.Duration, connected func(name string) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if own == 0 {
 		return false
 	}
-	if uptime >= catchUpTimeout {
+	if uptime >= catchUpLimit {
 		return true
 	}
-	for _, offset := range c.offsets {
-		if offset > own {
+	for name, offset := range c.offsets {
+		if offset > own && (uptime < catchUpTimeout || connected(name)) {
 			return false
 		}
 	}
 	others = max(others, c.live-1)
-	return len(c.offsets) >= min(minCatchUpNeighbors, others)
+	return uptime >= catchUpTimeout || len(c.offsets) >= min(minCatchUpNeighbors, others)
 }
--- a/btnode/routes.go
+++ b/btnode/routes.go
@@ -39,7 +39,7 @@
 	others := n.members.table.Live() - 1
 	n.members.mu.Unlock()
 	old := n.routes.Load()
-	if old == nil && !n.catchUp.done(state.Offset, others, time.Since(n.started)) {
+	if old == nil && !n.catchUp.done(state.Offset, others, time.Since(n.started), n.edges.connected) {
 		return
 	}
 	table := btroute.Build(state, members, n.locality, old)
