btnode: a pull without a useful answer goes to another neighbor

Callers would see: 404 on routes that were added, for up to a heartbeat and 0.5 s longer for each answer that is lost or useless (deployed: 0.5 s, by default 1 s), although other neighbors have the configuration. It must be in force 2 s after its acknowledgement.

Cause: pullSentAt was one time for all edges and nobody repeated a pull but the next heartbeat with a higher offset, which came from the same neighbor as well as from others. An edge that closed kept the pull on it pending. Links were taken for an answer whether or not any applied, and a gap was pulled at once, so that a node whose chain does not join was asked as fast as it answers.

Change: a node knows on which edge it has asked, from which offset, and which offset each edge has told. After 0.5 s, or when that edge closes, it asks another neighbor that is ahead, the same one only if there is no other. An answer counts only if the configuration is later than the one of the pull.

Ruled out: that nodes which read different records of the log (pages with gaps) can't serve each other.

--- a/btnode/config_test.go
+++ b/btnode/config_test.go
@@ -27,13 +27,20 @@
 	t.Helper()
 	nodes := make(map[string]*configNode, len(names))
 	for _, name := range names {
-		node := &configNode{Node: idleNode(t, zerolog.Nop()), edges: make(map[string]*edge)}
+		settings := idleSettings()
+		settings.Node.Name = name
+		n, free, err := New(settings, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(free)
+		node := &configNode{Node: n, edges: make(map[string]*edge)}
 		for _, other := range names {
 			if other == name {
 				continue
 			}
 			ctx, cancel := context.WithCancelCause(context.Background())
-			e := &edge{name: other, queue: make(chan *btpeer.Gossip, edgeQueueSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
+			e := &edge{name: other, outgoing: name < other, queue: make(chan *btpeer.Gossip, edgeQueueSize), ctx: ctx, cancel: cancel, lastReceived: time.Now()}
 			node.edges[other] = e
 			node.Node.edges.add(e)
 		}
@@ -53,6 +60,24 @@
 	}
 }
 
+// deliverAll passes messages between the named nodes on until there are none, and returns their
+// number. It stops at the limit.
+func deliverAll(nodes map[string]*configNode, names []string, limit int) int {
+	count := 0
+	for busy := true; busy; {
+		busy = false
+		for _, from := range names {
+			for _, to := range names {
+				for from != to && count < limit && deliver(nodes, from, to) {
+					busy = true
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
+
 // fakeLog is a log that only returns pages.
 type fakeLog struct {
 	page func(from baobabtide.Offset) baobabtide.Page
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -43,10 +43,11 @@
 	cancel   context.CancelCauseFunc
 
 	mu            sync.Mutex
-	lastReceived  time.Time // when the last message arrived
-	doubted       bool      // no message has arrived for long; the link may be full or the connection dead
-	mismatchSeen  bool      // a difference of the membership digests has been found on this edge
-	mismatchSince time.Time // since when the membership digests differ, zero if they are equal
+	offset        baobabtide.Offset // highest configuration offset received
+	lastReceived  time.Time         // when the last message arrived
+	doubted       bool              // no message has arrived for long; the link may be full or the connection dead
+	mismatchSeen  bool              // a difference of the membership digests has been found on this edge
+	mismatchSince time.Time         // since when the membership digests differ, zero if they are equal
 }
 
 // send queues a message without blocking. If the queue is full, it closes the
@@ -402,7 +403,11 @@
 // expected from the node any more, unless the edge was doubted: a failed attempt to
 // replace it may have started to watch the node.
 func (n *Node) removeEdge(e *edge) {
-	if !n.edges.remove(e) || e.isDoubted() {
+	last := n.edges.remove(e)
+	if n.pulls.closed(e) {
+		n.pullMissing()
+	}
+	if !last || e.isDoubted() {
 		return
 	}
 	n.members.mu.Lock()
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -11,10 +11,9 @@
 )
 
 const (
-	repairDelay      = 2 * time.Second        // a difference caused by changes in flight usually ends within this time
-	repairPeriod     = time.Second            // minimum time between digest exchanges that this node starts
-	pullTimeout      = 500 * time.Millisecond // after which an unanswered pull may be sent again
-	minJoinedMembers = 2                      // number of members, including this node, from which a node counts as joined
+	repairDelay      = 2 * time.Second // a difference caused by changes in flight usually ends within this time
+	repairPeriod     = time.Second     // minimum time between digest exchanges that this node starts
+	minJoinedMembers = 2               // number of members, including this node, from which a node counts as joined
 )
 
 // handleGossip processes all parts of one message that an edge received.
@@ -87,6 +86,7 @@
 // bucket digests if the memberships have differed for long enough.
 func (n *Node) handleHeartbeat(e *edge, h *btpeer.Heartbeat, now time.Time) {
 	n.catchUp.recordOffset(e.name, h.Offset)
+	e.recordOffset(h.Offset)
 	if n.routes.Load() == nil {
 		n.markDirty()
 	}
@@ -176,15 +176,6 @@
 	}
 }
 
-// pull requests the configuration after an offset, unless an earlier pull is
-// unanswered and was sent less than pullTimeout ago.
-func (n *Node) pull(e *edge, after baobabtide.Offset, now time.Time) {
-	if !n.pullSentAt.TrySet(now, pullTimeout) {
-		return
-	}
-	e.send(&btpeer.Gossip{Pull: &btpeer.Pull{After: after}})
-}
-
 // handlePull sends the entries after an offset, or the whole state if the store
 // no longer holds them.
 func (n *Node) handlePull(e *edge, after baobabtide.Offset) {
@@ -215,8 +206,9 @@
 		n.log.Warn().Str("event", "state.damaged").Str("member", e.name).Err(err).Send()
 		return
 	}
-	n.pullSentAt.Clear()
-	if n.config.Adopt(state) {
+	adopted := n.config.Adopt(state)
+	n.pulls.answered(n.config.State().Offset)
+	if adopted {
 		n.configChanged(e)
 	}
 }
@@ -234,20 +226,25 @@
 }
 
 // applyLinks applies entries that a neighbor sent and returns the number of those that were
-// new. If entries before them are missing, it pulls those after this node's offset.
+// new. If entries before them are missing because this node's configuration has changed since
+// it asked, it pulls those after the present one.
 func (n *Node) applyLinks(e *edge, links []btconfig.Link) int {
-	n.pullSentAt.Clear()
-	fresh := 0
+	fresh, gap := 0, false
 	for _, link := range links {
 		applied, err := n.config.Apply(link)
 		if applied {
 			fresh++
 		}
 		if errors.Is(err, btconfig.ErrGap) {
-			n.pull(e, n.config.State().Offset, time.Now())
+			gap = true
 			break
 		}
 	}
+	own := n.config.State().Offset
+	n.pulls.answered(own)
+	if gap {
+		n.pull(e, own, time.Now())
+	}
 	if fresh > 0 {
 		n.configChanged(e)
 	}
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -75,8 +75,8 @@
 
 	config     btconfig.Store
 	routes     atomic.Pointer[btroute.Table]
-	inForceAt  atomic.Int64    // when the configuration in force last changed, Unix time in microseconds
-	pullSentAt btclock.Instant // last request for configuration, unset once answered
+	inForceAt  atomic.Int64 // when the configuration in force last changed, Unix time in microseconds
+	pulls      pulls
 	lastRepair btclock.Instant // last exchange of digests that this node started
 	dirty      chan struct{}   // signals rebuildLoop that the route table is out of date
 	catchUp    catchUp
