btconfig: states with more than 65,536 assignments can be read

Cause: the limit of btcodec for the pairs of a map applied to State.Assignments, while nothing limits them when they are written.

Other messages keep the limit.

--- a/btcodec/cbor.go
+++ b/btcodec/cbor.go
@@ -10,12 +10,14 @@
 const (
 	maxArrayElements = 1 << 16
 	maxMapPairs      = 1 << 16
+	maxLargeMapPairs = 1 << 21
 	maxNesting       = 16
 )
 
 var (
-	cborEncoder = mustEncMode()
-	cborDecoder = mustDecMode()
+	cborEncoder      = mustEncMode()
+	cborDecoder      = mustDecMode(maxMapPairs)
+	largeCBORDecoder = mustDecMode(maxLargeMapPairs)
 )
 
 func mustEncMode() cbor.EncMode {
@@ -26,7 +28,7 @@
 	return mode
 }
 
-func mustDecMode() cbor.DecMode {
+func mustDecMode(maxMapPairs int) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
@@ -50,8 +52,14 @@
 // Checker. It fails for malformed messages, values of the wrong type and messages over
 // the limits. Unknown fields are ignored, so that nodes of different versions can run
 // together during an upgrade.
-func DecodeCBOR(data []byte, v any) error {
-	if err := cborDecoder.Unmarshal(data, v); err != nil {
+func DecodeCBOR(data []byte, v any) error { return decodeCBOR(cborDecoder, data, v) }
+
+// DecodeLargeCBOR is DecodeCBOR with a limit of two million pairs of a map, for a message that
+// holds a whole configuration.
+func DecodeLargeCBOR(data []byte, v any) error { return decodeCBOR(largeCBORDecoder, data, v) }
+
+func decodeCBOR(decoder cbor.DecMode, data []byte, v any) error {
+	if err := decoder.Unmarshal(data, v); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
 	if c, ok := v.(Checker); ok {
--- a/btconfig/snapshot.go
+++ b/btconfig/snapshot.go
@@ -99,7 +99,7 @@
 	if len(plain) > maxStateSize {
 		return fmt.Errorf("%w: more than %d bytes", ErrDamaged, maxStateSize)
 	}
-	if err := btcodec.DecodeCBOR(plain, v); err != nil {
+	if err := btcodec.DecodeLargeCBOR(plain, v); err != nil {
 		return fmt.Errorf("%w: %w", ErrDamaged, err)
 	}
 	return nil
--- a/btpeer/peer_test.go
+++ b/btpeer/peer_test.go
@@ -280,6 +280,26 @@
 	}
 }
 
+// A state near the largest one that a node encodes fits into a message.
+func TestGossipCarriesLargeState(t *testing.T) {
+	conn, end, err := client(t).Gossip(context.Background(), serve(t, &fakeNode{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer end()
+	want := &Gossip{State: bytes.Repeat([]byte{7}, maxMessage-1<<10)}
+	if err := conn.Send(want); err != nil {
+		t.Fatal(err)
+	}
+	got, err := conn.Recv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(want.State, got.State) {
+		t.Errorf("%d bytes arrived, want %d", len(got.State), len(want.State))
+	}
+}
+
 func TestGossipBytesAreCounted(t *testing.T) {
 	var bytes ByteCounter
 	c, closeClient := NewClient(nil, &bytes, nil, testSilenceLimit)
