btconfig: a state that no node can read is not encoded

Cause: only decompress knew the limit of 64 MB.

Not covered: a state of less than 64 MB that takes more than 16 MB in compressed form has more chunks (257) than readers accept.

--- a/btconfig/large_test.go
+++ b/btconfig/large_test.go
@@ -80,6 +80,14 @@
 	}
 }
 
+// A state beyond the limit of its readers was written as a snapshot, and sent, again and again.
+func TestStateThatCannotBeReadIsNotWritten(t *testing.T) {
+	state := &btconfig.State{Offset: 1, Services: map[string]btconfig.ServiceState{"s": {Versions: []string{longText(1, 64<<20)}}}}
+	if chunks, err := btconfig.SplitSnapshot(state, "n"); err == nil {
+		t.Errorf("%d chunks, of which readers get %v", len(chunks), btconfig.JoinSnapshots(chunks))
+	}
+}
+
 // Links of any size that a store keeps can be read by a neighbor.
 func TestLargeLinksAreRead(t *testing.T) {
 	tests := map[string]struct{ contracts, routes int }{
--- a/btconfig/snapshot.go
+++ b/btconfig/snapshot.go
@@ -60,12 +60,16 @@
 	return links, nil
 }
 
-// compress encodes a value as CBOR and compresses it.
+// compress encodes a value as CBOR and compresses it. It fails for what decompress rejects
+// because of its size.
 func compress(v any) ([]byte, error) {
 	plain, err := btcodec.EncodeCBOR(v)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", v, err)
 	}
+	if len(plain) > maxStateSize {
+		return nil, fmt.Errorf("encode %T: %d bytes exceed %d", v, len(plain), maxStateSize)
+	}
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.DefaultCompression)
 	if err != nil {
