btmember: a node refutes a record of its incarnation with a higher sequence

Callers would see: requests to the targets of a former process, and none to the present ones, for good.

Cause: a process whose clock was set back can take the incarnation of a record that another node holds from an earlier process: by the start time, or because a lower one was refuted and so raised to it. That record has a higher sequence, so all that the new process announces counts as old, while each repair of the membership succeeds: refute looked at incarnation and status only.

Change: refute compares versions as repairs do, so a higher sequence is refuted too.

Before: TestRestartWithEarlierClock (case added) printed "incarnation 1 is not above that of {Incarnation:1 Sequence:9}", and the other node held sequence 9 in place of 1. go test -race ./btmember passes.

--- a/btmember/table.go
+++ b/btmember/table.go
@@ -162,7 +162,7 @@
 	var applied Delta
 	for _, m := range d.Members {
 		if m.Name == t.self {
-			applied.Append(t.refute(m.Incarnation, m.Status, now))
+			applied.Append(t.refute(Version{Incarnation: m.Incarnation, Sequence: m.Sequence, Status: m.Status}, now))
 			continue
 		}
 		if t.mergeMember(m, now) {
@@ -171,7 +171,7 @@
 	}
 	for _, u := range d.Statuses {
 		if u.Name == t.self {
-			applied.Append(t.refute(u.Incarnation, u.Status, now))
+			applied.Append(t.refute(Version{Incarnation: u.Incarnation, Status: u.Status}, now))
 			continue
 		}
 		if t.mergeStatus(u, now) {
@@ -218,18 +218,16 @@
 	return true
 }
 
-// refute raises this node's incarnation if another node holds a record of it with a
-// higher incarnation or, in the same incarnation, with a status other than alive.
-// It returns the change, which is empty if this node has left.
-func (t *Table) refute(incarnation uint64, status baobabtide.Status, now time.Time) Delta {
+// refute raises this node's incarnation if another node holds a version of its record with a
+// higher incarnation or, in the same incarnation, with a status other than alive or with a
+// higher sequence, which comes from an earlier process. It returns the change, which is empty
+// if this node has left.
+func (t *Table) refute(held Version, now time.Time) Delta {
 	self := t.Self()
-	if self.Status == baobabtide.Left || incarnation < self.Incarnation {
+	if self.Status == baobabtide.Left || !held.newerThan(&self) {
 		return Delta{}
 	}
-	if incarnation == self.Incarnation && status == baobabtide.Alive {
-		return Delta{}
-	}
-	self.Incarnation = incarnation + 1
+	self.Incarnation = held.Incarnation + 1
 	self.Sequence++
 	t.put(self, now)
 	return Delta{Members: []baobabtide.Member{self}}
--- a/btmember/table_test.go
+++ b/btmember/table_test.go
@@ -192,14 +192,23 @@
 }
 
 // A process whose clock was set back starts with a lower incarnation than the other
-// nodes hold for it. It must take a higher one than theirs.
+// nodes hold for it, or with the same one. It must take a higher one than theirs.
 func TestRestartWithEarlierClock(t *testing.T) {
-	tb := newTable("self")
-	remembered := member("self", "z")
-	remembered.Incarnation = 50
-	tb.Merge(Delta{Members: []baobabtide.Member{remembered}}, epoch)
-	if got := tb.Self().Incarnation; got <= 50 {
-		t.Errorf("incarnation %d is not above 50", got)
+	for _, remembered := range []Version{{Incarnation: 50, Sequence: 1}, {Incarnation: 1, Sequence: 9}} {
+		tb := newTable("self")
+		record := member("self", "z")
+		record.Incarnation, record.Sequence = remembered.Incarnation, remembered.Sequence
+		tb.Merge(Delta{Members: []baobabtide.Member{record}}, epoch)
+		if got := tb.Self().Incarnation; got <= remembered.Incarnation {
+			t.Errorf("incarnation %d is not above that of %+v", got, remembered)
+		}
+		other := newTable("other")
+		other.Merge(Delta{Members: []baobabtide.Member{record}}, epoch)
+		other.Merge(Delta{Members: []baobabtide.Member{tb.Self()}}, epoch)
+		got, _ := other.Get("self")
+		if diff := cmp.Diff(tb.Self(), got); diff != "" {
+			t.Errorf("record at another node that held %+v (-self +other):\n%s", remembered, diff)
+		}
 	}
 }
 
