btnode: a log line for a configuration that a neighbor has and does not send

Operators saw: config_age_seconds that grows, and no line that says why.

Cause: a node that knew from heartbeats of a later configuration asked for it again and again without a word.

Change: pull.unanswered (warning) with the neighbor and the node's offset, once while the offset stays the same. A pull that is not overdue when the timer of an earlier one ends is left alone.

Before (without the line): TestUnansweredPullIsLoggedOnceAnOffset printed no line in place of two. go test -race ./btnode ./btlog passes.

--- a/btlog/events.go
+++ b/btlog/events.go
@@ -34,6 +34,7 @@
 	LogDown           Event = "log.down"
 	LogBehind         Event = "log.behind"
 	ConfigInForce     Event = "config.in-force"
+	PullUnanswered    Event = "pull.unanswered" // a neighbor has a later configuration and has not sent it
 	RecordRejected    Event = "record.rejected"
 	RecordInvalid     Event = "record.invalid"
 	TargetChanged     Event = "target.changed"
@@ -64,7 +65,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind,
-		ConfigInForce, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, PullUnanswered, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
--- a/btnode/pull.go
+++ b/btnode/pull.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btpeer"
 )
 
@@ -17,6 +18,8 @@
 	edge   *edge             // that the request was sent on, nil if none is unanswered
 	after  baobabtide.Offset // of this node's configuration when it was sent
 	sentAt time.Time
+
+	logged baobabtide.Offset // of this node's configuration when a request without an answer was last logged, plus 1
 }
 
 // begin records a request. It returns false if an earlier one is unanswered and was sent
@@ -52,11 +55,22 @@
 	return true
 }
 
-// asked returns the edge of the unanswered request, nil if there is none.
-func (p *pulls) asked() *edge {
+// overdue returns the edge of the request if it was sent pullTimeout ago, nil if none is
+// unanswered. It returns false while an answer may come.
+func (p *pulls) overdue(now time.Time) (*edge, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.edge, p.edge == nil || now.Sub(p.sentAt) >= pullTimeout
+}
+
+// logDue reports whether a request without an answer is to be logged: once while this node's
+// configuration stays at an offset.
+func (p *pulls) logDue(offset baobabtide.Offset) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.edge
+	due := p.logged != offset+1
+	p.logged = offset + 1
+	return due
 }
 
 // pull requests the configuration after an offset, unless an earlier pull is unanswered and
@@ -70,12 +84,21 @@
 }
 
 // pullMissing pulls the configuration from a neighbor that has a later one, if there is one:
-// preferably not from the one that has not answered.
+// preferably not from the one that has not answered. It does nothing while an answer may come.
 func (n *Node) pullMissing() {
-	own := n.config.State().Offset
-	if e := n.edges.ahead(own, n.pulls.asked()); e != nil && n.ctx.Err() == nil {
-		n.pull(e, own, time.Now())
+	now, own := time.Now(), n.config.State().Offset
+	asked, ok := n.pulls.overdue(now)
+	if !ok {
+		return
+	}
+	e := n.edges.ahead(own, asked)
+	if e == nil || n.ctx.Err() != nil {
+		return
+	}
+	if asked != nil && n.pulls.logDue(own) {
+		n.log.Warn().Str("event", string(btlog.PullUnanswered)).Str("member", asked.name).Uint64("offset", uint64(own)).Send()
 	}
+	n.pull(e, own, now)
 }
 
 // recordOffset records the configuration offset of the node at the other end. A lower one that
--- a/btnode/pull_test.go
+++ b/btnode/pull_test.go
@@ -1,11 +1,13 @@
 package btnode
 
 import (
+	"bytes"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"github.com/baobabtide/baobabtide"
@@ -84,6 +86,31 @@
 	}
 }
 
+// No line said that a node which knew of a later configuration did not get it.
+func TestUnansweredPullIsLoggedOnceAnOffset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := configNodes(t, "a", "b")["a"]
+		var lines bytes.Buffer
+		n.log = zerolog.New(&lines)
+		e := n.edges["b"]
+		n.handleGossip(e, &btpeer.Gossip{Heartbeat: &btpeer.Heartbeat{Offset: 5}})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		n.config.Adopt(&btconfig.State{Offset: 4})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		n.config.Adopt(&btconfig.State{Offset: 5})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		want := `{"level":"warn","event":"pull.unanswered","member":"b","offset":0}
+{"level":"warn","event":"pull.unanswered","member":"b","offset":4}
+`
+		if diff := cmp.Diff(want, lines.String()); diff != "" {
+			t.Errorf("lines (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // Two nodes exchanged pulls and links that never applied as fast as they could.
 func TestLinksThatNeverApplyAreNotPulledInLoop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
