btnode: property tests of the configuration run on a fake clock

On a busy machine (load 30 to 60) the 0.5 s of a pull can pass on the real clock while messages are handed over, so that the result depended on it.

--- a/btnode/config_test.go
+++ b/btnode/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -107,84 +108,86 @@
 // The configuration in force never goes back within a process, in whatever order pages of the log,
 // snapshots and messages arrive, late and repeated ones included.
 func TestConfigurationInForceNeverGoesBack(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		nodes := configNodes(t, "a", "b", "c")
-		names := []string{"a", "b", "c"}
-		inForce := make(map[string]baobabtide.Offset)
-		var late []*btpeer.Gossip
-		end := baobabtide.Offset(0)
-		node := func(rt *rapid.T) string { return rapid.SampledFrom(names).Draw(rt, "node") }
-		rt.Repeat(map[string]func(*rapid.T){
-			"append": func(*rapid.T) { end++ },
-			"read": func(rt *rapid.T) {
-				n, other := nodes[node(rt)], nodes[node(rt)]
-				n.adapters.Log = fakeLog{func(from baobabtide.Offset) baobabtide.Page {
-					page := baobabtide.Page{Next: end + 1}
-					for offset := from; offset <= end; offset++ {
-						if offset == end || rapid.Bool().Draw(rt, "kept") {
-							page.Entries = append(page.Entries, contractEntry(rt, offset))
+	synctest.Test(t, func(t *testing.T) { // no timer ends meanwhile; t has no deadline in it
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) {
+			nodes := configNodes(t, "a", "b", "c")
+			names := []string{"a", "b", "c"}
+			inForce := make(map[string]baobabtide.Offset)
+			var late []*btpeer.Gossip
+			end := baobabtide.Offset(0)
+			node := func(rt *rapid.T) string { return rapid.SampledFrom(names).Draw(rt, "node") }
+			rt.Repeat(map[string]func(*rapid.T){
+				"append": func(*rapid.T) { end++ },
+				"read": func(rt *rapid.T) {
+					n, other := nodes[node(rt)], nodes[node(rt)]
+					n.adapters.Log = fakeLog{func(from baobabtide.Offset) baobabtide.Page {
+						page := baobabtide.Page{Next: end + 1}
+						for offset := from; offset <= end; offset++ {
+							if offset == end || rapid.Bool().Draw(rt, "kept") {
+								page.Entries = append(page.Entries, contractEntry(rt, offset))
+							}
 						}
+						if rapid.Bool().Draw(rt, "state arrives first") {
+							n.config.Adopt(other.config.State())
+						}
+						return page
+					}}
+					_ = n.readOnce()
+				},
+				"adopt": func(rt *rapid.T) {
+					nodes[node(rt)].config.Adopt(nodes[node(rt)].config.State())
+				},
+				"state": func(rt *rapid.T) {
+					data, err := btconfig.EncodeState(nodes[node(rt)].config.State())
+					if err != nil {
+						rt.Fatal(err)
 					}
-					if rapid.Bool().Draw(rt, "state arrives first") {
-						n.config.Adopt(other.config.State())
+					late = append(late, &btpeer.Gossip{State: data})
+				},
+				"links": func(rt *rapid.T) {
+					n := nodes[node(rt)]
+					after := baobabtide.Offset(rapid.IntRange(0, int(end)).Draw(rt, "after"))
+					data, ok, err := n.config.EncodedSince(after)
+					if err != nil {
+						rt.Fatal(err)
 					}
-					return page
-				}}
-				_ = n.readOnce()
-			},
-			"adopt": func(rt *rapid.T) {
-				nodes[node(rt)].config.Adopt(nodes[node(rt)].config.State())
-			},
-			"state": func(rt *rapid.T) {
-				data, err := btconfig.EncodeState(nodes[node(rt)].config.State())
-				if err != nil {
-					rt.Fatal(err)
-				}
-				late = append(late, &btpeer.Gossip{State: data})
-			},
-			"links": func(rt *rapid.T) {
-				n := nodes[node(rt)]
-				after := baobabtide.Offset(rapid.IntRange(0, int(end)).Draw(rt, "after"))
-				data, ok, err := n.config.EncodedSince(after)
-				if err != nil {
-					rt.Fatal(err)
-				}
-				if ok && data != nil {
-					late = append(late, &btpeer.Gossip{Links: data})
-				}
-			},
-			"late message": func(rt *rapid.T) {
-				if len(late) == 0 {
-					return
-				}
-				to, from := node(rt), node(rt)
-				if to != from {
-					nodes[to].handleGossip(nodes[to].edges[from], rapid.SampledFrom(late).Draw(rt, "message"))
-				}
-			},
-			"message": func(rt *rapid.T) {
-				if to, from := node(rt), node(rt); to != from {
-					deliver(nodes, from, to)
-				}
-			},
-			"heartbeat": func(rt *rapid.T) {
-				if to, from := node(rt), node(rt); to != from {
-					nodes[from].sendHeartbeat(nodes[from].edges[to])
-				}
-			},
-			"rebuild": func(rt *rapid.T) { nodes[node(rt)].rebuild() },
-			"": func(rt *rapid.T) {
-				for name, n := range nodes {
-					offset := n.inForce()
-					if offset < inForce[name] {
-						rt.Fatalf("node %s goes back from %d to %d", name, inForce[name], offset)
+					if ok && data != nil {
+						late = append(late, &btpeer.Gossip{Links: data})
 					}
-					if offset > n.config.State().Offset {
-						rt.Fatalf("node %s has %d in force, its state is at %d", name, offset, n.config.State().Offset)
+				},
+				"late message": func(rt *rapid.T) {
+					if len(late) == 0 {
+						return
 					}
-					inForce[name] = offset
-				}
-			},
+					to, from := node(rt), node(rt)
+					if to != from {
+						nodes[to].handleGossip(nodes[to].edges[from], rapid.SampledFrom(late).Draw(rt, "message"))
+					}
+				},
+				"message": func(rt *rapid.T) {
+					if to, from := node(rt), node(rt); to != from {
+						deliver(nodes, from, to)
+					}
+				},
+				"heartbeat": func(rt *rapid.T) {
+					if to, from := node(rt), node(rt); to != from {
+						nodes[from].sendHeartbeat(nodes[from].edges[to])
+					}
+				},
+				"rebuild": func(rt *rapid.T) { nodes[node(rt)].rebuild() },
+				"": func(rt *rapid.T) {
+					for name, n := range nodes {
+						offset := n.inForce()
+						if offset < inForce[name] {
+							rt.Fatalf("node %s goes back from %d to %d", name, inForce[name], offset)
+						}
+						if offset > n.config.State().Offset {
+							rt.Fatalf("node %s has %d in force, its state is at %d", name, offset, n.config.State().Offset)
+						}
+						inForce[name] = offset
+					}
+				},
+			})
 		})
 	})
 }
--- a/btnode/pull_test.go
+++ b/btnode/pull_test.go
@@ -136,39 +136,41 @@
 // Nodes that read different records of the log, as some were no longer stored, get the latest
 // configuration from each other in a few messages.
 func TestNodesWithDifferentGapsConverge(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		names := []string{"a", "b", "c", "d"}
-		nodes := configNodes(t, names...)
-		end := baobabtide.Offset(0)
-		for range rapid.IntRange(1, 5).Draw(rt, "rounds") {
-			end += baobabtide.Offset(rapid.IntRange(1, 5).Draw(rt, "records"))
-			for _, name := range names {
-				n := nodes[name]
-				prev := n.config.State().Offset
-				upTo := baobabtide.Offset(rapid.IntRange(0, int(end)).Draw(rt, "read up to"))
-				for offset := prev + 1; offset <= upTo; offset++ {
-					if !rapid.Bool().Draw(rt, "stored") {
-						continue
+	synctest.Test(t, func(t *testing.T) { // no timer ends meanwhile; t has no deadline in it
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) {
+			names := []string{"a", "b", "c", "d"}
+			nodes := configNodes(t, names...)
+			end := baobabtide.Offset(0)
+			for range rapid.IntRange(1, 5).Draw(rt, "rounds") {
+				end += baobabtide.Offset(rapid.IntRange(1, 5).Draw(rt, "records"))
+				for _, name := range names {
+					n := nodes[name]
+					prev := n.config.State().Offset
+					upTo := baobabtide.Offset(rapid.IntRange(0, int(end)).Draw(rt, "read up to"))
+					for offset := prev + 1; offset <= upTo; offset++ {
+						if !rapid.Bool().Draw(rt, "stored") {
+							continue
+						}
+						if _, err := n.config.Apply(btconfig.Link{Prev: prev, Entry: contractEntry(rt, offset)}); err != nil {
+							rt.Fatal(err)
+						}
+						prev = offset
 					}
-					if _, err := n.config.Apply(btconfig.Link{Prev: prev, Entry: contractEntry(rt, offset)}); err != nil {
-						rt.Fatal(err)
-					}
-					prev = offset
+					n.configChanged(nil)
 				}
-				n.configChanged(nil)
-			}
-			if count := deliverAll(nodes, names, 1000); count == 1000 {
-				rt.Fatal("the nodes do not stop exchanging messages")
-			}
-			newest := baobabtide.Offset(0)
-			for _, n := range nodes {
-				newest = max(newest, n.config.State().Offset)
-			}
-			for name, n := range nodes {
-				if offset := n.config.State().Offset; offset != newest {
-					rt.Fatalf("node %s is at %d, others at %d", name, offset, newest)
+				if count := deliverAll(nodes, names, 1000); count == 1000 {
+					rt.Fatal("the nodes do not stop exchanging messages")
+				}
+				newest := baobabtide.Offset(0)
+				for _, n := range nodes {
+					newest = max(newest, n.config.State().Offset)
+				}
+				for name, n := range nodes {
+					if offset := n.config.State().Offset; offset != newest {
+						rt.Fatalf("node %s is at %d, others at %d", name, offset, newest)
+					}
 				}
 			}
-		}
+		})
 	})
 }
