btconfig: a page of the log comes into force in one step

What callers could see: a new version that gets ordinary traffic for a moment, when a route table is built between the configuration and the order of a rollout that the same page brings. ApplyAll publishes the state after the last one.

Not shown by a test: the moment between the two can't be met without a hook in the store. The tests of the package pass.

--- a/btconfig/store.go
+++ b/btconfig/store.go
@@ -59,35 +59,38 @@
 	if link.Prev != state.Offset {
 		return false, ErrGap
 	}
-	s.fold(state, link)
+	s.state.Store(s.fold(state, link))
 	return true, nil
 }
 
-// ApplyAll folds those of the entries that are beyond the state, and returns their offsets. The
-// entries are in the order of their offsets and include all records that the log holds after
-// some offset that the state has reached, so none is missing between the state and the first
-// entry beyond it. Those before that one may be there or not.
+// ApplyAll folds those of the entries that are beyond the state, in one step, and returns their
+// offsets. The entries are in the order of their offsets and include all records that the log
+// holds after some offset that the state has reached, so none is missing between the state and
+// the first entry beyond it. Those before that one may be there or not.
 func (s *Store) ApplyAll(entries []baobabtide.Entry) []baobabtide.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	state := s.State()
 	var applied []baobabtide.Offset
 	for _, entry := range entries {
-		if state := s.State(); entry.Offset > state.Offset {
-			s.fold(state, Link{Prev: state.Offset, Entry: entry})
+		if entry.Offset > state.Offset {
+			state = s.fold(state, Link{Prev: state.Offset, Entry: entry})
 			applied = append(applied, entry.Offset)
 		}
 	}
+	s.state.Store(state)
 	return applied
 }
 
-// fold folds a link that follows the state into it. It is called with s.mu held.
-func (s *Store) fold(state *State, link Link) {
-	s.state.Store(Fold(state, link.Entry))
+// fold returns the state after a link that follows it, and keeps the link. It is called with
+// s.mu held.
+func (s *Store) fold(state *State, link Link) *State {
 	s.tail = append(s.tail, link)
 	s.encoded = nil
 	if len(s.tail) > maxTailLinks || tailBytes(s.tail) > maxTailBytes {
 		s.tail = newerHalf(s.tail)
 	}
+	return Fold(state, link.Entry)
 }
 
 func tailBytes(links []Link) int {
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -35,8 +35,8 @@
 	LogBehind         Event = "log.behind"
 	LogReader         Event = "log.reader" // this node has become one of those that read the log, or is no longer one
 	ConfigInForce     Event = "config.in-force"
-	ConfigStalled     Event = "config.stalled" // the log holds later records, and a read of them advanced nothing
-	ConfigResumed     Event = "config.resumed" // a read advanced the configuration again
+	ConfigStalled     Event = "config.stalled"  // the log holds later records, and a read of them advanced nothing
+	ConfigResumed     Event = "config.resumed"  // a read advanced the configuration again
 	PullUnanswered    Event = "pull.unanswered" // a neighbor has a later configuration and has not sent it
 	RecordRejected    Event = "record.rejected"
 	RecordInvalid     Event = "record.invalid"
