btconfig: a state from a neighbor does not move the start of a rollout back

What operators could see: the share of a new version that falls at a node which takes the whole state from a neighbor, as that one may have seen the rollout later; its start counts from when a node first saw it, or from the recorded one.

Cause: Adopt kept the known outcomes but not the known starts.

TestAdoptKeepsEarlierStart failed before (105 s in place of 100 s), passes now.

--- a/btconfig/store.go
+++ b/btconfig/store.go
@@ -132,7 +132,7 @@
 }
 
 // Adopt replaces the state by one with a higher offset, such as a snapshot, and
-// keeps the known outcomes. It returns false if the offset is not higher.
+// keeps the known outcomes and earlier starts of rollouts. It returns false if the offset is not higher.
 func (s *Store) Adopt(state *State) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,6 +143,9 @@
 	for _, o := range old.Outcomes {
 		state = state.WithOutcome(o)
 	}
+	for _, r := range old.Running() {
+		state = state.withStart(baobabtide.RolloutStart{Rollout: r.Offset, Customer: r.Customer, Service: r.Service, Version: r.To, Started: r.Started})
+	}
 	s.state.Store(state)
 	s.tail, s.encoded = nil, nil
 	return true
--- a/btconfig/store_test.go
+++ b/btconfig/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -174,3 +175,35 @@
 		})
 	})
 }
+
+// A state from a neighbor holds the time at which the neighbor saw the start of a rollout. An earlier
+// start that this node knows must not be forgotten for it, or the share of the new version falls.
+func TestAdoptKeepsEarlierStart(t *testing.T) {
+	early, late := time.Unix(100, 0).UTC(), time.Unix(105, 0).UTC()
+	state := func(offset baobabtide.Offset, started time.Time) *State {
+		return &State{Offset: offset, Assignments: map[string]baobabtide.Assignment{AssignmentKey("c", "s"): {
+			Customer: "c", Service: "s", Current: baobabtide.AnyVersion,
+			Rollout: &baobabtide.Rollout{Offset: 1, Customer: "c", Service: "s", To: "v2", Started: started},
+		}}}
+	}
+	tests := map[string]struct {
+		own, adopted, want time.Time
+	}{
+		"own start is earlier":     {early, late, early},
+		"adopted start is earlier": {late, early, early},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s Store
+			s.Adopt(state(1, tt.own))
+			s.Adopt(state(2, tt.adopted))
+			running := s.State().Running()
+			if len(running) != 1 {
+				t.Fatalf("%d rollouts run", len(running))
+			}
+			if diff := cmp.Diff(tt.want, running[0].Started); diff != "" {
+				t.Errorf("start (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
