--- a/btconfig/store_test.go
+++ b/btconfig/store_test.go
@@ -207,3 +207,54 @@
 		})
 	}
 }
+
+// Whatever readers read late, pass on or adopt: the newest record of each key up to a store's
+// offset is folded into its state.
+func TestNoNewestRecordIsSkipped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := &keyedLog{}
+		stores := []*Store{{}, {}, {}}
+		pending := make([][]baobabtide.Entry, len(stores))
+		reader := func(t *rapid.T) int { return rapid.IntRange(0, len(stores)-1).Draw(t, "reader") }
+		t.Repeat(map[string]func(*rapid.T){
+			"append": func(t *rapid.T) {
+				log.keys = append(log.keys, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"))
+			},
+			"drop": func(*rapid.T) { log.dropped = baobabtide.Offset(len(log.keys)) },
+			"read": func(t *rapid.T) {
+				i := reader(t)
+				pending[i] = log.page(stores[i].State().Offset)
+			},
+			"apply": func(t *rapid.T) {
+				i := reader(t)
+				stores[i].ApplyAll(pending[i])
+				pending[i] = nil
+			},
+			"gossip": func(t *rapid.T) {
+				from, to := stores[reader(t)], stores[reader(t)]
+				links, ok := from.Since(to.State().Offset)
+				if !ok {
+					to.Adopt(from.State())
+				}
+				for _, link := range links {
+					if _, err := to.Apply(link); err != nil {
+						t.Fatalf("link %d after %d: %v", link.Entry.Offset, link.Prev, err)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, s := range stores {
+					newest := make(map[string]baobabtide.Offset)
+					for j, key := range log.keys[:s.State().Offset] {
+						newest[key] = baobabtide.Offset(j + 1)
+					}
+					for key, offset := range newest {
+						if _, ok := s.State().Audit.At(offset); !ok {
+							t.Fatalf("reader %d at %d lacks record %d of key %s", i, s.State().Offset, offset, key)
+						}
+					}
+				}
+			},
+		})
+	})
+}
