btnode: after a record has woken all readers, the next turn comes in time

Cause: a wait of less than a quarter of a reader's period was extended by the whole period; right after a record, that left out the turns of a quarter of the period, 0.75 s with six readers. The shortest wait is a quarter of the interval between turns now.

--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -12,7 +12,7 @@
 const (
 	joinGrace      = 2 * time.Second        // minimum uptime before a node without an edge may read the log
 	readInterval   = 500 * time.Millisecond // between the ends of the waits of two readers; a change that no reader is told of is found after it
-	minWaitDivisor = 4                      // a wait of less than 1/4 of a reader's period is extended by a period
+	minWaitDivisor = 4                      // a wait of less than 1/4 of readInterval is extended by a reader's period
 )
 
 // readDuty is this node's part in reading the log.
@@ -59,7 +59,7 @@
 	period := min(readInterval*time.Duration(readers), longest-longest/minWaitDivisor)
 	end := period * time.Duration(slot) / time.Duration(readers)
 	wait := now.Add(-end).Truncate(period).Add(end + period).Sub(now)
-	if wait < period/minWaitDivisor {
+	if wait < min(period, readInterval)/minWaitDivisor {
 		wait += period
 	}
 	return wait
--- a/btnode/readduty_test.go
+++ b/btnode/readduty_test.go
@@ -45,3 +45,23 @@
 		})
 	}
 }
+
+// A record wakes all readers at the same moment. Whatever the moment, the next wait must end within
+// readInterval and the shortest wait.
+func TestReadersTakeTurnsAfterRecord(t *testing.T) {
+	const longest = 4 * time.Second
+	for _, readers := range []int64{1, 2, 4, 6} {
+		worst := time.Duration(0)
+		for phase := time.Duration(0); phase < longest; phase += 10 * time.Millisecond {
+			now := time.Unix(1_700_000_000, 0).Add(phase)
+			first := longest
+			for slot := range readers {
+				first = min(first, readWait(now, slot, readers, longest))
+			}
+			worst = max(worst, first)
+		}
+		if worst > readInterval+readInterval/minWaitDivisor {
+			t.Errorf("%d readers: no wait ends for %s after a record", readers, worst)
+		}
+	}
+}
