btnode, btmember: all candidates read at once when the log does not answer a reader

Cause: one substitute for each reader that had failed, one after the other, and each began with a wait, so that its time-out could not begin before. All candidates read now, and the first read of a reader does not wait. TestSilentSubstitutesHideConfiguration failed before (404 after 2 s, 2 of 2) and passes (2 of 2).

--- a/btmember/readers.go
+++ b/btmember/readers.go
@@ -8,8 +8,8 @@
 	"github.com/baobabtide/baobabtide"
 )
 
-// maxSubstitutes is the number of members of a zone that may read the log in place of those that it
-// does not answer. It bounds the changes of the membership when the log answers nobody.
+// maxSubstitutes is the number of members of a zone that read the log if it does not answer one of
+// the readers. It bounds the changes of the membership when the log answers nobody.
 const maxSubstitutes = 8
 
 // SetLogDown announces whether the log does not answer this node's reads, and returns the change,
@@ -26,8 +26,9 @@
 }
 
 // LogReaders returns the names of the members that read the log, in the order in which they take
-// turns. Each zone has perZone of them, the alive members with the lowest hash of their name. For
-// each one that the log does not answer, one more of its zone reads, up to maxSubstitutes.
+// turns. Each zone has perZone of them, the alive members with the lowest hash of their name. If the
+// log does not answer one of them, the next maxSubstitutes members of its zone read at once: each of
+// these may need as long to find out that the log does not answer it either.
 func (t *Table) LogReaders(perZone int) []string {
 	if t.readers.generation == t.generation && perZone == t.readerCount {
 		return slices.Clone(t.readers.value)
@@ -70,9 +71,8 @@
 			answered = append(answered, e)
 		}
 	}
-	if len(answered) == 0 {
-		return candidates[:min(perZone, len(candidates))]
+	if len(answered) > 0 && len(answered) < len(candidates) {
+		return answered
 	}
-	down := len(candidates) - len(answered)
-	return answered[:min(perZone+down, len(answered))]
+	return candidates[:min(perZone, len(candidates))]
 }
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -13,11 +13,8 @@
 )
 
 const (
-	minReadBackoff      = 100 * time.Millisecond // upper limit of the random pause after the first failed read; doubles with each further one
-	maxReadBackoff      = 2 * time.Second        // limit of the doubling
-	logBehindPause      = time.Second            // between reads while the log ends before the configuration in force
-	snapshotCheckPeriod = 5 * time.Second        // between checks whether a snapshot is due
-	snapshotJitter      = 0.5                    // largest fraction by which the pause between checks is shortened at random
+	snapshotCheckPeriod = 5 * time.Second // between checks whether a snapshot is due
+	snapshotJitter      = 0.5             // largest fraction by which the pause between checks is shortened at random
 )
 
 var (
@@ -26,51 +23,45 @@
 )
 
 // readLoop reads the log while this node is a reader of its zone. A node that the log does not
-// answer goes on trying, without a wait for new records, although others read in its place. After
-// a failed read it pauses for a random time, the upper limit of which doubles with each failure
-// from minReadBackoff to maxReadBackoff.
+// answer goes on trying although others read in its place. Its first read, and those after a
+// failed one, don't wait for new records.
 func (n *Node) readLoop() {
-	backoff, down := minReadBackoff, false
+	health, first := readHealth{down: n.saysLogDown()}, true
 	for n.ctx.Err() == nil {
 		changed := n.duty.changed.wait()
-		if !n.reader.Load() && !down {
+		if !n.reader.Load() && !health.down {
 			select {
 			case <-changed:
 			case <-n.ctx.Done():
 			}
-			backoff = minReadBackoff
+			health, first = readHealth{}, true
 			continue
 		}
 		wait := time.Duration(0)
-		if !down {
+		if !first && health.failures == 0 {
 			wait = readWait(time.Now(), n.duty.slot.Load(), n.duty.readers.Load(), n.settings.Platform.ReadWait)
 		}
+		first = false
 		begun := time.Now()
 		err := n.readOnce(wait)
 		if n.ctx.Err() != nil {
 			return
 		}
-		if err == nil || errors.Is(err, errLogBehind) || errors.Is(err, errNoProgress) {
-			down = false
-			n.setLogUp(true, nil)
-		} else {
-			// One quick failure may be the end of a connection that the log has closed.
-			down = down || backoff > minReadBackoff || time.Since(begun) >= wait+n.settings.Platform.Timeout
-			n.setLogUp(false, err)
-		}
-		n.announceLogDown(down)
-		switch {
-		case err == nil:
-			backoff = minReadBackoff
-		case errors.Is(err, errLogBehind):
-			n.sleep(logBehindPause)
-		default:
-			n.sleep(time.Duration(rand.Float64() * float64(backoff)))
-			backoff = min(2*backoff, maxReadBackoff)
-		}
+		now := time.Now()
+		health.record(err, now.Sub(begun) >= wait+n.settings.Platform.Timeout, now)
+		n.setLogUp(err == nil || errors.Is(err, errLogBehind) || errors.Is(err, errNoProgress), err)
+		n.announceLogDown(health.down)
+		n.sleep(health.pause(err))
 	}
 }
 
+// saysLogDown reports whether this node's record says that the log does not answer it.
+func (n *Node) saysLogDown() bool {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	return n.members.table.Self().LogDown
+}
+
 // announceLogDown tells the other nodes whether the log does not answer this one.
 func (n *Node) announceLogDown(down bool) {
 	now := time.Now()
