btmember: LogDown arrives also behind a copy of the record without it

What operators could see: a reader that the log does not answer and that some nodes take for a reader until its next change, also after an upgrade. Cause: a node of an earlier version drops the field when it passes a record on, under the same sequence, and the copies counted as equal. Within one sequence the field holds if any copy has it; the owner raises the sequence with each change.

TestLogDownArrivesBehindCopyWithoutIt (the reviewer's) failed before; the join of records with any LogDown keeps its properties (genMember draws it now).

--- a/btmember/merge.go
+++ b/btmember/merge.go
@@ -63,6 +63,9 @@
 	if b.Sequence > a.Sequence {
 		joined = b
 	}
+	if a.Sequence == b.Sequence {
+		joined.LogDown = a.LogDown || b.LogDown // a node of an earlier version passes the record on without it
+	}
 	joined.Status, joined.Accusers = joinStatus(a.Status, a.Accusers, b.Status, b.Accusers)
 	return joined
 }
@@ -91,8 +94,8 @@
 }
 
 // sameRecord reports whether two records of the same member are equal. Incarnation
-// and sequence identify the announced data.
+// and sequence identify the announced data, but for LogDown.
 func sameRecord(a, b *baobabtide.Member) bool {
-	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence &&
+	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && a.LogDown == b.LogDown &&
 		a.Status == b.Status && slices.Equal(a.Accusers, b.Accusers)
 }
--- a/btmember/readers_test.go
+++ b/btmember/readers_test.go
@@ -102,3 +102,18 @@
 		tb.LogReaders(2)
 	}
 }
+
+// A node of the version before drops LogDown from the records that it passes on. A node that gets
+// such a copy first must take the field from the next copy.
+func TestLogDownArrivesBehindCopyWithoutIt(t *testing.T) {
+	tb := newTable("self")
+	reader := member("reader", "z")
+	tb.Merge(Delta{Members: []baobabtide.Member{reader}}, epoch)
+	reader.Sequence++
+	tb.Merge(Delta{Members: []baobabtide.Member{reader}}, epoch) // through a node of the version before
+	reader.LogDown = true
+	tb.Merge(Delta{Members: []baobabtide.Member{reader}}, epoch) // directly
+	if m, _ := tb.Get("reader"); !m.LogDown {
+		t.Error("the flag is lost until the reader's next change, and both digests are the same")
+	}
+}
--- a/btmember/table_test.go
+++ b/btmember/table_test.go
@@ -34,6 +34,7 @@
 		m.Incarnation = rapid.Uint64Range(1, 3).Draw(t, "incarnation")
 		m.Sequence = rapid.Uint64Range(1, 3).Draw(t, "sequence")
 		m.PeerAddress = fmt.Sprintf("%d:%d", m.Incarnation, m.Sequence)
+		m.LogDown = rapid.Bool().Draw(t, "log down")
 		m.Status = baobabtide.Status(rapid.IntRange(0, 3).Draw(t, "status"))
 		if m.Status == baobabtide.Suspect {
 			m.Accusers = []string{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "accuser")}
