btquarantine: an entry keeps the latest crashes, so that further ones renew it

What backend servers could see: a request that has crashed six of them is let through again once its entry has expired, however many it crashes afterwards. It keeps those of the latest incarnations now, which nodes still merge in any order.

--- a/btquarantine/entry.go
+++ b/btquarantine/entry.go
@@ -10,7 +10,7 @@
 
 const (
 	threshold     = 3               // crashes after which requests are quarantined
-	maxCrashes    = 2 * threshold   // kept per entry; requests that run at the same time may crash more than threshold servers
+	maxCrashes    = 2 * threshold   // latest ones kept per entry; requests that run at the same time may crash more than threshold servers
 	maxNameLength = 128             // bytes
 	maxPathLength = 256             // bytes of the path that is shown to operators
 	maxAge        = 100 * time.Hour // of an entry in a message, bounds its fields
@@ -26,6 +26,11 @@
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
+// compareAges orders crashes by when the incarnations that ended began.
+func compareAges(a, b Crash) int {
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Server, b.Server))
+}
+
 // Entry holds which servers crashed while they ran requests with one digest. Of two entries
 // of a digest the one of the higher epoch holds, and those of the same epoch add up.
 type Entry struct {
@@ -76,15 +81,11 @@
 		e.Crashes = slices.Clone(other.Crashes)
 		return true
 	}
-	changed := false
-	for _, crash := range other.Crashes {
-		i, found := slices.BinarySearchFunc(e.Crashes, crash, compareCrashes)
-		if found || i >= maxCrashes {
-			continue
-		}
-		e.Crashes = slices.Insert(e.Crashes, i, crash)
-		e.Crashes = e.Crashes[:min(len(e.Crashes), maxCrashes)]
-		changed = true
-	}
-	return changed
+	before := e.Crashes
+	e.Crashes = slices.Concat(before, other.Crashes)
+	slices.SortFunc(e.Crashes, compareAges)
+	e.Crashes = slices.Compact(e.Crashes)
+	e.Crashes = e.Crashes[max(0, len(e.Crashes)-maxCrashes):]
+	slices.SortFunc(e.Crashes, compareCrashes)
+	return !slices.Equal(before, e.Crashes)
 }
