btnode: all nodes propose the outcome of a rollout by turns

What operators would see: a rollout that is never completed, when the log refuses the eight nodes that come first in its order and serves the others. Groups of eight propose by turns now, 3 s apart; the number of proposals is as before.

TestRefusedProposersAreReplaced (the reviewer's) failed before: the node of rank 8 never proposes.

--- a/btnode/proposals.go
+++ b/btnode/proposals.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	proposePeriod         = 3 * time.Second // between one node's proposals of the same start or outcome
-	proposeStagger        = time.Second     // delay per rank of a node before its first proposal
-	proposeStaggerDivisor = 50              // the delay is at most 1/50 of the rollout's CompleteWithin
-	maxProposers          = 8               // number of nodes that propose, those of the lowest ranks
+	proposePeriod         = 3 * time.Second // between the proposals of one group of nodes and of the next
+	proposeStagger        = time.Second     // between the first proposals of two nodes of a group
+	proposeStaggerDivisor = 50              // the stagger is at most 1/50 of the rollout's CompleteWithin
+	maxProposers          = 8               // nodes of a group, which has the next ranks after those of the one before
 )
 
 // proposeStart records the start of a rollout in the background if it is this node's
@@ -99,16 +99,15 @@
 }
 
 // proposalDue reports whether a proposal of this node is due now and, if so, updates
-// the time that lastProposal points to. A nil pointer means that none is due. The first
-// proposal is delayed by the node's rank, the further ones follow every proposePeriod.
-// Nodes with a rank of maxProposers or more make none.
+// the time that lastProposal points to. A nil pointer means that none is due. The groups
+// propose by turns, proposePeriod apart, as the log may refuse all nodes of one.
 func (n *Node) proposalDue(rollout *baobabtide.Rollout, now time.Time, lastProposal func(*progress) *time.Time) bool {
 	n.members.mu.Lock()
 	rank := n.members.table.Rank(btconfig.AssignmentKey(rollout.Customer, rollout.Service))
+	live := n.members.table.Live()
 	n.members.mu.Unlock()
-	if rank >= maxProposers {
-		return false
-	}
+	groups := (max(live, rank+1) + maxProposers - 1) / maxProposers
+	period := proposePeriod * time.Duration(groups)
 	r := &n.rollouts
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,9 +117,10 @@
 	}
 	if last.IsZero() {
 		stagger := min(proposeStagger, rollout.Terms.CompleteWithin/proposeStaggerDivisor)
-		*last = now.Add(time.Duration(rank)*stagger - proposePeriod)
+		delay := time.Duration(rank%maxProposers)*stagger + time.Duration(rank/maxProposers)*proposePeriod
+		*last = now.Add(delay - period)
 	}
-	if now.Sub(*last) < proposePeriod {
+	if now.Sub(*last) < period {
 		return false
 	}
 	*last = now
