btnode: of two updates of the duty to read the later one holds

Found by reading (the reviewer): the readers were determined under the lock of the membership and stored after it, so that an older result could replace a newer one until the next tick. Not shown by a test.

--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -24,14 +24,15 @@
 
 // updateReadDuty determines from the membership whether this node reads the log.
 func (n *Node) updateReadDuty(now time.Time) {
-	n.members.mu.Lock()
+	n.members.mu.Lock() // also for the result, so that the latest membership determines it
 	readers := n.members.table.LogReaders(n.settings.Platform.ReadersPerZone)
-	n.members.mu.Unlock()
 	slot := slices.Index(readers, n.locality.Node)
 	n.duty.slot.Store(int64(max(slot, 0)))
 	n.duty.readers.Store(int64(len(readers)))
 	reader := slot >= 0 && n.mayReadLog(now)
-	if n.reader.Swap(reader) == reader {
+	changed := n.reader.Swap(reader) != reader
+	n.members.mu.Unlock()
+	if !changed {
 		return
 	}
 	n.log.Info().Str("event", string(btlog.LogReader)).Bool("reader", reader).Int("readers", len(readers)).Send()
