btlogstandin: refuse single callers, fall silent, forget the history

Change: Faults.Refusals refuses the calls of single callers, also their waiting reads, with 503, 429, a reset or no response. Faults.Silence lets open connections get no further response. Faults.Forget deletes the configuration records at once and ends waiting reads without a response. A read from before the end of an emptied stream fails with ErrRetention; before, it waited. GET /control returns the appends that were acknowledged.

--- a/baobabtide-standin/btlogstandin/contract_test.go
+++ b/baobabtide-standin/btlogstandin/contract_test.go
@@ -111,6 +111,46 @@
 			appendAll(t, l, "b")
 			return read(l, 1)
 		}, []string{"1 a", "2 b"}, nil},
+		"forgotten records": {100, func(t *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b")
+			s.SetFaults(btlogstandin.Faults{Forget: true})
+			return read(l, 2)
+		}, nil, baobabtide.ErrRetention},
+		"next record after the forgotten ones": {100, func(t *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b")
+			s.SetFaults(btlogstandin.Faults{Forget: true})
+			return read(l, 3)
+		}, nil, nil},
+		"forgotten in the middle of a series": {100, func(t *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b")
+			s.SetFaults(btlogstandin.Faults{Forget: true})
+			appendAll(t, l, "c", "d")
+			return read(l, 0)
+		}, []string{"3 c", "4 d"}, nil},
+		"read from before the middle of a series": {100, func(t *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a", "b")
+			s.SetFaults(btlogstandin.Faults{Forget: true})
+			appendAll(t, l, "c", "d")
+			return read(l, 2)
+		}, nil, baobabtide.ErrRetention},
+		"waiting read of forgotten records": {100, func(t *testing.T, l baobabtide.Log, s *btlogstandin.Log) ([]string, error) {
+			appendAll(t, l, "a")
+			var got []string
+			ended := make(chan error, 1)
+			go func() {
+				page, err := l.Read(context.Background(), stream, 2, time.Minute)
+				got = entryTexts(page)
+				ended <- err
+			}()
+			for { // the read may not be waiting yet
+				s.SetFaults(btlogstandin.Faults{Forget: true})
+				select {
+				case err := <-ended:
+					return got, err
+				case <-time.After(time.Millisecond):
+				}
+			}
+		}, nil, baobabtide.ErrUnavailable},
 		"too many appends": {10, func(t *testing.T, l baobabtide.Log, _ *btlogstandin.Log) ([]string, error) {
 			appendAll(t, l, "a")
 			_, err := l.Append(context.Background(), stream, []byte("b"))
--- a/baobabtide-standin/btlogstandin/log.go
+++ b/baobabtide-standin/btlogstandin/log.go
@@ -23,6 +23,31 @@
 	Delay       time.Duration // added to every call
 	LoseAnswers int           // number of the next appends that take effect and get no response
 	Truncate    int           // number of the newest configuration records to delete, once
+	Forget      bool          // deletes all configuration records, once; waiting reads of them get no response
+	Silence     bool          // open connections never get another response, once; new ones do
+	Refusals    []Refusal     `json:",omitempty"` // the first one of a caller applies
+}
+
+// RefusalMode is the way in which the log refuses calls.
+type RefusalMode string
+
+// Modes of a refusal.
+const (
+	Unavailable     RefusalMode = "Unavailable"     // status 503
+	TooManyRequests RefusalMode = "TooManyRequests" // status 429
+	Reset           RefusalMode = "Reset"           // the connection is reset
+	NoResponse      RefusalMode = "NoResponse"      // no response; the connection is closed once the refusal ends
+)
+
+// RefusalModes returns all modes of a refusal.
+func RefusalModes() []RefusalMode {
+	return []RefusalMode{Unavailable, TooManyRequests, Reset, NoResponse}
+}
+
+// Refusal refuses all calls of a caller, also its waiting reads. They have no effect.
+type Refusal struct {
+	Caller string // IP address of the log to which only this caller connects
+	Mode   RefusalMode
 }
 
 // Check returns an error for the first field that is invalid.
@@ -33,6 +58,11 @@
 	if f.LoseAnswers < 0 || f.Truncate < 0 {
 		return baobabtide.Fieldf("LoseAnswers, Truncate", "negative")
 	}
+	for i, r := range f.Refusals {
+		if !slices.Contains(RefusalModes(), r.Mode) {
+			return baobabtide.Fieldf(fmt.Sprintf("Refusals[%d].Mode", i), "%q is unknown", r.Mode)
+		}
+	}
 	return nil
 }
 
@@ -41,17 +71,30 @@
 	entries []baobabtide.Entry // the newest records, with contiguous offsets
 	next    baobabtide.Offset  // offset of the next append
 	changed chan struct{}      // closed and replaced with each append
+	forgets int                // how often Faults.Forget has deleted the records
 }
 
+// first returns the offset of the oldest record, that of the next append if there is none.
+func (s *stream) first() baobabtide.Offset { return s.next - baobabtide.Offset(len(s.entries)) }
+
 // Log implements baobabtide.Log in memory. All methods are safe for concurrent
 // use.
 type Log struct {
 	retention int
 	limiter   *rate.Limiter
 
-	mu      sync.Mutex
-	streams map[baobabtide.Stream]*stream
-	faults  Faults
+	mu            sync.Mutex
+	streams       map[baobabtide.Stream]*stream
+	faults        Faults
+	faultsChanged chan struct{} // closed and replaced by SetFaults
+	silencedAt    time.Time     // when the open connections fell silent
+	acks          []Ack
+}
+
+// Ack describes an append to the configuration stream that the log has acknowledged.
+type Ack struct {
+	Offset baobabtide.Offset
+	Time   time.Time
 }
 
 var _ baobabtide.Log = (*Log)(nil)
@@ -64,11 +107,12 @@
 		retention: retention,
 		limiter:   rate.NewLimiter(rate.Limit(appendsPerSecond), max(1, appendsPerSecond/10)),
 		streams:   make(map[baobabtide.Stream]*stream),
+
+		faultsChanged: make(chan struct{}),
 	}
 }
 
-// SetFaults replaces the faults. If f.Truncate is set, it deletes the newest records of
-// the configuration stream at once.
+// SetFaults replaces the faults. Those that apply once take effect before it returns.
 func (l *Log) SetFaults(f Faults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -78,8 +122,70 @@
 		s.entries = s.entries[:len(s.entries)-lost]
 		s.next -= baobabtide.Offset(lost)
 	}
-	f.Truncate = 0
+	if f.Forget {
+		s := l.stream(baobabtide.ConfigStream)
+		s.entries = nil
+		s.forgets++
+		s.wake()
+	}
+	if f.Silence {
+		l.silencedAt = time.Now()
+	}
+	f.Truncate, f.Forget, f.Silence = 0, false, false
 	l.faults = f
+	close(l.faultsChanged)
+	l.faultsChanged = make(chan struct{})
+}
+
+// wake ends the waits for a change of the stream. The caller holds the log's lock.
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// silent reports whether a connection that was opened at a time gets no response.
+func (l *Log) silent(opened time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !opened.After(l.silencedAt)
+}
+
+// refusal returns how the calls of a caller are refused, empty if they are not, and a
+// channel that is closed when the faults change.
+func (l *Log) refusal(caller string) (RefusalMode, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.faults.Refusals {
+		if r.Caller == caller {
+			return r.Mode, l.faultsChanged
+		}
+	}
+	return "", l.faultsChanged
+}
+
+// refusedError is returned for a call of a caller that the log refuses.
+type refusedError struct {
+	mode RefusalMode
+}
+
+// Error implements error.
+func (e *refusedError) Error() string { return "refused: " + string(e.mode) }
+
+// acknowledge records that an append to a stream was answered.
+func (l *Log) acknowledge(name baobabtide.Stream, entry baobabtide.Entry) {
+	if name != baobabtide.ConfigStream {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acks = append(l.acks, Ack{Offset: entry.Offset, Time: entry.Time})
+}
+
+// Acks returns the acknowledged appends to the configuration stream, in their order.
+func (l *Log) Acks() []Ack {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.acks)
 }
 
 // stream returns a stream, which it creates if needed. The caller holds the lock.
@@ -141,8 +247,7 @@
 	if len(s.entries) > l.retention {
 		s.entries = slices.Clone(s.entries[len(s.entries)-l.retention:])
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
 		return baobabtide.Entry{}, baobabtide.ErrUncertain
@@ -150,19 +255,37 @@
 	return entry, nil
 }
 
+// errForgotten is returned for a read that waited while the records of its stream were
+// deleted.
+var errForgotten = errors.New("records were deleted")
+
 // Read implements baobabtide.Log.
 func (l *Log) Read(ctx context.Context, name baobabtide.Stream, from baobabtide.Offset, wait time.Duration) (baobabtide.Page, error) {
+	return l.readAs(ctx, "", name, from, wait)
+}
+
+// readAs reads for a caller. It fails with a refusedError as soon as the caller is refused.
+func (l *Log) readAs(ctx context.Context, caller string, name baobabtide.Stream, from baobabtide.Offset, wait time.Duration) (baobabtide.Page, error) {
 	if err := l.applyFaults(ctx); err != nil {
 		return baobabtide.Page{}, err
 	}
 	timeout := time.After(wait)
+	forgets := l.forgets(name)
 	for {
+		mode, faultsChanged := l.refusal(caller)
+		if mode != "" {
+			return baobabtide.Page{}, &refusedError{mode: mode}
+		}
 		page, changed, err := l.page(name, from)
+		if l.forgets(name) != forgets {
+			return baobabtide.Page{}, fmt.Errorf("%w: %w", baobabtide.ErrUnavailable, errForgotten)
+		}
 		if err != nil || len(page.Entries) > 0 || wait <= 0 {
 			return page, err
 		}
 		select {
 		case <-changed:
+		case <-faultsChanged:
 		case <-timeout:
 			return page, nil
 		case <-ctx.Done():
@@ -171,26 +294,33 @@
 	}
 }
 
+// forgets returns how often the records of a stream were deleted.
+func (l *Log) forgets(name baobabtide.Stream) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream(name).forgets
+}
+
 // page returns up to maxPageEntries records of a stream from an offset on, 0 for
-// the oldest, and a channel that is closed with the next append. It fails with
+// the oldest, and a channel that is closed when the stream changes. It fails with
 // ErrRetention if records from that offset are no longer stored.
 func (l *Log) page(name baobabtide.Stream, from baobabtide.Offset) (baobabtide.Page, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	page := baobabtide.Page{Next: s.next}
-	if len(s.entries) == 0 {
-		return page, s.changed, nil
+	first := s.first()
+	if len(s.entries) > 0 {
+		page.First = first
 	}
-	page.First = s.entries[0].Offset
 	if from == 0 {
-		from = page.First
+		from = first
 	}
-	if from < page.First {
+	if from < first {
 		return page, nil, baobabtide.ErrRetention
 	}
 	if from < s.next {
-		entries := s.entries[from-page.First:]
+		entries := s.entries[from-first:]
 		page.Entries = slices.Clone(entries[:min(len(entries), maxPageEntries)])
 	}
 	return page, s.changed, nil
--- a/baobabtide-standin/btlogstandin/server.go
+++ b/baobabtide-standin/btlogstandin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -15,17 +16,23 @@
 	"github.com/baobabtide/baobabtide/btplatform"
 )
 
-// ControlPath is the path of the control interface. It receives Faults as the
-// body, which replace the log's faults.
+// ControlPath is the path of the control interface. A POST sets Faults, which replace
+// the log's faults, a GET returns a Report.
 const ControlPath = "/control"
 
+// Report describes what the log has done.
+type Report struct {
+	Acks []Ack
+}
+
 // ExpectedParam is the query parameter with the expected offset of an append.
 const ExpectedParam = "expected"
 
 const stopTimeout = 500 * time.Millisecond
 
 // NewServer returns an HTTP server that serves a log and its control interface,
-// and a function that stops it.
+// and a function that stops it. Callers are told apart by the address to which they
+// connect, so the server may serve several listeners.
 func NewServer(l *Log) (*fasthttp.Server, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &fasthttp.Server{
@@ -49,20 +56,24 @@
 		handleControl(c, l)
 		return
 	}
+	if l.silent(c.ConnTime()) {
+		<-ctx.Done()
+		closeConn(c)
+		return
+	}
 	name, ok := strings.CutPrefix(path, btplatform.StreamsPath)
 	name, hasSuffix := strings.CutSuffix(name, btplatform.RecordsSuffix)
 	if !ok || !hasSuffix || name == "" {
 		c.Error("no such page", fasthttp.StatusNotFound)
 		return
 	}
+	caller := c.LocalIP().String()
+	if mode, _ := l.refusal(caller); mode != "" {
+		refuse(ctx, c, l, caller, mode)
+		return
+	}
 	if c.IsPost() {
-		expected, err := expectedOffset(c)
-		if err != nil {
-			c.Error("expected: "+err.Error(), fasthttp.StatusBadRequest)
-			return
-		}
-		entry, err := l.AppendAt(ctx, baobabtide.Stream(name), c.PostBody(), expected)
-		writeResponse(c, entry, err)
+		handleAppend(ctx, c, l, baobabtide.Stream(name))
 		return
 	}
 	from, err := strconv.ParseUint(string(c.QueryArgs().Peek(btplatform.FromParam)), 10, 64)
@@ -75,10 +86,72 @@
 		c.Error("wait: "+err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	page, err := l.Read(ctx, baobabtide.Stream(name), baobabtide.Offset(from), wait)
+	page, err := l.readAs(ctx, caller, baobabtide.Stream(name), baobabtide.Offset(from), wait)
+	if l.silent(c.ConnTime()) {
+		<-ctx.Done()
+		closeConn(c)
+		return
+	}
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		refuse(ctx, c, l, caller, refused.mode)
+		return
+	}
 	writeResponse(c, page, err)
 }
 
+// handleAppend appends a record and responds with its entry.
+func handleAppend(ctx context.Context, c *fasthttp.RequestCtx, l *Log, name baobabtide.Stream) {
+	expected, err := expectedOffset(c)
+	if err != nil {
+		c.Error("expected: "+err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	entry, err := l.AppendAt(ctx, name, c.PostBody(), expected)
+	if l.silent(c.ConnTime()) {
+		<-ctx.Done()
+		closeConn(c)
+		return
+	}
+	if err == nil {
+		l.acknowledge(name, entry)
+	}
+	writeResponse(c, entry, err)
+}
+
+// refuse refuses a call of a caller. With NoResponse it returns once the refusal has ended
+// or ctx is canceled.
+func refuse(ctx context.Context, c *fasthttp.RequestCtx, l *Log, caller string, mode RefusalMode) {
+	switch mode {
+	case Unavailable:
+		c.Error("refused", fasthttp.StatusServiceUnavailable)
+	case TooManyRequests:
+		c.Error("refused", fasthttp.StatusTooManyRequests)
+	case Reset:
+		if conn, ok := c.Conn().(*net.TCPConn); ok {
+			_ = conn.SetLinger(0)
+		}
+		closeConn(c)
+	case NoResponse:
+		for mode == NoResponse && ctx.Err() == nil {
+			var changed chan struct{}
+			if mode, changed = l.refusal(caller); mode == NoResponse {
+				select {
+				case <-changed:
+				case <-ctx.Done():
+				}
+			}
+		}
+		closeConn(c)
+	}
+}
+
+// closeConn closes the connection without a response.
+func closeConn(c *fasthttp.RequestCtx) {
+	c.HijackSetNoResponse(true)
+	_ = c.Conn().Close()
+}
+
 // expectedOffset returns the expected offset of an append, 0 for any.
 func expectedOffset(c *fasthttp.RequestCtx) (baobabtide.Offset, error) {
 	text := c.QueryArgs().Peek(ExpectedParam)
@@ -89,8 +162,12 @@
 	return baobabtide.Offset(offset), err
 }
 
-// handleControl replaces the faults of the log.
+// handleControl returns a report or replaces the faults of the log.
 func handleControl(c *fasthttp.RequestCtx, l *Log) {
+	if c.IsGet() {
+		writeResponse(c, &Report{Acks: l.Acks()}, nil)
+		return
+	}
 	faults, err := btcodec.DecodeJSON[Faults](c.PostBody())
 	if err != nil {
 		c.Error(err.Error(), fasthttp.StatusBadRequest)
@@ -101,12 +178,11 @@
 }
 
 // writeResponse responds to a call. It closes the connection without a response if the
-// result of an append is uncertain.
+// result of an append is uncertain or a read waited while its records were deleted.
 func writeResponse(c *fasthttp.RequestCtx, v any, err error) {
 	switch {
-	case errors.Is(err, baobabtide.ErrUncertain):
-		c.HijackSetNoResponse(true)
-		_ = c.Conn().Close()
+	case errors.Is(err, baobabtide.ErrUncertain), errors.Is(err, errForgotten):
+		closeConn(c)
 		return
 	case errors.Is(err, ErrOffset):
 		c.Error(err.Error(), fasthttp.StatusConflict)
