btdeploy: an address of the log for each node

Cause: the nodes connected to the log at one address, or through the relay at one for each zone, so the log could not tell them apart.

Change: the log listens at one further address for each node, and the relay has a link to it for each node. The source address that rules match is that of the zone, as before. Queries of stand-ins close their connection, as posts did. Deployment.Acks returns the appends that the log acknowledged.

--- a/baobabtide-load/btdeploy/backends.go
+++ b/baobabtide-load/btdeploy/backends.go
@@ -110,14 +110,11 @@
 // Report returns the backend server's report of the requests that it received. It fails
 // if the backend server does not respond.
 func (b *Backend) Report() (*btbackendstandin.Report, error) {
-	status, body, err := fasthttp.Get(nil, "http://"+b.Spec.Listen+btbackendstandin.ReportPath)
+	report, err := get[btbackendstandin.Report]("http://" + b.Spec.Listen + btbackendstandin.ReportPath)
 	if err != nil {
 		return nil, fmt.Errorf("report of %s: %w", b.Spec.Name, err)
 	}
-	if status != fasthttp.StatusOK {
-		return nil, fmt.Errorf("report of %s: status %d", b.Spec.Name, status)
-	}
-	return btcodec.DecodeJSON[btbackendstandin.Report](body)
+	return report, nil
 }
 
 // SetBehavior replaces the faults that the backend server simulates. It fails if the
@@ -132,6 +129,16 @@
 	return post("http://"+d.LogAddress()+btlogstandin.ControlPath, faults)
 }
 
+// Acks returns the appends to the configuration stream that the log has acknowledged. It
+// fails if the log does not respond.
+func (d *Deployment) Acks() ([]btlogstandin.Ack, error) {
+	report, err := get[btlogstandin.Report]("http://" + d.LogAddress() + btlogstandin.ControlPath)
+	if err != nil {
+		return nil, fmt.Errorf("acknowledged appends: %w", err)
+	}
+	return report.Acks, nil
+}
+
 // SetRules replaces the rules of the relay. It fails if the deployment has no
 // relay. The limits of Service.LinkRate remain in force, after the rules.
 func (d *Deployment) SetRules(rules []btrelay.Rule) error {
@@ -180,18 +187,21 @@
 
 // Queues returns the use of the limited links. It fails if the relay does not respond.
 func (d *Deployment) Queues() ([]btrelay.QueueReport, error) {
-	status, body, err := fasthttp.Get(nil, "http://"+d.relayControl())
+	reports, err := get[btrelay.QueueReports]("http://" + d.relayControl())
 	if err != nil {
 		return nil, fmt.Errorf("queues of the relay: %w", err)
 	}
-	if status != fasthttp.StatusOK {
-		return nil, fmt.Errorf("queues of the relay: status %d", status)
-	}
-	reports, err := btcodec.DecodeJSON[btrelay.QueueReports](body)
+	return reports.Queues, nil
+}
+
+// get returns the JSON body of a response. It fails if there is no response or its status
+// is not 2xx.
+func get[T any](url string) (*T, error) {
+	body, err := do(fasthttp.MethodGet, url, nil)
 	if err != nil {
-		return nil, fmt.Errorf("queues of the relay: %w", err)
+		return nil, err
 	}
-	return reports.Queues, nil
+	return btcodec.DecodeJSON[T](body)
 }
 
 // post sends v as JSON. It fails if there is no response or its status is not 2xx.
@@ -200,18 +210,24 @@
 	if err != nil {
 		return fmt.Errorf("encode body for %s: %w", url, err)
 	}
+	_, err = do(fasthttp.MethodPost, url, data)
+	return err
+}
+
+// do returns the body of the response to a request.
+func do(method, url string, body []byte) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetMethod(method)
 	req.SetRequestURI(url)
-	req.SetBodyRaw(data)
-	req.SetConnectionClose() // a stand-in that crashes would break a kept connection
+	req.SetBodyRaw(body)
+	req.SetConnectionClose() // a stand-in that crashes or ends would break a kept connection
 	if err := fasthttp.Do(req, resp); err != nil {
-		return fmt.Errorf("post to %s: %w", url, err)
+		return nil, fmt.Errorf("%s to %s: %w", method, url, err)
 	}
 	if resp.StatusCode()/100 != 2 {
-		return fmt.Errorf("post to %s: status %d: %s", url, resp.StatusCode(), resp.Body())
+		return nil, fmt.Errorf("%s to %s: status %d: %s", method, url, resp.StatusCode(), resp.Body())
 	}
-	return nil
+	return slices.Clone(resp.Body()), nil
 }
--- a/baobabtide-load/btdeploy/deployment.go
+++ b/baobabtide-load/btdeploy/deployment.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,10 +32,11 @@
 	firstNetwork    = 16  // lowest second byte of the loopback addresses of a run
 	lastNetwork     = 250 // exclusive
 	relayZoneOffset = 100 // added to the zone's byte in the addresses that the relay listens on
+	logZoneOffset   = 200 // added to the zone's byte in the log's addresses for the nodes
 	seedsPerZone    = 1
 	readyTimeout    = 30 * time.Second
 	maxZoneNodes    = 250
-	logAddressByte  = 254 // last byte of the addresses of each zone's link to the log
+	logAddressByte  = 254 // last byte of the address from which a zone's connections to the log seem to come
 	relayPollPeriod = 20 * time.Millisecond
 	fileMode        = 0o600
 )
@@ -75,7 +77,8 @@
 	IP      string
 	zone    int // index in Spec.Zones
 	settingsPath,
-	relayIP string // address on which the relay listens for the node
+	relayIP, // address on which the relay listens for the node
+	logIP string // address of the log to which only this node connects, behind any relay
 	process  *process
 	backends []*Backend
 }
@@ -205,26 +208,29 @@
 				zone:    zone,
 			}
 			n.relayIP = fmt.Sprintf("127.%d.%d.%d", d.network, relayZoneOffset+zone+1, inZone[zone])
+			n.logIP = fmt.Sprintf("127.%d.%d.%d", d.network, logZoneOffset+zone+1, inZone[zone])
 			n.settingsPath = filepath.Join(d.Dir, n.Name+".json")
 			d.Nodes = append(d.Nodes, n)
 		}
 	}
 }
 
-// LogAddress returns the log's own address, host:port, behind any relay.
+// LogAddress returns the address of the log, host:port, that no node uses.
 func (d *Deployment) LogAddress() string {
 	return fmt.Sprintf("127.%d.0.1:%d", d.network, logPort)
 }
 
-// zoneLogAddress returns the address, host:port, at which the nodes of a zone
-// connect to the log.
-func (d *Deployment) zoneLogAddress(zone int) string {
-	if !d.Spec.Relay {
-		return d.LogAddress()
+// logAddress returns the address, host:port, at which the node connects to the log.
+func (n *Node) logAddress(relay bool) string {
+	if relay {
+		return fmt.Sprintf("%s:%d", n.relayIP, logPort)
 	}
-	return fmt.Sprintf("127.%d.%d.%d:%d", d.network, relayZoneOffset+zone+1, logAddressByte, logPort)
+	return fmt.Sprintf("%s:%d", n.logIP, logPort)
 }
 
+// LogCaller returns the name of the node in the refusals of the log.
+func (n *Node) LogCaller() string { return n.logIP }
+
 func (n *Node) peerAddress() string { return fmt.Sprintf("%s:%d", n.IP, peerPort) }
 
 // advertisedAddress returns the address, host:port, that the node advertises to
@@ -241,9 +247,12 @@
 	if retention == 0 {
 		retention = 10_000
 	}
+	args := []string{"log", "--listen", d.LogAddress(), "--retention", fmt.Sprint(retention)}
+	for _, n := range d.Nodes {
+		args = append(args, "--caller", n.logAddress(false))
+	}
 	var err error
-	d.log, err = d.starter.start(d.Dir, "log", filepath.Join(d.bin, "baobabtide-standin"),
-		"log", "--listen", d.LogAddress(), "--retention", fmt.Sprint(retention))
+	d.log, err = d.starter.start(d.Dir, "log", filepath.Join(d.bin, "baobabtide-standin"), args...)
 	return err
 }
 
@@ -255,15 +264,12 @@
 
 func (d *Deployment) startRelay() error {
 	file := relayFile{Control: d.relayControl()}
-	for zone := range d.Spec.Zones {
-		file.Links = append(file.Links, btrelay.Link{
-			Listen: d.zoneLogAddress(zone),
-			Target: d.LogAddress(),
-			From:   fmt.Sprintf("127.%d.%d.%d", d.network, zone+1, logAddressByte),
-		})
-	}
 	for _, n := range d.Nodes {
-		file.Links = append(file.Links, btrelay.Link{Listen: n.advertisedAddress(true), Target: n.peerAddress()})
+		file.Links = append(file.Links, btrelay.Link{Listen: n.advertisedAddress(true), Target: n.peerAddress()}, btrelay.Link{
+			Listen: n.logAddress(true),
+			Target: n.logAddress(false),
+			From:   fmt.Sprintf("127.%d.%d.%d", d.network, n.zone+1, logAddressByte),
+		})
 	}
 	path := filepath.Join(d.Dir, "relay.json")
 	if err := writeJSON(path, file); err != nil {
@@ -360,14 +366,21 @@
 
 // ZonePrefix returns the address range of a zone's nodes. It fails if the zone
 // isn't in the deployment.
-func (d *Deployment) ZonePrefix(zone string) (netip.Prefix, error) {
-	for i, name := range d.Spec.Zones {
-		if name == zone {
-			return netip.ParsePrefix(fmt.Sprintf("127.%d.%d.0/24", d.network, i+1))
-		}
+func (d *Deployment) ZonePrefix(zone string) (netip.Prefix, error) { return d.prefix(zone, 0) }
+
+// LogPrefix returns the address range of the log for a zone's nodes. It fails if the
+// zone isn't in the deployment.
+func (d *Deployment) LogPrefix(zone string) (netip.Prefix, error) {
+	return d.prefix(zone, logZoneOffset)
+}
+
+func (d *Deployment) prefix(zone string, offset int) (netip.Prefix, error) {
+	i := slices.Index(d.Spec.Zones, zone)
+	if i < 0 {
+		return netip.Prefix{}, fmt.Errorf("zone %q is not in the deployment", zone)
 	}
-	return netip.Prefix{}, fmt.Errorf("zone %q is not in the deployment", zone)
+	return netip.ParsePrefix(fmt.Sprintf("127.%d.%d.0/24", d.network, offset+i+1))
 }
 
-// LogIP returns the IP address of the log, without a port.
-func (d *Deployment) LogIP() netip.Addr { return netip.AddrFrom4([4]byte{127, byte(d.network), 0, 1}) }
+// Output returns the path of the file with the output of all the node's processes.
+func (d *Deployment) Output(n *Node) string { return outputPath(d.Dir, n.Name) }
--- a/baobabtide-load/btdeploy/process.go
+++ b/baobabtide-load/btdeploy/process.go
@@ -42,9 +42,12 @@
 	return s, sync.OnceFunc(func() { close(s.jobs) })
 }
 
+// outputPath returns the path of the file in dir with the output of a process.
+func outputPath(dir, name string) string { return filepath.Join(dir, name+".log") }
+
 // start starts a program and appends its output to the file name.log in dir.
 func (s *starter) start(dir, name, program string, args ...string) (*process, error) {
-	output, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := os.OpenFile(outputPath(dir, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("open output of %s: %w", name, err)
 	}
--- a/baobabtide-load/btdeploy/settings.go
+++ b/baobabtide-load/btdeploy/settings.go
@@ -43,7 +43,7 @@
 		s.Peer.Heartbeat = d.Spec.Heartbeat
 		s.Peer.SilenceLimit = 3 * d.Spec.Heartbeat
 	}
-	s.Platform.Addresses = []string{d.zoneLogAddress(n.zone)}
+	s.Platform.Addresses = []string{n.logAddress(d.Spec.Relay)}
 	if d.Spec.SnapshotEvery > 0 {
 		s.Platform.SnapshotEvery = d.Spec.SnapshotEvery
 	}
--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -212,7 +212,11 @@
 		rules = append(rules, btrelay.Rule{From: zone, To: prefix, Mode: mode}, btrelay.Rule{From: prefix, To: zone, Mode: mode})
 	}
 	if f.Log {
-		rules = append(rules, btrelay.Rule{From: zone, To: netip.PrefixFrom(r.deployment.LogIP(), 32), Mode: mode})
+		log, err := r.deployment.LogPrefix(f.Zone)
+		if err != nil {
+			return nil, err
+		}
+		rules = append(rules, btrelay.Rule{From: zone, To: log, Mode: mode})
 	}
 	return rules, nil
 }
