btexperiment: acknowledged changes must be in force in time

Change: each append to the configuration stream that the log acknowledged since the start of the load must be in force, by the nodes' own log lines, at every node that was running, not paused, not cut off and not refused by the log for 3 s, within 2 s of the acknowledgement, 7 s if the log was down meanwhile. Else the run fails, and the violation names the change, the nodes and how late they were. A process whose log lines go back to an older configuration counts in WentBack, which only statuses did before. RefuseNodes makes the log refuse nodes, or those that read it. Overlapping faults of the log no longer end each other. Changes can be published without waiting for the one before.

Result: TestFindLate has 23 cases, 13 of them with a change that must be reported.

--- a/baobabtide-load/btexperiment/experiment.go
+++ b/baobabtide-load/btexperiment/experiment.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -32,6 +34,9 @@
 	Count int
 	Every time.Duration // minimum time from the start of one change to the start of the next
 	Start time.Duration `json:",omitempty"` // of the first change, after the start of the load
+	// Overlap publishes each change at its time, without waiting until the one before is in
+	// force. The convergence is not measured.
+	Overlap bool `json:",omitempty"`
 }
 
 // Release is a version of a service that is published during the run.
@@ -60,6 +65,7 @@
 	CutZone      FaultKind = "CutZone"      // closes and refuses connections between Zone and the other zones for the duration For
 	FreezeZone   FaultKind = "FreezeZone"   // makes open connections between Zone and the other zones stop delivering data for good
 	HoldNodes    FaultKind = "HoldNodes"    // holds back what the nodes send to other nodes, not what they receive, for the duration For
+	RefuseNodes  FaultKind = "RefuseNodes"  // makes the log refuse the nodes' calls in the way Refusal for the duration For
 	LogFault     FaultKind = "LogFault"     // applies LogFaults to the log for the duration For
 	BackendFault FaultKind = "BackendFault" // applies Behavior to the first Count running backend servers, 0 for all, of Service, of Version if it is set, for the duration For
 )
@@ -74,6 +80,8 @@
 	Log       bool                      `json:",omitempty"`
 	Service   string                    `json:",omitempty"`
 	Version   string                    `json:",omitempty"`
+	Readers   bool                      `json:",omitempty"` // RefuseNodes applies to all nodes that read the log, of Zone if it is set
+	Refusal   btlogstandin.RefusalMode  `json:",omitempty"`
 	LogFaults btlogstandin.Faults       `json:",omitzero"`
 	Behavior  btbackendstandin.Behavior `json:",omitzero"`
 }
@@ -111,6 +119,14 @@
 	switch f.Kind {
 	case KillNodes, DrainNodes, PauseNodes, KillBackends, LogFault, BackendFault:
 		return nil
+	case RefuseNodes:
+		if !slices.Contains(btlogstandin.RefusalModes(), f.Refusal) {
+			return baobabtide.Fieldf("Refusal", "%q is unknown", f.Refusal)
+		}
+		if f.Readers && f.Count > 0 {
+			return baobabtide.Fieldf("Count", "%d with Readers, which applies to all readers", f.Count)
+		}
+		return nil
 	case CutZone, FreezeZone, HoldNodes:
 		if !e.Deployment.Relay {
 			return baobabtide.Fieldf("Kind", "%s needs Deployment.Relay", f.Kind)
@@ -166,7 +182,10 @@
 	CrashesLate               *int     // largest number of crashes by one request from 3 s after its third on
 	Quarantined               *int     // attempts of other requests that were refused as quarantined
 	Suspect                   *int     // attempts of other requests that were refused as suspect
-	WentBack                  *int     // times a node reported a lower configuration offset than before
+	WentBack                  *int     // times a node reported or logged a lower configuration offset than before
+	Acknowledged              *int     // changes that the log acknowledged
+	Late                      *int     // those of them that were not in force in time at a node
+	LateChanges               []string `json:",omitempty"` // which of them, at which nodes and how late
 	Problems                  []string
 }
 
@@ -174,21 +193,23 @@
 // an empty string if all hold.
 func (r *Result) FirstViolation() string {
 	for _, c := range []struct {
-		name  string
-		value *int
+		name    string
+		value   *int
+		details []string
 	}{
-		{"WrongCaller", r.WrongCaller},
-		{"PassedCut", r.PassedCut},
-		{"Doubled", r.Doubled},
-		{"Lost", r.Lost},
-		{"FalseNotRun", r.FalseNotRun},
-		{"WentBack", r.WentBack},
-		{"OverLimit", r.OverLimit},
-		{"AfterLeaving", r.AfterLeaving},
-		{"Quarantined", r.Quarantined},
+		{"WrongCaller", r.WrongCaller, nil},
+		{"PassedCut", r.PassedCut, nil},
+		{"Doubled", r.Doubled, nil},
+		{"Lost", r.Lost, nil},
+		{"FalseNotRun", r.FalseNotRun, nil},
+		{"WentBack", r.WentBack, nil},
+		{"OverLimit", r.OverLimit, nil},
+		{"AfterLeaving", r.AfterLeaving, nil},
+		{"Quarantined", r.Quarantined, nil},
+		{"Late", r.Late, r.LateChanges},
 	} {
 		if c.value != nil && *c.value > 0 {
-			return fmt.Sprintf("%s is %d", c.name, *c.value)
+			return strings.Join(append([]string{fmt.Sprintf("%s is %d", c.name, *c.value)}, c.details...), "; ")
 		}
 	}
 	if r.CrashesLate != nil && *r.CrashesLate > maxCrashesLate {
--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -5,12 +5,15 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/baobabtide/baobabtide/baobabtide-load/btdeploy"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btbackendstandin"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btrelay"
+	"github.com/baobabtide/baobabtide/btoperator"
 )
 
 const drainTimeout = 40 * time.Second // of a node's planned stop
@@ -23,8 +26,8 @@
 		return
 	case <-time.After(f.At):
 	}
-	r.progress("fault %s %s", f.Kind, f.Zone)
-	if err := r.inject(f); err != nil {
+	r.progress("fault %s %s from %s to %s", f.Kind, f.Zone, f.At, f.At+f.For)
+	if err := r.inject(ctx, f); err != nil {
 		r.addProblem("fault %s: %v", f.Kind, err)
 	}
 	r.progress("fault %s %s has ended", f.Kind, f.Zone)
@@ -32,14 +35,17 @@
 
 // inject applies a fault, waits for its duration and reverses it. Killed backend
 // servers stay down, and frozen connections stay frozen.
-func (r *Runner) inject(f *Fault) error {
+func (r *Runner) inject(ctx context.Context, f *Fault) error {
 	switch f.Kind {
 	case KillNodes:
-		return r.killNodes(f)
+		return r.applyFor(f, r.deployment.KillNode, r.deployment.StartNode)
 	case DrainNodes:
 		return r.drainNodes(f)
 	case PauseNodes:
-		return r.pauseNodes(f)
+		return r.applyFor(f, r.deployment.PauseNode, func(n *btdeploy.Node) error {
+			r.deployment.ResumeNode(n)
+			return nil
+		})
 	case KillBackends:
 		return r.killBackends(f)
 	case CutZone:
@@ -49,11 +55,12 @@
 	case HoldNodes:
 		return r.holdNodes(f)
 	case LogFault:
-		if err := r.deployment.SetLogFaults(f.LogFaults); err != nil {
-			return err
+		if f.LogFaults.Outage || f.LogFaults.Delay > 0 {
+			defer r.disturbances.beginLog()()
 		}
-		time.Sleep(f.For)
-		return r.deployment.SetLogFaults(btlogstandin.Faults{})
+		return r.withLogFaults(f, f.LogFaults)
+	case RefuseNodes:
+		return r.refuseNodes(ctx, f)
 	case BackendFault:
 		return r.backendFault(f)
 	default:
@@ -75,50 +82,98 @@
 	if f.Count > 0 {
 		candidates = candidates[:min(f.Count, len(candidates))]
 	}
+	r.progress("fault %s applies to %s", f.Kind, nodeNames(candidates))
 	return candidates
 }
 
-func (r *Runner) killNodes(f *Fault) error {
-	nodes := r.applyFor(f, r.deployment.KillNode)
-	return r.startNodes(nodes)
+func nodeNames(nodes []*btdeploy.Node) string {
+	names := make([]string, len(nodes))
+	for i, n := range nodes {
+		names[i] = n.Name
+	}
+	return strings.Join(names, ", ")
 }
 
 // applyFor applies a function to the nodes that a fault applies to, waits for the
-// fault's duration and returns them.
-func (r *Runner) applyFor(f *Fault, apply func(*btdeploy.Node)) []*btdeploy.Node {
+// fault's duration and reverts it at each of them.
+func (r *Runner) applyFor(f *Fault, apply func(*btdeploy.Node), revert func(*btdeploy.Node) error) error {
 	nodes := r.pickNodes(f)
+	defer r.disturbances.begin(nodes)()
 	for _, n := range nodes {
 		apply(n)
 	}
 	time.Sleep(f.For)
-	return nodes
-}
-
-func (r *Runner) startNodes(nodes []*btdeploy.Node) error {
 	for _, n := range nodes {
-		if err := r.deployment.StartNode(n); err != nil {
+		if err := revert(n); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// refuseNodes makes the log refuse nodes for the fault's duration.
+func (r *Runner) refuseNodes(ctx context.Context, f *Fault) error {
+	nodes := r.pickNodes(f)
+	if f.Readers {
+		status, err := r.observer.Status(ctx)
+		if err != nil {
+			return err
+		}
+		nodes = slices.DeleteFunc(nodes, func(n *btdeploy.Node) bool {
+			return !slices.ContainsFunc(status.Nodes, func(s btoperator.NodeStatus) bool { return s.Name == n.Name && s.Reader })
+		})
+		r.progress("those that read the log are %s", nodeNames(nodes))
+	}
+	var faults btlogstandin.Faults
+	for _, n := range nodes {
+		faults.Refusals = append(faults.Refusals, btlogstandin.Refusal{Caller: n.LogCaller(), Mode: f.Refusal})
+	}
+	defer r.disturbances.begin(nodes)()
+	return r.withLogFaults(f, faults)
+}
+
+// withLogFaults adds faults to those of the log for the fault's duration.
+func (r *Runner) withLogFaults(f *Fault, faults btlogstandin.Faults) error {
+	if err := r.setLogFaults(func() { r.logFaults = append(r.logFaults, &faults) }); err != nil {
+		return err
+	}
+	time.Sleep(f.For)
+	return r.setLogFaults(func() {
+		r.logFaults = slices.DeleteFunc(r.logFaults, func(other *btlogstandin.Faults) bool { return other == &faults })
+	})
+}
+
+// setLogFaults changes Runner.logFaults and puts their union into force. Those that apply
+// once are left out the next time.
+func (r *Runner) setLogFaults(change func()) error {
+	r.logMu.Lock()
+	defer r.logMu.Unlock()
+	change()
+	var union btlogstandin.Faults
+	for _, f := range r.logFaults {
+		union.Outage = union.Outage || f.Outage
+		union.Delay = max(union.Delay, f.Delay)
+		union.LoseAnswers = max(union.LoseAnswers, f.LoseAnswers)
+		union.Truncate += f.Truncate
+		union.Forget = union.Forget || f.Forget
+		union.Silence = union.Silence || f.Silence
+		union.Refusals = append(union.Refusals, f.Refusals...)
+		f.Truncate, f.Forget, f.Silence = 0, false, false
+	}
+	return r.deployment.SetLogFaults(union)
+}
+
 // drainNodes stops nodes as planned, one after the other, and restarts each after the
 // fault's duration.
 func (r *Runner) drainNodes(f *Fault) error {
 	for _, n := range r.pickNodes(f) {
+		end := r.disturbances.begin([]*btdeploy.Node{n})
 		r.deployment.StopNode(n)
 		time.Sleep(f.For)
 		if err := r.deployment.StartNode(n); err != nil {
 			return err
 		}
-	}
-	return nil
-}
-
-func (r *Runner) pauseNodes(f *Fault) error {
-	for _, n := range r.applyFor(f, r.deployment.PauseNode) {
-		r.deployment.ResumeNode(n)
+		end()
 	}
 	return nil
 }
@@ -166,7 +221,9 @@
 // holdNodes holds back all that nodes send to other nodes for the fault's duration.
 func (r *Runner) holdNodes(f *Fault) error {
 	var rules []btrelay.Rule
-	for _, n := range r.pickNodes(f) {
+	nodes := r.pickNodes(f)
+	defer r.disturbances.begin(nodes)()
+	for _, n := range nodes {
 		address, err := netip.ParseAddr(n.IP)
 		if err != nil {
 			return fmt.Errorf("address of node %s: %w", n.Name, err)
@@ -187,6 +244,8 @@
 	if err != nil {
 		return err
 	}
+	inZone := slices.DeleteFunc(slices.Clone(r.deployment.Nodes), func(n *btdeploy.Node) bool { return n.Zone != f.Zone })
+	defer r.disturbances.begin(inZone)()
 	if err := r.deployment.SetRules(rules); err != nil {
 		return err
 	}
--- /dev/null
+++ b/baobabtide-load/btexperiment/inforce.go
@@ -0,0 +1,253 @@
+package btexperiment
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/baobabtide-load/btdeploy"
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
+	"github.com/baobabtide/baobabtide/btlog"
+)
+
+// Bounds on the time from the acknowledgement of a change until it is in force at a node.
+// They are those that the users hold the product to.
+const (
+	configApply      = 2 * time.Second // users' configApplyMs: at a node that is undisturbed
+	stableWindow     = 3 * time.Second // users' stableWindowMs: without a disturbance, after which a node counts as undisturbed
+	partitionStretch = 5 * time.Second // users' partitionStretchMs: added while the log is down
+)
+
+const maxLateNodes = 3 // nodes named for each late change, so that a line stays readable
+
+// span is a period of time.
+type span struct {
+	from, to time.Time // to is zero while the period lasts
+}
+
+// overlaps reports whether the span shares a moment with the period from from to to.
+func (s *span) overlaps(from, to time.Time) bool {
+	return s.from.Before(to) && (s.to.IsZero() || s.to.After(from))
+}
+
+// disturbances records when faults kept nodes or the log from doing their work. All methods
+// are safe for concurrent use. The zero value is ready to use.
+type disturbances struct {
+	mu    sync.Mutex
+	log   []*span
+	nodes map[string][]*span
+}
+
+// beginLog records that the log is down until the returned function is called.
+func (d *disturbances) beginLog() func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := &span{from: time.Now()}
+	d.log = append(d.log, s)
+	return func() { d.end(s) }
+}
+
+// begin records that nodes are down, paused, cut off or refused by the log until the
+// returned function is called.
+func (d *disturbances) begin(nodes []*btdeploy.Node) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.nodes == nil {
+		d.nodes = make(map[string][]*span)
+	}
+	s := &span{from: time.Now()}
+	for _, n := range nodes {
+		d.nodes[n.Name] = append(d.nodes[n.Name], s)
+	}
+	return func() { d.end(s) }
+}
+
+func (d *disturbances) end(s *span) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.to = time.Now()
+}
+
+// due returns the time at which a change that was acknowledged at acked must be in force at
+// a node. It returns false if the node stays disturbed.
+func (d *disturbances) due(node string, acked time.Time) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	due := acked.Add(configApply)
+	if slices.ContainsFunc(d.log, func(s *span) bool { return s.overlaps(acked, due) }) {
+		due = due.Add(partitionStretch)
+	}
+	spans := d.nodes[node]
+	for i := 0; i < len(spans); i++ {
+		if !spans[i].overlaps(due.Add(-stableWindow), due) {
+			continue
+		}
+		if spans[i].to.IsZero() {
+			return time.Time{}, false
+		}
+		due = spans[i].to.Add(stableWindow)
+		i = -1 // the later time may overlap with a span that the earlier one did not
+	}
+	return due, true
+}
+
+// step is a configuration that a node put in force.
+type step struct {
+	at     time.Time
+	offset baobabtide.Offset // 0 when the process starts
+}
+
+// readSteps returns what a node put in force according to the log that it wrote, oldest
+// first.
+func readSteps(path string) ([]step, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("read log of a node: %w", err)
+	}
+	defer file.Close()
+	var steps []step
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		if !bytes.Contains(scanner.Bytes(), []byte(btlog.ConfigInForce)) && !bytes.Contains(scanner.Bytes(), []byte(btlog.NodeStarted)) {
+			continue
+		}
+		var line struct {
+			Event  btlog.Event       `json:"event"`
+			Offset baobabtide.Offset `json:"offset"`
+			Micros int64             `json:"time"`
+		}
+		// A line that was truncated when its process was killed is before that of the next one.
+		text := scanner.Bytes()
+		if err := json.Unmarshal(text[max(0, bytes.LastIndexByte(text, '{')):], &line); err != nil {
+			continue
+		}
+		switch line.Event {
+		case btlog.ConfigInForce, btlog.NodeStarted:
+			steps = append(steps, step{at: time.UnixMicro(line.Micros), offset: line.Offset})
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log of a node: %w", err)
+	}
+	return steps, nil
+}
+
+// wentBack returns how often a process put a configuration in force that is older than the
+// one before.
+func wentBack(steps []step) int {
+	count := 0
+	highest := baobabtide.Offset(0) // of the process
+	for _, s := range steps {
+		if s.offset == 0 {
+			highest = 0
+			continue
+		}
+		if s.offset < highest {
+			count++
+		}
+		highest = max(highest, s.offset)
+	}
+	return count
+}
+
+// lateness returns how long after due a change came into force at a node, until end if it
+// did not, and whether it did.
+func lateness(steps []step, offset baobabtide.Offset, due, end time.Time) (time.Duration, bool) {
+	current := baobabtide.Offset(0)
+	for _, s := range steps {
+		if s.at.After(due) {
+			if current >= offset {
+				return 0, true
+			}
+			if s.offset >= offset {
+				return s.at.Sub(due), true
+			}
+		}
+		current = s.offset
+	}
+	if current >= offset {
+		return 0, true
+	}
+	return end.Sub(due), false
+}
+
+// lateNode is a node at which a change was not in force in time.
+type lateNode struct {
+	name    string
+	by      time.Duration // until the end of the observation unless inForce is set
+	inForce bool
+}
+
+// String returns the node and how late it was.
+func (n *lateNode) String() string {
+	if !n.inForce {
+		return fmt.Sprintf("%s not after %s", n.name, n.by.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s %s late", n.name, n.by.Round(time.Millisecond))
+}
+
+// findLate returns a line about each change that was not in force in time at all nodes, with
+// the latest nodes first. started is the start of the load, end that of the observation.
+func findLate(acks []btlogstandin.Ack, nodes map[string][]step, d *disturbances, started, end time.Time) []string {
+	var lines []string
+	for _, ack := range acks {
+		var late []lateNode
+		for name, steps := range nodes {
+			due, ok := d.due(name, ack.Time)
+			if !ok || due.After(end) {
+				continue
+			}
+			if by, inForce := lateness(steps, ack.Offset, due, end); by > 0 {
+				late = append(late, lateNode{name, by, inForce})
+			}
+		}
+		if len(late) == 0 {
+			continue
+		}
+		slices.SortFunc(late, func(a, b lateNode) int { return cmp.Or(cmp.Compare(b.by, a.by), strings.Compare(a.name, b.name)) })
+		var text strings.Builder
+		fmt.Fprintf(&text, "change at offset %d, acknowledged at %s: ", ack.Offset, ack.Time.Sub(started).Round(time.Millisecond))
+		for i := range late[:min(len(late), maxLateNodes)] {
+			if i > 0 {
+				text.WriteString(", ")
+			}
+			text.WriteString(late[i].String())
+		}
+		if len(late) > maxLateNodes {
+			fmt.Fprintf(&text, " and %d more nodes", len(late)-maxLateNodes)
+		}
+		lines = append(lines, text.String())
+	}
+	return lines
+}
+
+// checkInForce adds to the result which changes that were acknowledged since the start of
+// the load were not in force in time, and whether a process went back to an older one.
+func (r *Runner) checkInForce(result *Result, started, end time.Time) error {
+	acks, err := r.deployment.Acks()
+	if err != nil {
+		return err
+	}
+	acks = slices.DeleteFunc(acks, func(a btlogstandin.Ack) bool { return a.Time.Before(started) })
+	nodes := make(map[string][]step)
+	for _, n := range r.deployment.Nodes {
+		steps, err := readSteps(r.deployment.Output(n))
+		if err != nil {
+			return err
+		}
+		nodes[n.Name] = steps
+		*result.WentBack += wentBack(steps)
+	}
+	result.LateChanges = findLate(acks, nodes, &r.disturbances, started, end)
+	acked, late := len(acks), len(result.LateChanges)
+	result.Acknowledged, result.Late = &acked, &late
+	return nil
+}
--- /dev/null
+++ b/baobabtide-load/btexperiment/inforce_test.go
@@ -0,0 +1,148 @@
+package btexperiment
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
+)
+
+// at returns a time in seconds after the start of the load.
+func at(seconds float64) time.Time {
+	return time.UnixMicro(1_800_000_000_000_000 + int64(seconds*1e6))
+}
+
+func during(from, to float64) *span { return &span{from: at(from), to: at(to)} }
+
+// A change that is not in force in time is reported with the node and how late it was, unless
+// the node was disturbed or the log was down.
+func TestFindLate(t *testing.T) {
+	const end = 30
+	tests := map[string]struct {
+		steps []step
+		nodes []*span // disturbances of the node
+		log   []*span
+		want  []string // of a change at offset 5 that is acknowledged at 10 s
+	}{
+		"in force at once":              {steps: []step{{at(1), 4}, {at(10), 5}}},
+		"in force at the bound":         {steps: []step{{at(12), 5}}},
+		"a later one is in force":       {steps: []step{{at(11), 9}}},
+		"late":                          {steps: []step{{at(1), 4}, {at(12.25), 5}}, want: []string{"n 250ms late"}},
+		"passed over, late":             {steps: []step{{at(1), 4}, {at(15), 7}}, want: []string{"n 3s late"}},
+		"never":                         {steps: []step{{at(1), 4}}, want: []string{"n not after 18s"}},
+		"no configuration at all":       {want: []string{"n not after 18s"}},
+		"forgotten by a restart":        {steps: []step{{at(10), 5}, {at(11), 0}, {at(11), 4}}, want: []string{"n not after 18s"}},
+		"log down":                      {steps: []step{{at(17), 5}}, log: []*span{during(11, 12.5)}},
+		"log down, too late":            {steps: []step{{at(17.5), 5}}, log: []*span{during(11, 12.5)}, want: []string{"n 500ms late"}},
+		"log down before":               {steps: []step{{at(13), 5}}, log: []*span{during(8, 9.9)}, want: []string{"n 1s late"}},
+		"log down afterwards":           {steps: []step{{at(13), 5}}, log: []*span{during(12, 14)}, want: []string{"n 1s late"}},
+		"log still down":                {steps: []step{{at(17), 5}}, log: []*span{{from: at(9)}}},
+		"disturbed":                     {steps: []step{{at(14), 5}}, nodes: []*span{during(10, 11)}},
+		"disturbed, too late":           {steps: []step{{at(14.5), 5}}, nodes: []*span{during(10, 11)}, want: []string{"n 500ms late"}},
+		"disturbed long before":         {steps: []step{{at(13), 5}}, nodes: []*span{during(7, 8.9)}, want: []string{"n 1s late"}},
+		"disturbed after the bound":     {steps: []step{{at(14), 5}}, nodes: []*span{during(12, 13)}, want: []string{"n 2s late"}},
+		"disturbed again and again":     {steps: []step{{at(19), 5}}, nodes: []*span{during(15, 16), during(9, 11), during(13, 14)}},
+		"disturbed again, too late":     {steps: []step{{at(20), 5}}, nodes: []*span{during(15, 16), during(9, 11), during(13, 14)}, want: []string{"n 1s late"}},
+		"still disturbed":               {nodes: []*span{{from: at(11)}}},
+		"restarts in time":              {steps: []step{{at(1), 4}, {at(9), 0}, {at(11), 5}}, nodes: []*span{during(8, 9)}},
+		"restarts, then not":            {steps: []step{{at(1), 5}, {at(9), 0}, {at(11), 4}}, nodes: []*span{during(8, 9)}, want: []string{"n not after 18s"}},
+		"due after the end of the load": {nodes: []*span{during(9, 28)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &disturbances{log: tt.log, nodes: map[string][]*span{"n": tt.nodes}}
+			nodes := map[string][]step{"n": tt.steps, "other": {{at(10), 5}}}
+			got := findLate([]btlogstandin.Ack{{Offset: 5, Time: at(10)}}, nodes, d, at(0), at(end))
+			var want []string
+			for _, late := range tt.want {
+				want = append(want, "change at offset 5, acknowledged at 10s: "+late)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("late changes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// The latest nodes are named first, and only some of them.
+func TestFindLateNames(t *testing.T) {
+	nodes := map[string][]step{"a": {{at(13), 5}}, "b": {{at(16), 5}}, "c": {{at(14), 5}}, "d": {{at(1), 4}}, "e": {{at(14), 5}}, "f": {{at(11), 5}}}
+	acks := []btlogstandin.Ack{{Offset: 4, Time: at(0.5)}, {Offset: 5, Time: at(10)}}
+	got := findLate(acks, nodes, &disturbances{}, at(0), at(30))
+	want := []string{
+		"change at offset 4, acknowledged at 500ms: b 13.5s late, c 11.5s late, e 11.5s late and 2 more nodes",
+		"change at offset 5, acknowledged at 10s: d not after 18s, b 4s late, c 2s late and 2 more nodes",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("late changes (-want +got):\n%s", diff)
+	}
+}
+
+// The log of a node tells what its processes put in force. A process that goes back to an
+// older configuration is counted, a restarted one is not.
+func TestReadSteps(t *testing.T) {
+	const (
+		started = `{"level":"info","node":"n","event":"node.started","zone":"a","incarnation":7,"time":1000000}`
+		four    = `{"level":"info","node":"n","event":"config.in-force","offset":4,"time":2000000}`
+		five    = `{"level":"info","node":"n","event":"config.in-force","offset":5,"time":3000000}`
+		other   = `{"level":"info","node":"n","event":"member.status","member":"config.in-force","time":3000000}`
+		cut     = `{"level":"info","node":"n","event":"config.in-force","off`
+	)
+	start, first, second := step{time.UnixMicro(1e6), 0}, step{time.UnixMicro(2e6), 4}, step{time.UnixMicro(3e6), 5}
+	tests := map[string]struct {
+		lines []string
+		steps []step
+		back  int
+	}{
+		"in order":         {[]string{started, four, other, five}, []step{start, first, second}, 0},
+		"back":             {[]string{started, five, four}, []step{start, second, first}, 1},
+		"back and forth":   {[]string{started, five, four, five, four}, []step{start, second, first, second, first}, 2},
+		"restarted":        {[]string{started, five, started, four}, []step{start, second, start, first}, 0},
+		"killed in a line": {[]string{started, five, cut + started, four}, []step{start, second, start, first}, 0},
+		"killed at last":   {[]string{started, five, cut}, []step{start, second}, 0},
+		"empty":            {nil, nil, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "n.log")
+			if err := os.WriteFile(path, []byte(strings.Join(tt.lines, "\n")), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			steps, err := readSteps(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.steps, steps, cmp.AllowUnexported(step{})); diff != "" {
+				t.Errorf("steps (-want +got):\n%s", diff)
+			}
+			if got := wentBack(steps); got != tt.back {
+				t.Errorf("went back %d times, want %d", got, tt.back)
+			}
+		})
+	}
+}
+
+// A late change makes a run fail, and the violation says which change, where and how late.
+func TestLateIsViolation(t *testing.T) {
+	tests := map[string]struct {
+		late []string
+		want string
+	}{
+		"none": {nil, ""},
+		"one":  {[]string{"change at offset 5, acknowledged at 10s: n 1s late"}, "Late is 1; change at offset 5, acknowledged at 10s: n 1s late"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			count := len(tt.late)
+			result := &Result{Late: &count, LateChanges: tt.late}
+			if diff := cmp.Diff(tt.want, result.FirstViolation()); diff != "" {
+				t.Errorf("violation (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/baobabtide-load/btexperiment/run.go
+++ b/baobabtide-load/btexperiment/run.go
@@ -14,6 +14,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/baobabtide-load/btdeploy"
 	"github.com/baobabtide/baobabtide/baobabtide-load/btworkload"
+	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
 	"github.com/baobabtide/baobabtide/btoperator"
 )
 
@@ -38,6 +39,10 @@
 	tally      *btworkload.Tally
 	rng        *mathrand.Rand
 
+	disturbances disturbances
+	logMu        sync.Mutex
+	logFaults    []*btlogstandin.Faults // of the faults that last
+
 	mu          sync.Mutex
 	convergence []time.Duration // per node and change
 	outcomes    []releaseOutcome
@@ -209,12 +214,13 @@
 	}
 	wg.Go(func() { <-loadCtx.Done() })
 	wg.Wait()
-	elapsed := time.Since(started)
+	ended := time.Now()
 	after, err := r.observer.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return r.result(before, after, elapsed), nil
+	result := r.result(before, after, ended.Sub(started))
+	return result, r.checkInForce(result, started, ended)
 }
 
 // driver returns the driver of the experiment's load. Direct requests go to the
@@ -247,17 +253,25 @@
 // each.
 func (r *Runner) runChanges(ctx context.Context) {
 	time.Sleep(r.Experiment.Changes.Start)
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for i := range r.Experiment.Changes.Count {
 		started := time.Now()
-		if err := r.publishChange(ctx, i); err != nil {
-			r.addProblem("change %d: %v", i, err)
+		wg.Go(func() {
+			if err := r.publishChange(ctx, i); err != nil {
+				r.addProblem("change %d: %v", i, err)
+			}
+		})
+		if !r.Experiment.Changes.Overlap {
+			wg.Wait()
 		}
 		time.Sleep(max(0, r.Experiment.Changes.Every-time.Since(started)))
 	}
 }
 
 // publishChange publishes the contract with a different timeout of its first
-// route, waits until it is in force on every node and records the convergence.
+// route, waits until it is in force on every node and records the convergence, unless
+// changes overlap.
 func (r *Runner) publishChange(ctx context.Context, i int) error {
 	contract := r.Experiment.Contract
 	contract.Services = slices.Clone(contract.Services)
@@ -265,7 +279,7 @@
 	contract.Services[0].Routes[0].Timeout += time.Duration(i+1) * time.Millisecond
 	started := time.Now()
 	offset, err := r.publish(ctx, &baobabtide.Record{Contract: &contract})
-	if err != nil {
+	if err != nil || r.Experiment.Changes.Overlap {
 		return err
 	}
 	status, err := r.observer.AwaitOffset(ctx, offset, changeTimeout)
