btexperiment: time without a processor does not count for late changes

Ruled out: to excuse all nodes if one is starved.

Change: once a second the runner reads how long the threads of each node, the log and the relay have waited. A second in which they waited a second or more in total does not count for that node, for all if it is the log or the relay. StarvedShare in the result tells how much that was, 0 if every change was checked in full. A process that sleeps while it should work is not excused: its threads don't wait for a processor.

Result: go test -race ./btexperiment ./btdeploy passes.

--- a/baobabtide-load/btdeploy/deployment.go
+++ b/baobabtide-load/btdeploy/deployment.go
@@ -1,6 +1,7 @@
 package btdeploy
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -364,6 +365,32 @@
 	return all
 }
 
+// RunDelay is how long the threads of a process have waited for a processor in total.
+type RunDelay struct {
+	Node   *Node // nil for the log and the relay
+	PID    int
+	Waited time.Duration
+}
+
+// RunDelays returns the RunDelay of each running node, the relay and the log. It fails if the
+// system does not tell.
+func (d *Deployment) RunDelays() ([]RunDelay, error) {
+	var delays []RunDelay
+	add := func(n *Node, p *process) error {
+		if p == nil || !p.running() {
+			return nil
+		}
+		waited, err := p.runDelay()
+		delays = append(delays, RunDelay{Node: n, PID: p.cmd.Process.Pid, Waited: waited})
+		return err
+	}
+	err := errors.Join(add(nil, d.log), add(nil, d.relay))
+	for _, n := range d.Nodes {
+		err = errors.Join(err, add(n, n.process))
+	}
+	return delays, err
+}
+
 // ZonePrefix returns the address range of a zone's nodes. It fails if the zone
 // isn't in the deployment.
 func (d *Deployment) ZonePrefix(zone string) (netip.Prefix, error) { return d.prefix(zone, 0) }
--- a/baobabtide-load/btdeploy/process.go
+++ b/baobabtide-load/btdeploy/process.go
@@ -4,11 +4,14 @@
 package btdeploy
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -80,6 +83,36 @@
 	}
 }
 
+// runDelay returns how long the threads of the process, those that still exist, have waited
+// for a processor in total. It fails if the system does not tell.
+func (p *process) runDelay() (time.Duration, error) {
+	const fields = 3 // nanoseconds on a processor, nanoseconds waiting for one, number of time slices
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("threads of %s: %w", p.name, err)
+	}
+	var total time.Duration
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) {
+			continue // the thread has ended
+		}
+		if err != nil {
+			return 0, fmt.Errorf("threads of %s: %w", p.name, err)
+		}
+		numbers := strings.Fields(string(text))
+		if len(numbers) != fields {
+			return 0, fmt.Errorf("threads of %s: %d fields in %s, want %d", p.name, len(numbers), path, fields)
+		}
+		nanos, err := strconv.ParseInt(numbers[1], 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("threads of %s: %w", p.name, err)
+		}
+		total += time.Duration(nanos)
+	}
+	return total, nil
+}
+
 // stop terminates the process by SIGTERM, kills it after stopTimeout, and waits
 // until it has exited.
 func (p *process) stop() {
--- a/baobabtide-load/btexperiment/experiment.go
+++ b/baobabtide-load/btexperiment/experiment.go
@@ -185,6 +185,7 @@
 	WentBack                  *int     // times a node reported or logged a lower configuration offset than before
 	Acknowledged              *int     // changes that the log acknowledged
 	Late                      *int     // those of them that were not in force in time at a node
+	StarvedShare              *float64 // mean share of the time in which the machine starved a node, which does not count for Late
 	LateChanges               []string `json:",omitempty"` // which of them, at which nodes and how late
 	Problems                  []string
 }
--- a/baobabtide-load/btexperiment/run.go
+++ b/baobabtide-load/btexperiment/run.go
@@ -201,7 +201,14 @@
 	started := time.Now()
 	loadCtx, stopLoad := context.WithTimeout(ctx, r.Experiment.Duration)
 	defer stopLoad()
-	var wg sync.WaitGroup
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	var watch, wg sync.WaitGroup
+	watch.Go(func() {
+		if err := r.watchProcessors(watchCtx); err != nil {
+			r.addProblem("processors: %v", err)
+		}
+	})
 	if len(r.Experiment.Load) > 0 {
 		wg.Go(func() { r.driver().Run(loadCtx, r.Seed) })
 	}
@@ -215,6 +222,8 @@
 	wg.Go(func() { <-loadCtx.Done() })
 	wg.Wait()
 	ended := time.Now()
+	stopWatch()
+	watch.Wait()
 	after, err := r.observer.Status(ctx)
 	if err != nil {
 		return nil, err
