btexperiment: ask the nodes themselves which of them read the log

The status of all nodes, from which the readers were taken, came two seconds later, while nodes were killed and paused, and listed no reader.

Change: RefuseNodes reads the metric log_reader of each node at its own address, and fails if it has no node to refuse.

--- a/baobabtide-load/btdeploy/backends.go
+++ b/baobabtide-load/btdeploy/backends.go
@@ -1,6 +1,7 @@
 package btdeploy
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"path/filepath"
@@ -139,6 +140,13 @@
 	return report.Acks, nil
 }
 
+// ReadsLog reports whether the node says in its metrics that it reads the log. It returns
+// false if the node does not respond within metricsTimeout.
+func (n *Node) ReadsLog() bool {
+	status, body, err := fasthttp.GetTimeout(nil, fmt.Sprintf("http://%s:%d/metrics", n.IP, metricsPort), metricsTimeout)
+	return err == nil && status == fasthttp.StatusOK && bytes.Contains(body, []byte("\nbaobabtide_log_reader 1\n"))
+}
+
 // SetRules replaces the rules of the relay. It fails if the deployment has no
 // relay. The limits of Service.LinkRate remain in force, after the rules.
 func (d *Deployment) SetRules(rules []btrelay.Rule) error {
--- a/baobabtide-load/btdeploy/deployment.go
+++ b/baobabtide-load/btdeploy/deployment.go
@@ -38,6 +38,7 @@
 	readyTimeout    = 30 * time.Second
 	maxZoneNodes    = 250
 	logAddressByte  = 254 // last byte of the address from which a zone's connections to the log seem to come
+	metricsTimeout  = time.Second
 	relayPollPeriod = 20 * time.Millisecond
 	fileMode        = 0o600
 )
--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -7,13 +7,13 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/baobabtide/baobabtide/baobabtide-load/btdeploy"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btbackendstandin"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btlogstandin"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btrelay"
-	"github.com/baobabtide/baobabtide/btoperator"
 )
 
 const drainTimeout = 40 * time.Second // of a node's planned stop
@@ -27,7 +27,7 @@
 	case <-time.After(f.At):
 	}
 	r.progress("fault %s %s from %s to %s", f.Kind, f.Zone, f.At, f.At+f.For)
-	if err := r.inject(ctx, f); err != nil {
+	if err := r.inject(f); err != nil {
 		r.addProblem("fault %s: %v", f.Kind, err)
 	}
 	r.progress("fault %s %s has ended", f.Kind, f.Zone)
@@ -35,7 +35,7 @@
 
 // inject applies a fault, waits for its duration and reverses it. Killed backend
 // servers stay down, and frozen connections stay frozen.
-func (r *Runner) inject(ctx context.Context, f *Fault) error {
+func (r *Runner) inject(f *Fault) error {
 	switch f.Kind {
 	case KillNodes:
 		return r.applyFor(f, r.deployment.KillNode, r.deployment.StartNode)
@@ -60,7 +60,7 @@
 		}
 		return r.withLogFaults(f, f.LogFaults)
 	case RefuseNodes:
-		return r.refuseNodes(ctx, f)
+		return r.refuseNodes(f)
 	case BackendFault:
 		return r.backendFault(f)
 	default:
@@ -111,19 +111,17 @@
 	return nil
 }
 
-// refuseNodes makes the log refuse nodes for the fault's duration.
-func (r *Runner) refuseNodes(ctx context.Context, f *Fault) error {
+// refuseNodes makes the log refuse nodes for the fault's duration. It fails if none of them
+// reads the log although Readers is set.
+func (r *Runner) refuseNodes(f *Fault) error {
 	nodes := r.pickNodes(f)
 	if f.Readers {
-		status, err := r.observer.Status(ctx)
-		if err != nil {
-			return err
-		}
-		nodes = slices.DeleteFunc(nodes, func(n *btdeploy.Node) bool {
-			return !slices.ContainsFunc(status.Nodes, func(s btoperator.NodeStatus) bool { return s.Name == n.Name && s.Reader })
-		})
+		nodes = logReaders(nodes)
 		r.progress("those that read the log are %s", nodeNames(nodes))
 	}
+	if len(nodes) == 0 {
+		return errors.New("no node to refuse")
+	}
 	var faults btlogstandin.Faults
 	for _, n := range nodes {
 		faults.Refusals = append(faults.Refusals, btlogstandin.Refusal{Caller: n.LogCaller(), Mode: f.Refusal})
@@ -132,6 +130,23 @@
 	return r.withLogFaults(f, faults)
 }
 
+// logReaders returns the nodes that read the log.
+func logReaders(nodes []*btdeploy.Node) []*btdeploy.Node {
+	reads := make([]bool, len(nodes))
+	var wg sync.WaitGroup
+	for i, n := range nodes {
+		wg.Go(func() { reads[i] = n.ReadsLog() })
+	}
+	wg.Wait()
+	var readers []*btdeploy.Node
+	for i, n := range nodes {
+		if reads[i] {
+			readers = append(readers, n)
+		}
+	}
+	return readers
+}
+
 // withLogFaults adds faults to those of the log for the fault's duration.
 func (r *Runner) withLogFaults(f *Fault, faults btlogstandin.Faults) error {
 	if err := r.setLogFaults(func() { r.logFaults = append(r.logFaults, &faults) }); err != nil {
