--- a/baobabtide-load/btexperiment/soak.go
+++ b/baobabtide-load/btexperiment/soak.go
@@ -13,6 +13,7 @@
 	soakEnd      = 4 * time.Second // without a new fault, before the load ends
 	minNodeFault = 500 * time.Millisecond
 	maxNodeFault = 3 * time.Second
+	maxRefusal   = 8 * time.Second  // longer than the pauses of readers after failed reads, which hide a short one
 	minNotice    = 4 * time.Second  // of what backend servers state, long enough to be checked
 	maxNotice    = 10 * time.Second // the same
 	minRateLimit = 0.5              // requests per second
@@ -29,8 +30,14 @@
 	for _, s := range e.Deployment.Services {
 		soak.Faults = append(soak.Faults, e.soakBackends(s.Service, s.Targets, rng)...)
 	}
+	// A record that the log forgets before a node has read it is lost for good, so the log
+	// neither falls silent nor refuses all readers as well.
+	once := btlogstandin.Faults{Forget: true}
+	if rng.IntN(2) == 0 {
+		once = btlogstandin.Faults{Silence: true}
+	}
 	for at := soakStart; at < e.Duration-soakEnd; at += between(rng, minNodeFault, maxNodeFault) {
-		f := e.soakFault(rng)
+		f := e.soakFault(rng, once)
 		f.At = at
 		f.For = min(f.For, e.Duration-soakEnd-at+minNodeFault)
 		soak.Faults = append(soak.Faults, f)
@@ -76,9 +83,9 @@
 	}
 }
 
-// soakFault returns a fault of nodes, a zone or the log.
-func (e *Experiment) soakFault(rng *rand.Rand) Fault {
-	kinds := []FaultKind{KillNodes, DrainNodes, PauseNodes, LogFault}
+// soakFault returns a fault of nodes, a zone or the log, a third of those of the log once.
+func (e *Experiment) soakFault(rng *rand.Rand, once btlogstandin.Faults) Fault {
+	kinds := []FaultKind{KillNodes, DrainNodes, PauseNodes, LogFault, RefuseNodes}
 	if e.Deployment.Relay {
 		kinds = append(kinds, CutZone, FreezeZone)
 	}
@@ -88,6 +95,18 @@
 		f.Count = 1 + rng.IntN(3)
 	case LogFault:
 		f.LogFaults = btlogstandin.Faults{Outage: rng.IntN(2) == 0, LoseAnswers: rng.IntN(4)}
+		if rng.IntN(3) == 0 {
+			f.LogFaults = once
+		}
+	case RefuseNodes:
+		f.For = between(rng, minNodeFault, maxRefusal)
+		zones, modes := e.Deployment.Zones, btlogstandin.RefusalModes()
+		f.Zone, f.Refusal = zones[rng.IntN(len(zones))], modes[rng.IntN(len(modes))]
+		if f.Readers = rng.IntN(2) == 0; !f.Readers {
+			f.Count = 1 + rng.IntN(3)
+		} else if once.Silence && rng.IntN(2) == 0 {
+			f.Zone = ""
+		}
 	case CutZone, FreezeZone:
 		zones := e.Deployment.Zones
 		f.Zone = zones[rng.IntN(len(zones))]
