btadmit, btlocal: a cold server gets no more than its contract allows

The cold time was decoded and checked, but nobody read it, and coldPerS was not decoded. Each node raises the score of a target that is new to it, but can't know what the others send.

Change: ServiceTerms.ColdPerSecond bounds what the node beside a server grants while the server announces that it is cold, by the bucket of the rate limits that servers name; the lower limit holds. Reports name the limit and the next turn, by which other nodes place their requests. Waiting requests whose turn comes too late are refused at once. An announcement that names a cold time, or ends one, counts as a change; target.changed is logged only if what is announced to other nodes has changed. After a restart of the node a restored server counts as cold until it announces itself.

Ruled out: shares of the limit for each node, which a cut makes wrong.

A server that turns cold in the middle of its life is bound from the heartbeat that says so, about 1.5 s later at most.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -78,6 +78,9 @@
 
 	mu             sync.Mutex
 	turns          *rate.Limiter // of the grants, nil for no limit
+	namedLimit     float64       // requests per second that the backend server accepts, 0 for no limit
+	coldLimit      float64       // the same until coldUntil
+	coldUntil      time.Time
 	slots          int
 	limit          float64 // maximum number of slots in use, 1 to slots
 	inFlight       int
@@ -119,6 +122,7 @@
 	if !now.Before(t.Deadline) {
 		return nil, q.refusal(baobabtide.ReasonDeadline, &t, 0, now)
 	}
+	q.updateRate(now)
 	runTime := q.runTime(t.Route, now)
 	if !t.Late {
 		q.offered.add(runTime, now)
@@ -159,6 +163,7 @@
 func (q *Queue) RefuseBusy(t Ticket, maxWait time.Duration, now time.Time) *baobabtide.RequestError {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.updateRate(now)
 	if q.closed || (q.canGrant(now) && len(q.waiting) == 0) || q.wait(&Waiter{ticket: t, onTime: true}, now) <= maxWait {
 		return nil
 	}
@@ -270,6 +275,7 @@
 
 // admit grants free slots to waiters, as far as the rate limit allows.
 func (q *Queue) admit(now time.Time) {
+	q.updateRate(now)
 	q.expire(now)
 	for q.canGrant(now) && len(q.waiting) > 0 {
 		i := q.next()
@@ -352,6 +358,7 @@
 func (q *Queue) Load(route string, now time.Time) baobabtide.Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.updateRate(now)
 	return q.load(route, now)
 }
 
--- a/btadmit/turn.go
+++ b/btadmit/turn.go
@@ -22,24 +22,64 @@
 func (q *Queue) SetRateLimit(perSecond float64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	limit := rate.Limit(max(perSecond, minRateLimit))
+	q.namedLimit = max(perSecond, minRateLimit)
+	q.changeRate(now)
+}
+
+// ClearRateLimit removes the limit of SetRateLimit.
+func (q *Queue) ClearRateLimit(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.namedLimit = 0
+	q.changeRate(now)
+}
+
+// SetCold is like SetRateLimit for a backend server that is cold until a time, 0 for no limit.
+// The lower one of the two limits holds.
+func (q *Queue) SetCold(perSecond float64, until, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if perSecond > 0 {
+		perSecond = max(perSecond, minRateLimit)
+	}
+	q.coldLimit, q.coldUntil = perSecond, until
+	q.changeRate(now)
+}
+
+// rateLimit returns the limit that holds at a time, 0 for none.
+func (q *Queue) rateLimit(now time.Time) float64 {
+	if q.coldLimit > 0 && now.Before(q.coldUntil) && (q.namedLimit == 0 || q.coldLimit < q.namedLimit) {
+		return q.coldLimit
+	}
+	return q.namedLimit
+}
+
+// updateRate puts the limit that holds now into force. It reports whether there is one that
+// has changed.
+func (q *Queue) updateRate(now time.Time) bool {
+	limit := rate.Limit(q.rateLimit(now))
 	burst := max(minRateBurst, int(float64(limit)*rateBurst.Seconds()))
-	if q.turns == nil {
+	switch {
+	case limit == 0:
+		q.turns = nil
+		return false
+	case q.turns == nil:
 		q.turns = rate.NewLimiter(limit, burst)
 		q.turns.AllowN(now, burst)
-	} else {
+	case q.turns.Limit() == limit:
+		return false
+	default:
 		q.turns.SetLimitAt(now, limit)
 		q.turns.SetBurstAt(now, burst)
 	}
-	q.refuseBeyondRate(now)
-	q.admit(now)
+	return true
 }
 
-// ClearRateLimit removes the limit of SetRateLimit.
-func (q *Queue) ClearRateLimit(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.turns = nil
+// changeRate is called after the limits have been set.
+func (q *Queue) changeRate(now time.Time) {
+	if q.updateRate(now) {
+		q.refuseBeyondRate(now)
+	}
 	q.admit(now)
 }
 
@@ -60,7 +100,11 @@
 	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(missing / perSecond * float64(time.Second))
+	wait := time.Duration(missing / perSecond * float64(time.Second))
+	if q.namedLimit == 0 {
+		wait = min(wait, q.coldUntil.Sub(now))
+	}
+	return wait
 }
 
 // rateWait estimates how long a waiter waits for its turn under the rate limit. A waiter of
@@ -120,6 +164,10 @@
 // scheduleTurn calls Alarm if a waiter has a slot but no turn yet.
 func (q *Queue) scheduleTurn(now time.Time) {
 	if q.turns != nil && q.Alarm != nil && len(q.waiting) > 0 && q.hasFreeSlot() {
-		q.Alarm(q.turnWait(0, float64(q.turns.Limit()), now) + turnSlack)
+		wait := q.turnWait(0, float64(q.turns.Limit()), now)
+		if cold := q.coldUntil.Sub(now); cold > 0 {
+			wait = min(wait, cold)
+		}
+		q.Alarm(wait + turnSlack)
 	}
 }
--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -13,6 +13,7 @@
 type Server struct {
 	Announcement Announcement
 	Expires      time.Time // end of the lease
+	ColdUntil    time.Time // end of the time in which the server is cold
 }
 
 // Registry holds the backend servers beside a node with their leases. The zero
@@ -64,7 +65,7 @@
 	if leaving, ok := r.leaving[a.Name]; ok && leaving == a.Incarnation {
 		a.State = baobabtide.TargetDraining
 	}
-	r.servers[a.Name] = Server{Announcement: a, Expires: now.Add(a.Lease)}
+	r.servers[a.Name] = Server{Announcement: a, Expires: now.Add(a.Lease), ColdUntil: now.Add(a.Cold)}
 	if !known || !sameContent(&old.Announcement, &a) {
 		r.notifyChanged()
 	}
@@ -187,12 +188,12 @@
 	r.recordDeparture(name, incarnation, now)
 }
 
-// sameContent reports whether two announcements are equal apart from their
-// sequence and the remaining cold time.
+// sameContent reports whether two announcements are equal apart from their sequence and name
+// no cold time, whose end each one moves.
 func sameContent(a, b *Announcement) bool {
 	first, second := *a, *b
-	first.Sequence, second.Sequence, first.Cold, second.Cold = 0, 0, 0, 0
-	return first == second
+	first.Sequence, second.Sequence = 0, 0
+	return first == second && a.Cold == 0
 }
 
 // Expire removes the servers whose lease has ended by now, and the departures
@@ -230,7 +231,8 @@
 }
 
 // Changed returns a channel that is closed with the next change of the servers. A
-// repeated announcement that differs only in its sequence or cold time is no change.
+// repeated announcement that differs only in its sequence is no change, unless the server is
+// cold or was so at the last one.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/btbackend/registry_test.go
+++ b/btbackend/registry_test.go
@@ -137,3 +137,40 @@
 		t.Errorf("a peer refuses the member: %v", err)
 	}
 }
+
+// A server that turned cold between two announcements got as many requests as before: its
+// announcement was taken for a repeated one.
+func TestServerTurnsColdUnnoticed(t *testing.T) {
+	var r Registry
+	start := time.Unix(1000, 0)
+	steps := []struct {
+		name    string
+		cold    time.Duration
+		changed bool
+	}{
+		{"starts cold", 3 * time.Second, true},
+		{"is still cold", 1500 * time.Millisecond, true},
+		{"is no longer cold", 0, true},
+		{"repeats that", 0, false},
+		{"turns cold", 2 * time.Second, true},
+	}
+	for i, step := range steps {
+		at := start.Add(time.Duration(i) * 1500 * time.Millisecond)
+		changed := r.Changed()
+		a := announcement("b", 1, uint64(i), baobabtide.TargetReady)
+		a.Cold = step.cold
+		r.Announce(a, at)
+		if diff := cmp.Diff(at.Add(step.cold), r.Servers()[0].ColdUntil); diff != "" {
+			t.Errorf("%s: end of the cold time (-want +got):\n%s", step.name, diff)
+		}
+		notified := false
+		select {
+		case <-changed:
+			notified = true
+		default:
+		}
+		if diff := cmp.Diff(step.changed, notified); diff != "" {
+			t.Errorf("%s: change (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -32,7 +32,7 @@
 	Connections int                    // open connections at most, 0 for no limit
 	Incarnation uint64                 // higher with each start under the same name
 	Sequence    uint64                 `json:",omitempty"` // higher with each announcement of an incarnation, always 0 if unordered
-	Cold        time.Duration          `json:",omitzero"`  // remaining time of slow responses after the start
+	Cold        time.Duration          `json:",omitzero"`  // remaining time in which the server is cold: it responds slowly and tolerates few requests
 	Lease       time.Duration          // from the arrival of the announcement
 	Gone        bool                   `json:",omitempty"` // the server is stopping and must be removed
 }
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -29,6 +29,7 @@
 	name         string
 	incarnation  uint64
 	announcement btbackend.Announcement // latest one of the incarnation, protected by Admitter.mu
+	coldUntil    time.Time              // protected by Admitter.mu
 	queue        *btadmit.Queue
 	pool         *btbackend.Pool
 	closePool    func()
@@ -81,6 +82,7 @@
 
 	mu       sync.Mutex
 	servers  map[string]*server // by name
+	cold     map[string]float64 // requests per second that a cold server gets, by service
 	draining bool
 	active   int // requests in progress
 }
@@ -128,19 +130,20 @@
 func (a *Admitter) Update(servers []btbackend.Server) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := time.Now()
 	next := make(map[string]*server, len(servers))
 	for i := range servers {
 		announcement := servers[i].Announcement
 		old := a.servers[announcement.Name]
-		if old != nil && sameServer(&old.announcement, &announcement) {
-			old.announcement = announcement
-			next[announcement.Name] = old
-			continue
-		}
-		s := a.newServer(announcement)
-		if old != nil && old.announcement.Incarnation == announcement.Incarnation {
-			s.adoptStated(old, time.Now())
+		s := old
+		if old == nil || !sameServer(&old.announcement, &announcement) {
+			s = a.newServer(announcement)
+			if old != nil && old.announcement.Incarnation == announcement.Incarnation {
+				s.adoptStated(old, now)
+			}
 		}
+		s.announcement, s.coldUntil = announcement, servers[i].ColdUntil
+		s.queue.SetCold(a.cold[announcement.Service], s.coldUntil, now)
 		next[announcement.Name] = s
 	}
 	for name, old := range a.servers {
@@ -156,6 +159,18 @@
 	a.servers = next
 }
 
+// SetColdLimits replaces the requests per second that are sent to a cold backend server, by
+// service. A service without a limit is left out.
+func (a *Admitter) SetColdLimits(limits map[string]float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cold = limits
+	now := time.Now()
+	for _, s := range a.servers {
+		s.queue.SetCold(limits[s.announcement.Service], s.coldUntil, now)
+	}
+}
+
 // Loads returns the load of each backend server beside the node, in no particular order.
 func (a *Admitter) Loads() []baobabtide.Load {
 	a.mu.Lock()
--- a/btnode/restore.go
+++ b/btnode/restore.go
@@ -59,6 +59,7 @@
 			Slots:       t.Slots,
 			Connections: t.Connections,
 			Incarnation: t.Incarnation,
+			Cold:        restoreLease, // it may be: its next announcement tells
 			Lease:       restoreLease,
 		}, now)
 		if restored {
--- a/btnode/restore_test.go
+++ b/btnode/restore_test.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btmember"
+	"github.com/baobabtide/baobabtide/btsettings"
 )
 
 // A backend server departs, which its node acknowledges, and the node restarts. An announcement
@@ -50,3 +52,26 @@
 		t.Errorf("targets after the next start of the server (-want +got):\n%s", diff)
 	}
 }
+
+// The node restarts beside a server that may have turned cold meanwhile: until the server announces
+// itself, the node takes it to be.
+func TestRestoredServerIsTakenToBeWarm(t *testing.T) {
+	now := time.Now()
+	n := &Node{started: now, log: zerolog.Nop()}
+	n.backend.Store(&btsettings.Backend{Address: "127.0.0.1:1"})
+	n.restoreTargets([]baobabtide.Target{{Name: "b", Service: "s", Version: "v1", State: baobabtide.TargetReady, Slots: 4, Incarnation: 5}}, now)
+	cold := func() []time.Duration {
+		var left []time.Duration
+		for _, s := range n.registry.Servers() {
+			left = append(left, s.ColdUntil.Sub(now))
+		}
+		return left
+	}
+	if diff := cmp.Diff([]time.Duration{restoreLease}, cold()); diff != "" {
+		t.Errorf("restored: cold for (-want +got):\n%s", diff)
+	}
+	n.registry.Announce(btbackend.Announcement{Name: "b", Service: "s", Version: "v1", Address: "127.0.0.1:1", State: baobabtide.TargetReady, Slots: 4, Incarnation: 5, Sequence: 9, Lease: 6 * time.Second}, now)
+	if diff := cmp.Diff([]time.Duration{0}, cold()); diff != "" {
+		t.Errorf("announced: cold for (-want +got):\n%s", diff)
+	}
+}
--- a/btnode/routes.go
+++ b/btnode/routes.go
@@ -47,6 +47,7 @@
 	_, newTrips := n.rollouts.setShares(state.Running(), table, now)
 	n.sendTrips(newTrips)
 	n.local.Limiter.Set(rateLimits(state))
+	n.local.SetColdLimits(coldLimits(state))
 	n.routes.Store(table)
 	if old != nil && old.Offset == table.Offset {
 		return
@@ -70,3 +71,18 @@
 	}
 	return limits
 }
+
+// coldLimits returns the lowest limits of all contracts on requests to a cold backend server,
+// by service, in requests per second. A service without a limit is left out.
+func coldLimits(state *btconfig.State) map[string]float64 {
+	limits := make(map[string]float64)
+	for _, c := range state.Contracts {
+		for i := range c.Contract.Services {
+			terms := &c.Contract.Services[i]
+			if lowest, ok := limits[terms.Service]; terms.ColdPerSecond > 0 && (!ok || terms.ColdPerSecond < lowest) {
+				limits[terms.Service] = terms.ColdPerSecond
+			}
+		}
+	}
+	return limits
+}
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -213,14 +213,16 @@
 	}
 }
 
-// announceTargets passes the registered backend servers to the admitter, logs the
-// targets and announces them to the other nodes.
+// announceTargets passes the registered backend servers to the admitter, announces the
+// targets to the other nodes and logs them if they have changed.
 func (n *Node) announceTargets() {
 	n.local.Update(n.registry.Servers())
-	n.logTargets(n.registry.Targets())
 	n.members.mu.Lock()
 	delta := n.members.table.Announce(n.targetsToAnnounce(), n.registry.Departures(), time.Now()) // read under the lock, so that the last call announces the latest state
 	n.members.mu.Unlock()
+	if targets := n.registry.Targets(); len(delta.Members) > 0 || len(targets) == 0 {
+		n.logTargets(targets)
+	}
 	n.disseminate(delta, nil)
 }
 
--- a/contract.go
+++ b/contract.go
@@ -29,6 +29,7 @@
 	Versions          []string `json:",omitempty"` // versions that may get the customer's traffic, empty for every version
 	Unversioned       bool     `json:",omitempty"` // every announced version gets traffic, except those that a rollout moves traffic to or has reverted
 	RequestsPerSecond float64  `json:",omitempty"` // per admitting node, 0 for no limit
+	ColdPerSecond     float64  `json:",omitempty"` // requests of all customers to a backend server while it is cold, 0 for no limit
 	Routes            []RouteTerms
 	Rollout           RolloutTerms
 	Drain             DrainTerms
@@ -182,6 +183,9 @@
 	if s.RequestsPerSecond < 0 {
 		return Fieldf("RequestsPerSecond", "%g is negative", s.RequestsPerSecond)
 	}
+	if s.ColdPerSecond < 0 {
+		return Fieldf("ColdPerSecond", "%g is negative", s.ColdPerSecond)
+	}
 	if len(s.Routes) > maxRoutes || (len(s.Routes) == 0 && !s.Unversioned) {
 		return Fieldf("Routes", "%d entries, 1 to %d are allowed", len(s.Routes), maxRoutes)
 	}
--- a/contract_test.go
+++ b/contract_test.go
@@ -28,6 +28,7 @@
 		"no timeout":            {func(c *baobabtide.Contract) { c.Services[0].Routes[0].Timeout = 0 }, "Services[0].Routes[0].Timeout"},
 		"priority too high":     {func(c *baobabtide.Contract) { c.Services[0].Routes[0].Priority = 10 }, "Services[0].Routes[0].Priority"},
 		"negative rate":         {func(c *baobabtide.Contract) { c.Services[0].RequestsPerSecond = -1 }, "Services[0].RequestsPerSecond"},
+		"negative cold rate":    {func(c *baobabtide.Contract) { c.Services[0].ColdPerSecond = -1 }, "Services[0].ColdPerSecond"},
 		"share above 1":         {func(c *baobabtide.Contract) { c.Services[0].Rollout.MaxBadShare = 1.1 }, "Services[0].Rollout.MaxBadShare"},
 		"no requests":           {func(c *baobabtide.Contract) { c.Services[0].Rollout.MaxBadRequests = 0 }, "Services[0].Rollout.MaxBadRequests"},
 		"slow factor of 1":      {func(c *baobabtide.Contract) { c.Services[0].Rollout.SlowFactor = 1 }, "Services[0].Rollout.SlowFactor"},
