btlocal: a line tells that a backend server is cold

What operators saw: admit.refused with reason overload beside a server with free slots, and no line that told why.

Cause: the cold time of an announcement, which bounds the requests since, was not logged.

Change: log line target.cold with the remaining time and the limit, once for each time that a server turns cold.

Result: TestColdServerIsLoggedOnce failed without the line in all 6 steps that it counts (first "starts cold: 0 lines, want 1") and passes now, with -race.

--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -142,8 +142,13 @@
 				s.adoptStated(old, now)
 			}
 		}
+		wasCold := old != nil && old.incarnation == s.incarnation && now.Before(old.coldUntil)
 		s.announcement, s.coldUntil = announcement, servers[i].ColdUntil
-		s.queue.SetCold(a.cold[announcement.Service], s.coldUntil, now)
+		limit := a.cold[announcement.Service]
+		s.queue.SetCold(limit, s.coldUntil, now)
+		if cold := s.coldUntil.Sub(now); cold > 0 && !wasCold {
+			a.Log.Server(btlog.TargetCold, s.name).Dur("cold-ms", cold).Float64("limit", limit).Send()
+		}
 		next[announcement.Name] = s
 	}
 	for name, old := range a.servers {
--- a/btlocal/cold_test.go
+++ b/btlocal/cold_test.go
@@ -1,14 +1,20 @@
 package btlocal
 
 import (
+	"bytes"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbackend"
+	"github.com/baobabtide/baobabtide/btlog"
 )
 
 // arrivals records when requests reach a backend server.
@@ -117,3 +123,34 @@
 		}
 	}
 }
+
+// Requests were refused beside idle slots, and no line told why.
+func TestColdServerIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	a, closeAdmitter := New(nil)
+	defer closeAdmitter()
+	a.Log = btlog.NewDecisionLog(zerolog.New(&out))
+	server := testServers(baobabtide.TargetReady)[0]
+	moreSlots, restarted := server, server
+	moreSlots.Announcement.Slots++
+	restarted.Announcement.Incarnation++
+	for _, step := range []struct {
+		name   string
+		server btbackend.Server
+		cold   time.Duration
+		want   int // lines so far
+	}{
+		{"starts cold", server, time.Minute, 1},
+		{"is still cold", server, time.Minute, 1},
+		{"announces more slots", moreSlots, time.Minute, 1},
+		{"is no longer cold", moreSlots, 0, 1},
+		{"turns cold", moreSlots, time.Minute, 2},
+		{"restarts", restarted, time.Minute, 3},
+	} {
+		step.server.ColdUntil = time.Now().Add(step.cold)
+		a.Update([]btbackend.Server{step.server})
+		if diff := cmp.Diff(step.want, strings.Count(out.String(), string(btlog.TargetCold))); diff != "" {
+			t.Errorf("%s: lines (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -42,6 +42,7 @@
 	TargetChanged     Event = "target.changed"
 	TargetRestored    Event = "target.restored"
 	TargetLimit       Event = "target.limit"       // the rate limit that a backend server names has changed
+	TargetCold        Event = "target.cold"        // the backend server has announced that it is cold
 	TargetLeaving     Event = "target.leaving"     // the backend server has said in a response that it is about to stop
 	TargetCrashed     Event = "target.crashed"     // the backend server ended while it had requests
 	QuarantineSuspect Event = "quarantine.suspect" // a server crashed under a request
@@ -67,7 +68,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogReader,
-		ConfigInForce, ConfigStalled, ConfigResumed, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, ConfigStalled, ConfigResumed, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
