--- a/btplatform/client.go
+++ b/btplatform/client.go
@@ -126,15 +126,25 @@
 }
 
 // do sends a request and returns when the response arrives or the context is
-// canceled. A goroutine sends the request because fasthttp does not support
+// canceled. After a request without a response the next one opens a new connection. A
+// goroutine sends the request because fasthttp does not support
 // cancellation and a read may wait for a long time.
 func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
 	done := make(chan error, 1)
-	go func() { done <- c.http.DoTimeout(req, resp, timeout) }()
+	go func() {
+		err := c.http.DoTimeout(req, resp, timeout)
+		if err != nil {
+			c.http.CloseIdleConnections() // what ended this connection may have ended them too
+		}
+		done <- err
+	}()
 	select {
 	case err := <-done:
 		return err
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.http.CloseIdleConnections()
+		}
 		return ctx.Err()
 	}
 }
--- a/btplatform/client_test.go
+++ b/btplatform/client_test.go
@@ -4,8 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -49,3 +53,61 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// After a read without a response, each idle connection that had fallen silent with it cost another
+// time-out.
+func TestReadAfterConnectionsFellSilent(t *testing.T) {
+	const connections = 4
+	var mu sync.Mutex
+	generation := 0 // of the connections that are opened now; those of earlier ones are silent
+	type generationKey struct{}
+	var arrived sync.WaitGroup // reads that must have arrived before the first response
+	arrived.Add(connections)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		current := generation
+		mu.Unlock()
+		opened, _ := r.Context().Value(generationKey{}).(int)
+		switch {
+		case opened < current:
+			<-r.Context().Done()
+		case current == 0:
+			arrived.Done()
+			arrived.Wait()
+			fallthrough
+		default:
+			_, _ = io.WriteString(w, `{"Entries":[],"First":0,"Next":1}`)
+		}
+	}))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		mu.Lock()
+		defer mu.Unlock()
+		return context.WithValue(ctx, generationKey{}, generation)
+	}
+	server.Start()
+	defer server.Close()
+	c, closeClient := NewClient([]string{strings.TrimPrefix(server.URL, "http://")}, time.Second)
+	defer closeClient()
+	read := func() error {
+		_, err := c.Read(context.Background(), baobabtide.ConfigStream, 1, 0)
+		return err
+	}
+	var reads sync.WaitGroup
+	for range connections {
+		reads.Go(func() {
+			if err := read(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	reads.Wait()
+	mu.Lock()
+	generation++
+	mu.Unlock()
+	if err := read(); !errors.Is(err, baobabtide.ErrUnavailable) {
+		t.Errorf("first read: %v, want %v", err, baobabtide.ErrUnavailable)
+	}
+	if err := read(); err != nil {
+		t.Errorf("second read: %v", err)
+	}
+}
