btsettings: calls to the log time out after 1 s

Cause: the default of 2 s is all of the time within which a change must be in force, and a silent connection shows only by its time-out. deploy/ names 1 s already.

--- a/btsettings/defaults.go
+++ b/btsettings/defaults.go
@@ -16,7 +16,7 @@
 			SilenceLimit: 4 * time.Second,
 		},
 		Platform: Platform{
-			Timeout:        2 * time.Second,
+			Timeout:        time.Second,
 			ReadWait:       10 * time.Second,
 			ReadersPerZone: 2,
 			SnapshotEvery:  256,
