--- a/baobabtide-standin/btbackendstandin/handle.go
+++ b/baobabtide-standin/btbackendstandin/handle.go
@@ -188,8 +188,9 @@
 	t, ok := s.acquireSlot(path, attempt)
 	defer s.writeNotices(ctx, t, attempt)
 	if !ok {
+		ctx.Error("all slots are in use\n", fasthttp.StatusServiceUnavailable) // removes the headers set before
 		ctx.Response.Header.Set(btbackend.HeaderShed, "1")
-		ctx.Error("all slots are in use\n", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set(btbackend.HeaderAttempt, attempt)
 		return
 	}
 	runs := &s.runs
