--- a/btplatform/client.go
+++ b/btplatform/client.go
@@ -118,37 +118,13 @@
 	address := c.Addresses[int(index)%len(c.Addresses)]
 	req.SetRequestURI("http://" + address + StreamsPath + string(stream) + RecordsSuffix + query)
 	resp := &fasthttp.Response{}
-	if err := c.do(ctx, req, resp, c.effectiveTimeout(ctx, timeout)); err != nil {
+	if err := btconn.Do(ctx, &c.http, req, resp, c.effectiveTimeout(ctx, timeout)); err != nil {
 		c.current.CompareAndSwap(index, index+1)
 		return nil, transportError(err)
 	}
 	return responseBody(resp)
 }
 
-// do sends a request and returns when the response arrives or the context is
-// canceled. After a request without a response the next one opens a new connection. A
-// goroutine sends the request because fasthttp does not support
-// cancellation and a read may wait for a long time.
-func (c *Client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
-	done := make(chan error, 1)
-	go func() {
-		err := c.http.DoTimeout(req, resp, timeout)
-		if err != nil {
-			c.http.CloseIdleConnections() // what ended this connection may have ended them too
-		}
-		done <- err
-	}()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.http.CloseIdleConnections()
-		}
-		return ctx.Err()
-	}
-}
-
 // effectiveTimeout returns the timeout, or the time until the context's deadline
 // if that is shorter.
 func (c *Client) effectiveTimeout(ctx context.Context, timeout time.Duration) time.Duration {
