--- a/btnode/logprogress.go
+++ b/btnode/logprogress.go
@@ -11,7 +11,7 @@
 // logProgress is what this node's reads of the log have shown. Only readLoop changes it.
 type logProgress struct {
 	next    atomicOffset // of the log, as the last read returned it
-	through atomicOffset // of the last page that said so; there is no later record up to it than the configuration
+	through atomicOffset // up to which the last page was complete: the log holds no record between the configuration and it
 	readAt  atomic.Int64 // when the last successful read ended, Unix time in microseconds, 0 before the first
 	stalled atomic.Int64 // successful reads that advanced nothing although the log holds later records
 	stalls  bool         // the last read was one of these
--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -11,7 +11,7 @@
 
 const (
 	joinGrace      = 2 * time.Second        // minimum uptime before a node without an edge may read the log
-	readInterval   = 500 * time.Millisecond // between the ends of the waits of two readers; a change that no reader is told of is found after it
+	readInterval   = 500 * time.Millisecond // between the ends of the waits of two readers, so that a change which wakes no waiting read is found soon
 	minWaitDivisor = 4                      // a wait of less than 1/4 of readInterval is extended by a reader's period
 )
 
