baobabtide: types for client accounts, their keys and limits

Cause: a contract knows customers, but no client accounts with keys and limits of their own. Change: Contract.Accounts, Account, KeyDigest, RouteTerms.Public, Request.Account, Request.AccountUse and their fields in forwarded requests; refusals unknown-key (401) and account-limit (429). Nothing uses them yet, and a contract without accounts encodes as before.

--- /dev/null
+++ b/account.go
@@ -0,0 +1,106 @@
+package baobabtide
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"math"
+)
+
+// Account is a client account of a customer. Its limits hold over all nodes together.
+type Account struct {
+	Name              string      // unique in the contract, can stand in a header
+	Keys              []KeyDigest // each belongs to one account of the contract
+	Priority          int         `json:",omitempty"` // goes before the priority of the route; higher goes first
+	RequestsPerSecond float64     `json:",omitempty"` // 0 for no limit
+	Burst             float64     `json:",omitempty"` // requests beyond RequestsPerSecond after an idle time
+}
+
+// Bounds on the accounts of a contract.
+const (
+	MaxAccountKeyLength = 256 // bytes
+
+	maxAccounts    = 1 << 16
+	maxKeys        = 1 << 17 // of all accounts of a contract
+	maxAccountRate = 1 << 53
+)
+
+// KeyDigest is the SHA-256 digest of an account's key. Keys themselves are neither stored nor
+// sent to other nodes.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key. It does not allocate.
+func DigestKey(key []byte) KeyDigest { return sha256.Sum256(key) }
+
+// ParseKeyDigest returns the digest that a hexadecimal text stands for.
+func ParseKeyDigest(text string) (KeyDigest, error) {
+	var d KeyDigest
+	err := d.UnmarshalText([]byte(text))
+	return d, err
+}
+
+// String returns the digest in hexadecimal.
+func (d KeyDigest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d KeyDigest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	if len(text) != hex.EncodedLen(len(d)) {
+		return fmt.Errorf("key digest has %d characters, %d are needed", len(text), hex.EncodedLen(len(d)))
+	}
+	if _, err := hex.Decode(d[:], text); err != nil {
+		return fmt.Errorf("key digest: %w", err)
+	}
+	return nil
+}
+
+// Check returns a FieldError for the first field that is invalid, nil if none is.
+func (a *Account) Check() error {
+	if err := CheckName("Name", a.Name); err != nil {
+		return err
+	}
+	if a.Priority < 0 || a.Priority > maxPriority {
+		return Fieldf("Priority", "%d, 0 to %d are allowed", a.Priority, maxPriority)
+	}
+	for _, limit := range []struct {
+		name  string
+		value float64
+	}{{"RequestsPerSecond", a.RequestsPerSecond}, {"Burst", a.Burst}} {
+		if math.IsNaN(limit.value) || limit.value < 0 || limit.value > maxAccountRate {
+			return Fieldf(limit.name, "%g, 0 to %d are allowed", limit.value, uint64(maxAccountRate))
+		}
+	}
+	return nil
+}
+
+// checkAccounts returns an error for the first account that is invalid, or that has its name or
+// a key in common with another one.
+func checkAccounts(accounts []Account) error {
+	if len(accounts) > maxAccounts {
+		return Fieldf("Accounts", "%d entries exceed %d", len(accounts), maxAccounts)
+	}
+	names := make(map[string]bool, len(accounts))
+	owners := make(map[KeyDigest]string)
+	for i := range accounts {
+		a := &accounts[i]
+		if err := a.Check(); err != nil {
+			return WithinIndex("Accounts", i, err)
+		}
+		if names[a.Name] {
+			return Fieldf(fmt.Sprintf("Accounts[%d].Name", i), "%q stands twice", a.Name)
+		}
+		names[a.Name] = true
+		for j, key := range a.Keys {
+			if owner, taken := owners[key]; taken {
+				return Fieldf(fmt.Sprintf("Accounts[%d].Keys[%d]", i, j), "the key belongs to account %q", owner)
+			}
+			owners[key] = a.Name
+		}
+	}
+	if len(owners) > maxKeys {
+		return Fieldf("Accounts", "%d keys exceed %d", len(owners), maxKeys)
+	}
+	return nil
+}
--- a/btcaller/response.go
+++ b/btcaller/response.go
@@ -33,6 +33,8 @@
 	switch err.Reason {
 	case baobabtide.ReasonBadRequest, baobabtide.ReasonNoCustomer:
 		return fasthttp.StatusBadRequest
+	case baobabtide.ReasonUnknownKey:
+		return fasthttp.StatusUnauthorized
 	case baobabtide.ReasonNoRoute:
 		return fasthttp.StatusNotFound
 	case baobabtide.ReasonTooLarge:
@@ -45,7 +47,7 @@
 		return statusClientClosed
 	}
 	switch {
-	case err.Verdict == baobabtide.NotRun && err.Reason == baobabtide.ReasonRateLimit:
+	case err.Verdict == baobabtide.NotRun && (err.Reason == baobabtide.ReasonRateLimit || err.Reason == baobabtide.ReasonAccountLimit):
 		return fasthttp.StatusTooManyRequests
 	case err.Verdict == baobabtide.NotRun:
 		return fasthttp.StatusServiceUnavailable
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -212,7 +212,7 @@
 // attempt can't help.
 func isFinal(reason baobabtide.Reason) bool {
 	switch reason {
-	case baobabtide.ReasonQuarantined, baobabtide.ReasonNoTarget, baobabtide.ReasonBadRequest, baobabtide.ReasonRateLimit, baobabtide.ReasonDuplicateKey, baobabtide.ReasonCanceled:
+	case baobabtide.ReasonQuarantined, baobabtide.ReasonNoTarget, baobabtide.ReasonBadRequest, baobabtide.ReasonRateLimit, baobabtide.ReasonUnknownKey, baobabtide.ReasonAccountLimit, baobabtide.ReasonDuplicateKey, baobabtide.ReasonCanceled:
 		return true
 	default:
 		return false
--- a/btpeer/forward.go
+++ b/btpeer/forward.go
@@ -146,6 +146,8 @@
 		Retried:           req.Retried,
 		Late:              req.Late,
 		RateLimit:         req.RateLimit,
+		Account:           req.Account,
+		AccountUse:        req.AccountUse,
 		MaxWaitMicros:     req.MaxWait.Microseconds(),
 		Digest:            req.Digest,
 	}, Last: true}
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -133,6 +133,8 @@
 	RateLimit         float64                  `cbor:"24,keyasint,omitempty"`
 	Digest            baobabtide.Digest        `cbor:"25,keyasint,omitempty"`
 	MaxWaitMicros     int64                    `cbor:"26,keyasint,omitempty"` // 0 for no limit
+	Account           string                   `cbor:"27,keyasint,omitempty"`
+	AccountUse        float64                  `cbor:"28,keyasint,omitempty"`
 }
 
 // Check returns an error for the first invalid field.
@@ -146,6 +148,9 @@
 	if h.RateLimit < 0 || math.IsNaN(h.RateLimit) {
 		return baobabtide.Fieldf("RateLimit", "%v is not a rate", h.RateLimit)
 	}
+	if h.AccountUse < 0 || math.IsNaN(h.AccountUse) {
+		return baobabtide.Fieldf("AccountUse", "%v is not a ratio", h.AccountUse)
+	}
 	if h.MaxWaitMicros < 0 || h.MaxWaitMicros > maxWaitMicros {
 		return baobabtide.Fieldf("MaxWaitMicros", "%d, 0 to %d are allowed", h.MaxWaitMicros, maxWaitMicros)
 	}
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -187,6 +187,8 @@
 		Objective:  objective,
 		Late:       h.Late,
 		RateLimit:  h.RateLimit,
+		Account:    h.Account,
+		AccountUse: h.AccountUse,
 		MaxWait:    time.Duration(h.MaxWaitMicros) * time.Microsecond,
 		Digest:     h.Digest,
 		ID:         h.ID,
--- a/contract.go
+++ b/contract.go
@@ -12,6 +12,7 @@
 	Revision uint64        `json:",omitempty"` // publisher's revision number, at least that of the current contract; 0 if the publisher has none
 	Callers  *CallerLimits `json:",omitempty"` // nil for the limits of the node's settings
 	Services []ServiceTerms
+	Accounts []Account `json:",omitempty"` // if there are any, requests on routes that are not public need the key of one
 }
 
 // CallerLimits bounds the size and duration of callers' requests. A field that is
@@ -47,6 +48,7 @@
 	MaxAttempts int            `json:",omitempty"` // largest number of targets that one request may reach, 0 for the node's default
 	Objective   time.Duration  `json:",omitzero"`  // latency objective, 0 for Timeout; responses are still delivered until Timeout
 	Timeout     time.Duration  // largest duration of a request, all attempts included
+	Public      bool           `json:",omitempty"` // requests need no account
 }
 
 // ServiceShare is the share of a route's traffic that goes to one service.
@@ -128,7 +130,10 @@
 			return WithinIndex("Services", i, err)
 		}
 	}
-	return c.checkSplits(services)
+	if err := c.checkSplits(services); err != nil {
+		return err
+	}
+	return checkAccounts(c.Accounts)
 }
 
 // checkSplits returns an error for the first route that shares its traffic with a
--- a/request.go
+++ b/request.go
@@ -39,6 +39,13 @@
 	Retried    bool      // this request or one that led to it was already retried
 	Digest     Digest    // of the customer, host, method, target and body
 	RateLimit  float64   // requests per second that the target accepts as far as the sending node knows, 0 for no limit
+	Account    string    // client account of the caller, empty for none
+
+	// KeyDigest is of the account key that the caller sent, nil if it sent none. Requests between
+	// nodes don't carry it.
+	KeyDigest *KeyDigest
+	// AccountUse is the demand of the account over all nodes, divided by its limit, 0 if unknown.
+	AccountUse float64
 
 	// MaxWait is the expected wait for a slot beyond which the admitting node refuses the
 	// request with ReasonBusy, 0 for no limit.
--- a/verdict.go
+++ b/verdict.go
@@ -37,6 +37,8 @@
 	ReasonBusy         Reason = "busy"     // another target is expected to respond earlier
 	ReasonTooSlow      Reason = "too-slow" // the target can't respond before the deadline
 	ReasonRateLimit    Reason = "rate-limit"
+	ReasonUnknownKey   Reason = "unknown-key"   // no account has the key of the request
+	ReasonAccountLimit Reason = "account-limit" // the account has used up its limit
 	ReasonDraining     Reason = "draining"
 	ReasonDeadline     Reason = "deadline"
 	ReasonCanceled     Reason = "canceled"
