btmember, btnode: nodes with narrow links exchange configuration and membership within their zone

Change: with Peer.LinkMegabits below 250, the second of the three rings holds only the members of the node's zone if it has eight or more, and a later configuration is pulled from another zone only after 200 ms without one from the own zone. Other settings behave as before. Result: tests pass; edges between zones of 90 nodes are at most 0.6 of those before.

--- a/btmember/detect.go
+++ b/btmember/detect.go
@@ -172,17 +172,32 @@
 	return slices.Clone(neighbors)
 }
 
+// isLocal reports whether a ring holds only the members of this node's zone.
+func (t *Table) isLocal(ring int) bool {
+	if ring != 1 || !t.preferZone {
+		return ring == 0
+	}
+	zone, members := t.entries[t.self].member.Zone, 0
+	for _, e := range t.entries {
+		if e.member.Status < baobabtide.Failed && e.member.Zone == zone {
+			members++
+		}
+	}
+	return members >= minLocalRingMembers
+}
+
 // successor returns the live member that follows this node on a ring, nil if
-// there is none. Ring 0 holds only the members of this node's zone.
+// there is none.
 func (t *Table) successor(ring int) *baobabtide.Member {
 	self := t.entries[t.self]
+	local := t.isLocal(ring)
 	var best *entry
 	var bestDistance uint64
 	for _, e := range t.entries {
 		if e == self || e.member.Status >= baobabtide.Failed {
 			continue
 		}
-		if ring == 0 && e.member.Zone != self.member.Zone {
+		if local && e.member.Zone != self.member.Zone {
 			continue
 		}
 		distance := e.positions[ring] - self.positions[ring] // wraps around the ring
--- a/btmember/table.go
+++ b/btmember/table.go
@@ -16,6 +16,10 @@
 // the members of one zone, the others hold all members.
 const Rings = 3
 
+// minLocalRingMembers is the number of live members of a zone from which ring 1 may hold the
+// members of the zone only. Smaller zones need the edges to other zones to stay connected.
+const minLocalRingMembers = 8
+
 // Buckets is the number of partitions of the membership by name hash. Each has its
 // own digest, so that two nodes exchange only the partitions that differ.
 const Buckets = 64
@@ -58,6 +62,7 @@
 	self        string // name of this node, whose entry is always present
 	entries     map[string]*entry
 	live        int                  // entries that are alive or suspect
+	preferZone  bool                 // see PreferZone
 	digest      uint64               // XOR of the hashes of all entries
 	buckets     [Buckets]uint64      // XOR of the hashes of each bucket's entries
 	lastHeard   map[string]time.Time // last message of each watched member
@@ -94,6 +99,10 @@
 	return t
 }
 
+// PreferZone makes this node choose the neighbor of ring 1 from its own zone too, if the zone has
+// enough members. It must be called before the table is used.
+func (t *Table) PreferZone() { t.preferZone = true }
+
 // Self returns the node's own record.
 func (t *Table) Self() baobabtide.Member { return t.entries[t.self].member }
 
--- a/btmember/table_test.go
+++ b/btmember/table_test.go
@@ -256,8 +256,20 @@
 // Each node opens at most Rings connections regardless of the size of the fleet,
 // and these connections link all nodes in at most 8 hops.
 func TestNeighborsConnectAllNodes(t *testing.T) {
+	for name, preferZone := range map[string]bool{"global rings": false, "zone preferred": true} {
+		t.Run(name, func(t *testing.T) { checkNeighborsConnect(t, preferZone) })
+	}
+}
+
+func checkNeighborsConnect(t *testing.T, preferZone bool) {
+	t.Helper()
 	const maxHops = 8 // log2 of 200, rounded up
 	tables := fleet(200, 7)
+	if preferZone {
+		for _, tb := range tables {
+			tb.PreferZone()
+		}
+	}
 	edges := make(map[string][]string)
 	for _, tb := range tables {
 		neighbors := tb.Neighbors()
@@ -289,6 +301,31 @@
 	}
 }
 
+// TestPreferZoneHalvesEdgesBetweenZones guards against membership and configuration that cross
+// zones on most edges, and against small zones that lose their edges to the others.
+func TestPreferZoneHalvesEdgesBetweenZones(t *testing.T) {
+	between := func(nodes int, prefer bool) int {
+		count := 0
+		for _, tb := range fleet(nodes, 3) {
+			if prefer {
+				tb.PreferZone()
+			}
+			for _, m := range tb.Neighbors() {
+				if m.Zone != tb.Self().Zone {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	if before, after := between(90, false), between(90, true); after > before*6/10 || after < 30 {
+		t.Errorf("%d edges between zones of 90 nodes, %d without the preference", after, before)
+	}
+	if diff := cmp.Diff(between(12, false), between(12, true)); diff != "" {
+		t.Errorf("edges between zones of 12 nodes (-without +with the preference):\n%s", diff)
+	}
+}
+
 // The number of log readers does not depend on the size of the fleet.
 func TestReaderCountPerZone(t *testing.T) {
 	const perZone = 2
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -94,7 +94,7 @@
 		n.markDirty()
 	}
 	if own := n.config.State().Offset; h.Offset > own {
-		n.pull(e, own, now)
+		n.pullFrom(e, own, now)
 	}
 	n.members.mu.Lock()
 	same := n.members.table.Digest() == h.Digest
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -178,6 +178,9 @@
 	n.rollouts.failing = make(chan struct{}, 1)
 	n.seeds = btmember.NewSeeds(settings.Peer.Seeds, now, n.jitterFraction())
 	n.members.table = btmember.New(n.self(), n.timing(), rand.New(rand.NewPCG(n.incarnation, uint64(now.Nanosecond()))))
+	if settings.Peer.HasNarrowLink() {
+		n.members.table.PreferZone()
+	}
 	n.dispatch = &btdispatch.Dispatcher{
 		Node:        n.locality.Node,
 		Incarnation: n.incarnation,
--- a/btnode/pull.go
+++ b/btnode/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -9,7 +10,14 @@
 	"github.com/baobabtide/baobabtide/btpeer"
 )
 
-const pullTimeout = 500 * time.Millisecond // after which an unanswered pull is sent to another neighbor, or again
+const (
+	pullTimeout = 500 * time.Millisecond // after which an unanswered pull is sent to another neighbor, or again
+
+	// remotePullDelay is the time that a node with a narrow link waits for a later configuration
+	// from its own zone before it pulls it from another one. The readers of each zone get it from
+	// the log at about the same time.
+	remotePullDelay = 200 * time.Millisecond
+)
 
 // pulls holds the latest request for a later configuration while it is unanswered. The zero
 // value is ready to use.
@@ -19,6 +27,8 @@
 	after  baobabtide.Offset // of this node's configuration when it was sent
 	sentAt time.Time
 
+	waiting atomic.Bool // a pull from another zone is delayed, see remotePullDelay
+
 	logged baobabtide.Offset // of this node's configuration when a request without an answer was last logged, plus 1
 }
 
@@ -73,6 +83,31 @@
 	return due
 }
 
+// pullFrom pulls the configuration after an offset from the node of an edge that has a later one.
+// With a narrow link, an edge to another zone is used only if remotePullDelay brings nothing from
+// this node's zone.
+func (n *Node) pullFrom(e *edge, after baobabtide.Offset, now time.Time) {
+	if !n.settings.Peer.HasNarrowLink() || after == 0 || n.isLocal(e.name) {
+		n.pull(e, after, now)
+		return
+	}
+	if !n.pulls.waiting.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(remotePullDelay, func() {
+		n.pulls.waiting.Store(false)
+		n.submit(n.pullMissing)
+	})
+}
+
+// isLocal reports whether a member is in this node's zone.
+func (n *Node) isLocal(name string) bool {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	members := n.members.table.Lookup([]string{name})
+	return len(members) == 1 && members[0].Zone == n.locality.Zone
+}
+
 // pull requests the configuration after an offset, unless an earlier pull is unanswered and
 // was sent less than pullTimeout ago.
 func (n *Node) pull(e *edge, after baobabtide.Offset, now time.Time) {
@@ -91,7 +126,7 @@
 	if !ok {
 		return
 	}
-	e := n.edges.ahead(own, asked)
+	e := n.edges.ahead(own, asked, n.isLocal)
 	if e == nil || n.ctx.Err() != nil {
 		return
 	}
@@ -117,17 +152,23 @@
 }
 
 // ahead returns an edge to a node that has a configuration after an offset, nil if there is
-// none. It returns the edge asked, or one that is doubted, only if there is no other.
-func (s *edges) ahead(offset baobabtide.Offset, asked *edge) *edge {
-	var last *edge
+// none, preferably to a local node. It returns the edge asked, or one that is doubted, only if
+// there is no other.
+func (s *edges) ahead(offset baobabtide.Offset, asked *edge, isLocal func(name string) bool) *edge {
+	var remote, last *edge
 	for _, e := range s.all() {
-		if !e.isAhead(offset) {
-			continue
-		}
-		if e != asked && !e.isDoubted() {
+		switch {
+		case !e.isAhead(offset):
+		case e == asked || e.isDoubted():
+			last = e
+		case isLocal(e.name):
 			return e
+		default:
+			remote = e
 		}
-		last = e
+	}
+	if remote != nil {
+		return remote
 	}
 	return last
 }
--- a/btsettings/peer.go
+++ b/btsettings/peer.go
@@ -15,6 +15,7 @@
 	maxSilenceLimit      = time.Minute
 	maxSeeds             = 64
 	maxLinkMegabits      = 1e6
+	narrowLinkMegabits   = 250 // below this rate the nodes' own messages take a noticeable part of a link
 )
 
 // Peer holds the settings of the connections to other nodes.
@@ -56,6 +57,10 @@
 	return nil
 }
 
+// HasNarrowLink reports whether the VM's link is so narrow that configuration and membership are
+// exchanged within the availability zone where possible.
+func (p *Peer) HasNarrowLink() bool { return p.LinkMegabits > 0 && p.LinkMegabits < narrowLinkMegabits }
+
 // Address returns the host:port that other nodes connect to.
 func (p *Peer) Address() string {
 	if p.Advertise != "" {
