accounts: identify client accounts by their keys

Cause: all requests of a customer are alike; a deployment can't tell its client accounts apart, refuse unknown ones or rank them. An account's priority is compared before the route's; a request without account ranks by its route's priority in both places. Without accounts in the contract priorities are as before. Idempotency keys of accounts are kept apart.

--- a/account.go
+++ b/account.go
@@ -21,12 +21,13 @@
 	MaxAccountKeyLength = 256 // bytes
 
 	maxAccounts    = 1 << 16
+	maxAccountKeys = 1 << 16 // of one account; a longer array can't be decoded from a snapshot
 	maxKeys        = 1 << 17 // of all accounts of a contract
 	maxAccountRate = 1 << 53
 )
 
 // KeyDigest is the SHA-256 digest of an account's key. Keys themselves are neither stored nor
-// sent to other nodes.
+// sent to other nodes. The zero value stands for a key that no account can have.
 type KeyDigest [sha256.Size]byte
 
 // DigestKey returns the digest of a key. It does not allocate.
@@ -56,6 +57,16 @@
 	return nil
 }
 
+// MaxRequestPriority is the highest priority that RequestPriority returns.
+const MaxRequestPriority = maxPriority*(maxPriority+1) + maxPriority
+
+// RequestPriority returns the priority of a request of an account on a route. The account's
+// priority is compared first, then the route's.
+func RequestPriority(account, route int) int { return account*(maxPriority+1) + route }
+
+// emptyKey is the digest of the empty key, which a caller could send by mistake.
+var emptyKey = DigestKey(nil)
+
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (a *Account) Check() error {
 	if err := CheckName("Name", a.Name); err != nil {
@@ -72,6 +83,14 @@
 			return Fieldf(limit.name, "%g, 0 to %d are allowed", limit.value, uint64(maxAccountRate))
 		}
 	}
+	if len(a.Keys) > maxAccountKeys {
+		return Fieldf("Keys", "%d entries exceed %d", len(a.Keys), maxAccountKeys)
+	}
+	for i, key := range a.Keys {
+		if key == (KeyDigest{}) || key == emptyKey {
+			return Fieldf(fmt.Sprintf("Keys[%d]", i), "the key is empty")
+		}
+	}
 	return nil
 }
 
--- a/account_test.go
+++ b/account_test.go
@@ -24,6 +24,9 @@
 		{"name twice", []Account{{Name: "a"}, {Name: "a"}}, "Accounts[1].Name"},
 		{"key of two accounts", []Account{{Name: "a", Keys: []KeyDigest{one}}, {Name: "b", Keys: []KeyDigest{two, one}}}, "Accounts[1].Keys[1]"},
 		{"key twice", []Account{{Name: "a", Keys: []KeyDigest{one, one}}}, "Accounts[0].Keys[1]"},
+		{"empty key", []Account{{Name: "a", Keys: []KeyDigest{one, DigestKey(nil)}}}, "Accounts[0].Keys[1]"},
+		{"zero digest", []Account{{Name: "a", Keys: []KeyDigest{{}}}}, "Accounts[0].Keys[0]"},
+		{"too many keys", []Account{{Name: "a", Keys: make([]KeyDigest, maxAccountKeys+1)}}, "Accounts[0].Keys"},
 		{"negative rate", []Account{{Name: "a", RequestsPerSecond: -1}}, "Accounts[0].RequestsPerSecond"},
 		{"infinite rate", []Account{{Name: "a", RequestsPerSecond: math.Inf(1)}}, "Accounts[0].RequestsPerSecond"},
 		{"no number as burst", []Account{{Name: "a", Burst: math.NaN()}}, "Accounts[0].Burst"},
@@ -61,3 +64,20 @@
 		}
 	}
 }
+
+// TestRequestPriority guards against a route's priority that outweighs the account's.
+func TestRequestPriority(t *testing.T) {
+	last := -1
+	for account := 0; account <= maxPriority; account++ {
+		for route := 0; route <= maxPriority; route++ {
+			got := RequestPriority(account, route)
+			if got <= last || got > MaxRequestPriority {
+				t.Errorf("account %d, route %d: priority %d after %d", account, route, got, last)
+			}
+			last = got
+		}
+	}
+	if diff := cmp.Diff(MaxRequestPriority, last); diff != "" {
+		t.Errorf("highest priority (-want +got):\n%s", diff)
+	}
+}
--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -270,20 +270,23 @@
 	if req.Host != "" {
 		out.Header.SetHost(req.Host)
 	}
+	n := &p.Names
 	for _, f := range req.Header {
-		if f.Name == fasthttp.HeaderHost {
+		switch f.Name {
+		case fasthttp.HeaderHost:
 			out.Header.SetHost(f.Value)
-			continue
+		case n.Account: // a node without support for accounts forwards what its caller sent
+		default:
+			out.Header.Add(f.Name, f.Value)
 		}
-		out.Header.Add(f.Name, f.Value)
 	}
 	remaining := max(1, time.Until(req.Deadline).Milliseconds())
-	n := &p.Names
 	setHeader(out, n.Timeout, strconv.FormatInt(remaining, 10))
 	setHeader(out, n.Depth, strconv.Itoa(req.Depth+1))
 	setHeader(out, n.Attempt, req.Attempt)
 	setHeader(out, n.Expected, p.Name)
 	setHeader(out, n.Origin, req.Origin)
+	setHeader(out, n.Account, req.Account)
 	if req.Retried {
 		setHeader(out, n.Retried, "1")
 	}
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -96,6 +96,9 @@
 	// HeaderLeaving with the value 1 marks a response of a backend server that is about
 	// to stop and accepts no new requests.
 	HeaderLeaving = "Baobabtide-Leaving"
+	// HeaderAccount holds the name of the client account that the request belongs to. Requests
+	// without an account have no such header, whatever the caller sent.
+	HeaderAccount = "Baobabtide-Account"
 )
 
 const leavingValue = "1"
@@ -113,6 +116,7 @@
 	RateLimit string // on a response: requests per second that the server accepts
 	Leaving   string // on a response: the server is about to stop
 	RequestID string // sent by the caller, repeated in the response
+	Account   string // name of the client account
 }
 
 // DefaultNames returns the header names that are declared in this package.
@@ -126,5 +130,6 @@
 
 		RateLimit: HeaderRateLimit,
 		Leaving:   HeaderLeaving,
+		Account:   HeaderAccount,
 	}
 }
--- /dev/null
+++ b/btcaller/account_test.go
@@ -0,0 +1,103 @@
+package btcaller
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfixture"
+)
+
+// parse returns the request of a caller.
+func parse(t testing.TB, text string) *fasthttp.Request {
+	t.Helper()
+	in := &fasthttp.Request{}
+	if err := in.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+		t.Fatal(err)
+	}
+	return in
+}
+
+// TestReadAccountKey guards against a request that runs with a key other than the one that its
+// caller meant, and against a key or a forged account that is forwarded.
+func TestReadAccountKey(t *testing.T) {
+	digest := func(key string) *baobabtide.KeyDigest {
+		d := baobabtide.DigestKey([]byte(key))
+		return &d
+	}
+	invalid := &baobabtide.KeyDigest{}
+	tests := map[string]struct {
+		header string
+		want   *baobabtide.KeyDigest
+	}{
+		"none":              {"", nil},
+		"one":               {"Baobabtide-Account-Key: secret\r\n", digest("secret")},
+		"other case":        {"baobabtide-ACCOUNT-key: secret\r\n", digest("secret")},
+		"space around":      {"Baobabtide-Account-Key:  \tsecret \r\n", digest("secret")},
+		"space within":      {"Baobabtide-Account-Key: secret two\r\n", digest("secret two")},
+		"empty":             {"Baobabtide-Account-Key:\r\n", invalid},
+		"only space":        {"Baobabtide-Account-Key:   \r\n", invalid},
+		"two":               {"Baobabtide-Account-Key: secret\r\nBaobabtide-Account-Key: secret\r\n", invalid},
+		"two, one empty":    {"Baobabtide-Account-Key: secret\r\nbaobabtide-account-key:\r\n", invalid},
+		"longest":           {"Baobabtide-Account-Key: " + strings.Repeat("s", 256) + "\r\n", digest(strings.Repeat("s", 256))},
+		"too long":          {"Baobabtide-Account-Key: " + strings.Repeat("s", 257) + "\r\n", invalid},
+		"hop by hop":        {"Connection: Baobabtide-Account-Key\r\nBaobabtide-Account-Key: secret\r\n", digest("secret")},
+		"underscores":       {"Baobabtide_Account_Key: secret\r\n", nil},
+		"forged account":    {"Baobabtide-Account: secret\r\n", nil},
+		"forged, two":       {"Baobabtide-Account: secret\r\nbaobabtide-account: secret\r\n", nil},
+		"forged, underline": {"Baobabtide_Account: secret\r\nbaobabtide-aCCount: secret\r\n", nil},
+	}
+	s := &Server{Names: DefaultNames()}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			req, refusal := s.request(parse(t, "GET / HTTP/1.1\r\nHost: h\r\nX-Other: o\r\n"+tt.header+"\r\n"))
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			if diff := cmp.Diff(tt.want, req.KeyDigest); diff != "" {
+				t.Errorf("digest (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]baobabtide.HeaderField{{Name: "X-Other", Value: "o"}}, req.Header); diff != "" {
+				t.Errorf("forwarded headers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUnknownKeyStatus guards against an answer to an unknown key that does not say so, or that
+// closes the connection, on which requests with another key may follow.
+func TestUnknownKeyStatus(t *testing.T) {
+	address := start(t, func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		if req.KeyDigest == nil {
+			return nil, baobabtide.Refuse(baobabtide.ReasonUnknownKey, 0, nil)
+		}
+		return btfixture.OKResponse("ok"), nil
+	})
+	resp, _, err := send(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := response{resp.StatusCode, resp.Header.Get(HeaderVerdict), resp.Header.Get(HeaderReason)}
+	if diff := cmp.Diff(response{401, "not-run", "unknown-key"}, got); diff != "" || resp.Close {
+		t.Errorf("closed: %v, response (-want +got):\n%s", resp.Close, diff)
+	}
+}
+
+// TestKeyAddsNoAllocation guards against work for the garbage collector with each request with a
+// key.
+func TestKeyAddsNoAllocation(t *testing.T) {
+	names := DefaultNames()
+	without := parse(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	with := parse(t, "GET / HTTP/1.1\r\nHost: h\r\nBaobabtide-Account-Key: gjqnirth5mgjy5rcpihh\r\n\r\n")
+	count := func(in *fasthttp.Request) float64 {
+		return testing.AllocsPerRun(100, func() { _ = names.newRequest(in) })
+	}
+	if diff := cmp.Diff(count(without), count(with)); diff != "" {
+		t.Errorf("allocations (-without +with):\n%s", diff)
+	}
+}
--- a/btcaller/names.go
+++ b/btcaller/names.go
@@ -1,7 +1,5 @@
 package btcaller
 
-import "slices"
-
 // Names of the headers between callers and a node.
 const (
 	// HeaderCustomer names the customer whose contract applies.
@@ -14,6 +12,11 @@
 	HeaderRetried = "Baobabtide-Retried"
 	// HeaderKey makes a non-idempotent request safe to repeat.
 	HeaderKey = "Idempotency-Key"
+	// HeaderAccountKey holds the key of the caller's client account. It is never forwarded.
+	HeaderAccountKey = "Baobabtide-Account-Key"
+	// HeaderAccount holds the name of the client account in requests to backend servers. Callers
+	// can't set it.
+	HeaderAccount = "Baobabtide-Account"
 	// HeaderVerdict holds the verdict: whether the request may have run.
 	HeaderVerdict = "Baobabtide-Verdict"
 	// HeaderReason holds the reason why a request was refused or failed.
@@ -34,7 +37,8 @@
 	Key       string
 	RequestID string // copied to responses of the node
 
-	Private         []string // headers that only nodes may set, removed from requests; in canonical case
+	AccountKey      string   // key of the client account, removed from requests
+	Private         []string // headers that only nodes may set, removed from requests
 	FractionalRetry bool     // Retry-After may hold fractions of a second
 }
 
@@ -46,6 +50,9 @@
 		Depth:    HeaderDepth,
 		Retried:  HeaderRetried,
 		Key:      HeaderKey,
+
+		AccountKey: HeaderAccountKey,
+		Private:    []string{HeaderAccount},
 	}
 }
 
@@ -58,7 +65,40 @@
 		return false
 	case n.Timeout, n.Depth, n.Retried:
 		return false
+	}
+	if similar(name, n.AccountKey) {
+		return false
+	}
+	for _, private := range n.Private {
+		if similar(name, private) {
+			return false
+		}
+	}
+	return true
+}
+
+// similar reports whether two header names are equal except for case and for underscores in place
+// of hyphens. Servers that follow CGI don't tell such names apart.
+func similar(a, b string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range len(a) {
+		if fold(a[i]) != fold(b[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// fold returns the lower case of an ASCII letter, and a hyphen for an underscore.
+func fold(c byte) byte {
+	switch {
+	case 'A' <= c && c <= 'Z':
+		return c + 'a' - 'A'
+	case c == '_':
+		return '-'
 	default:
-		return !slices.Contains(n.Private, name)
+		return c
 	}
 }
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -23,15 +23,14 @@
 // with an invalid key, target, timeout or depth.
 func (s *Server) request(in *fasthttp.Request) (*baobabtide.Request, *baobabtide.RequestError) {
 	n := &s.Names
-	req := &baobabtide.Request{
-		ID:       peek(in, n.RequestID),
-		Customer: peek(in, n.Customer),
-		Key:      peek(in, n.Key),
-		Host:     hostName(string(in.Header.Host())),
-		Method:   string(in.Header.Method()),
-		Target:   string(in.Header.RequestURI()),
-		Retried:  peek(in, n.Retried) != "",
-	}
+	req := n.newRequest(in)
+	req.ID = peek(in, n.RequestID)
+	req.Customer = peek(in, n.Customer)
+	req.Key = peek(in, n.Key)
+	req.Host = hostName(string(in.Header.Host()))
+	req.Method = string(in.Header.Method())
+	req.Target = string(in.Header.RequestURI())
+	req.Retried = peek(in, n.Retried) != ""
 	if s.Origin != nil {
 		req.Origin = s.Origin()
 	}
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -39,8 +39,8 @@
 }
 
 // prepare matches a request to its route, sets the fields that follow from the route
-// and chooses the version. It refuses requests that no route serves and those with a
-// depth above maxDepth.
+// and chooses the version. It refuses requests that no route serves, those with a depth
+// above maxDepth and those without an account that need one.
 func (d *Dispatcher) prepare(req *baobabtide.Request) (*requestState, *baobabtide.RequestError) {
 	table := d.Table()
 	if !table.Configured() {
@@ -56,6 +56,9 @@
 	if req.Depth > maxDepth {
 		return nil, baobabtide.Refuse(baobabtide.ReasonTooDeep, 0, fmt.Errorf("depth %d exceeds %d", req.Depth, maxDepth))
 	}
+	if refusal := identify(req, table.Accounts(req.Customer), &route.Terms); refusal != nil {
+		return nil, refusal
+	}
 	req.Digest = btquarantine.DigestOf(req, route.Terms.Host)
 	s := &requestState{req: req, destination: route.Choose(), began: time.Now(), maxReached: route.Terms.MaxAttempts}
 	if s.maxReached == 0 {
@@ -64,7 +67,6 @@
 	req.Service = s.destination.Service
 	req.Route = route.Terms.Name
 	req.Idempotent = route.Terms.Idempotent
-	req.Priority = route.Terms.Priority
 	if routeDeadline := s.began.Add(route.Terms.Timeout); routeDeadline.Before(req.Deadline) {
 		req.Deadline = routeDeadline
 	}
--- a/btledger/ledger.go
+++ b/btledger/ledger.go
@@ -90,9 +90,14 @@
 
 func (g *generations) size() int { return len(g.current) + len(g.previous) }
 
-// KeyName returns the name under which the key of a customer's request to a service is
-// stored.
-func KeyName(customer, service, key string) string { return customer + "\x00" + service + "\x00" + key }
+// KeyName returns the name under which the idempotency key of a customer's request to a service
+// is stored. The keys of client accounts are apart from each other. The account is empty for none.
+func KeyName(customer, service, account, key string) string {
+	if account == "" {
+		return customer + "\x00" + service + "\x00" + key
+	}
+	return customer + "\x00" + service + "\x00" + account + "\x00" + key
+}
 
 // Begin records that an attempt is about to run. The key name is empty for a request
 // without a key. If Begin returns neither an answer nor an error, the attempt may run.
--- a/btledger/ledger_test.go
+++ b/btledger/ledger_test.go
@@ -174,3 +174,17 @@
 		t.Errorf("next repeat (-want +got):\n%s", diff)
 	}
 }
+
+// TestKeyNamesOfAccounts guards against an account that gets the stored answer to another one's
+// request with the same idempotency key.
+func TestKeyNamesOfAccounts(t *testing.T) {
+	names := map[string]bool{
+		KeyName("c", "s", "", "k"):  true,
+		KeyName("c", "s", "a", "k"): true,
+		KeyName("c", "s", "b", "k"): true,
+		KeyName("c", "s", "k", "a"): true,
+	}
+	if diff := cmp.Diff(4, len(names)); diff != "" {
+		t.Errorf("different names (-want +got):\n%s", diff)
+	}
+}
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -56,7 +56,7 @@
 		return nil, nil
 	}
 	if r.req.Key != "" {
-		r.keyName = btledger.KeyName(r.req.Customer, r.req.Service, r.req.Key)
+		r.keyName = btledger.KeyName(r.req.Customer, r.req.Service, r.req.Account, r.req.Key)
 	}
 	answer, refusal := r.admitter.ledger.Begin(r.req.Attempt, r.keyName, time.Now())
 	r.recorded = answer == nil && refusal == nil
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -148,6 +148,14 @@
 	if h.RateLimit < 0 || math.IsNaN(h.RateLimit) {
 		return baobabtide.Fieldf("RateLimit", "%v is not a rate", h.RateLimit)
 	}
+	if h.Priority < 0 || h.Priority > baobabtide.MaxRequestPriority {
+		return baobabtide.Fieldf("Priority", "%d, 0 to %d are allowed", h.Priority, baobabtide.MaxRequestPriority)
+	}
+	if h.Account != "" {
+		if err := baobabtide.CheckName("Account", h.Account); err != nil {
+			return err
+		}
+	}
 	if h.AccountUse < 0 || math.IsNaN(h.AccountUse) {
 		return baobabtide.Fieldf("AccountUse", "%v is not a ratio", h.AccountUse)
 	}
--- /dev/null
+++ b/btroute/accounts_test.go
@@ -0,0 +1,106 @@
+package btroute
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
+)
+
+// accounts returns client accounts with a number of keys each.
+func accounts(count, keys int) []baobabtide.Account {
+	list := make([]baobabtide.Account, count)
+	for i := range list {
+		list[i].Name = fmt.Sprintf("account-%d", i)
+		for j := range keys {
+			list[i].Keys = append(list[i].Keys, baobabtide.DigestKey(fmt.Appendf(nil, "key-%d-%d", i, j)))
+		}
+	}
+	return list
+}
+
+// withAccounts returns a configuration whose contract has client accounts.
+func withAccounts(list []baobabtide.Account) *btconfig.State {
+	s := state("v1", "service-0")
+	c := s.Contracts["c"]
+	c.Contract.Accounts = list
+	s.Contracts["c"] = c
+	return s
+}
+
+// TestFindAccount guards against keys that lead to the wrong account or to one that has lost them.
+func TestFindAccount(t *testing.T) {
+	old := accounts(3, 2)
+	next := slices.Clone(old)
+	next[1].Keys = next[1].Keys[:1]                                   // one key removed
+	next[2].Keys = append(slices.Clone(next[2].Keys), old[1].Keys[1]) // and given to another account
+	first := Build(withAccounts(old), nil, locality, nil)
+	second := Build(withAccounts(next), nil, locality, first)
+	none := Build(withAccounts(nil), nil, locality, second)
+	unknown := baobabtide.DigestKey([]byte("unknown"))
+	name := func(a *Accounts, key *baobabtide.KeyDigest) string {
+		if found := a.Find(key); found != nil {
+			return found.Name
+		}
+		return ""
+	}
+	tests := map[string]struct {
+		table *Table
+		key   *baobabtide.KeyDigest
+		want  string
+	}{
+		"first key":       {first, &old[0].Keys[0], "account-0"},
+		"second key":      {first, &old[1].Keys[1], "account-1"},
+		"unknown key":     {first, &unknown, ""},
+		"no key":          {first, nil, ""},
+		"invalid key":     {first, &baobabtide.KeyDigest{}, ""},
+		"key that stays":  {second, &old[1].Keys[0], "account-1"},
+		"key that moved":  {second, &old[1].Keys[1], "account-2"},
+		"key in no table": {second, &unknown, ""},
+	}
+	for label, tt := range tests {
+		t.Run(label, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, name(tt.table.Accounts("c"), tt.key)); diff != "" {
+				t.Errorf("account (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if none.Accounts("c") != nil || first.Accounts("d") != nil {
+		t.Error("a contract without accounts, or no contract, asks for keys")
+	}
+}
+
+// TestUnchangedAccountsKeepTheirMap guards against a map of all keys that is built again with each
+// change of the membership or of another part of the configuration.
+func TestUnchangedAccountsKeepTheirMap(t *testing.T) {
+	const wanted = 30 // allocations of a build without accounts, with a reserve
+	first := Build(withAccounts(accounts(1000, 2)), nil, locality, nil)
+	for name, list := range map[string][]baobabtide.Account{
+		"same contract":         first.Accounts("c").terms,
+		"equal accounts, again": accounts(1000, 2),
+	} {
+		s := withAccounts(list)
+		var next *Table
+		if n := testing.AllocsPerRun(10, func() { next = Build(s, nil, locality, first) }); n > wanted {
+			t.Errorf("%s: %g allocations", name, n)
+		}
+		key := list[999].Keys[1]
+		if a := next.Accounts("c").Find(&key); a == nil || a.Name != "account-999" {
+			t.Errorf("%s: the key leads to %+v", name, a)
+		}
+	}
+}
+
+// TestFindAccountDoesNotAllocate guards against work for the garbage collector with each request.
+func TestFindAccountDoesNotAllocate(t *testing.T) {
+	list := accounts(84, 1)
+	table := Build(withAccounts(list), nil, locality, nil)
+	key := list[50].Keys[0]
+	if n := testing.AllocsPerRun(100, func() { _ = table.Accounts("c").Find(&key) }); n != 0 {
+		t.Errorf("%g allocations", n)
+	}
+}
--- a/btroute/match.go
+++ b/btroute/match.go
@@ -11,6 +11,7 @@
 // the length of the path, not on the number of routes.
 type customerRoutes struct {
 	callerLimits *baobabtide.CallerLimits
+	accounts     *Accounts               // nil if the contract has none
 	byPrefix     map[hostPrefix][]*Route // routes of one prefix differ in their methods
 }
 
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -172,6 +172,7 @@
 
 func (t *Table) addContract(state *btconfig.State, customer string, c *baobabtide.Contract, pools map[versionKey]*Pool, prev *Table) {
 	routes := newCustomerRoutes(c)
+	routes.accounts = newAccounts(c.Accounts, prev.Accounts(customer))
 	for i := range c.Services {
 		t.addDestination(state, customer, &c.Services[i], pools, prev)
 	}
--- a/request.go
+++ b/request.go
@@ -25,7 +25,7 @@
 	Route      string
 	Key        string // Idempotency-Key, empty if the caller sent none
 	Idempotent bool
-	Priority   int
+	Priority   int    // higher goes first; that of the route, or RequestPriority where the contract has accounts
 	Rollout    Offset // offset of the rollout that the attempt is evidence for, 0 for none
 	Method     string
 	Target     string // request target: path and query
@@ -41,8 +41,8 @@
 	RateLimit  float64   // requests per second that the target accepts as far as the sending node knows, 0 for no limit
 	Account    string    // client account of the caller, empty for none
 
-	// KeyDigest is of the account key that the caller sent, nil if it sent none. Requests between
-	// nodes don't carry it.
+	// KeyDigest is of the account key that the caller sent, nil if it sent none and zero if it sent
+	// an empty one or several. Requests between nodes don't carry it.
 	KeyDigest *KeyDigest
 	// AccountUse is the demand of the account over all nodes, divided by its limit, 0 if unknown.
 	AccountUse float64
