--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -28,6 +28,8 @@
 	dialTimeout    = 500 * time.Millisecond // a lost SYN is only retransmitted after seconds; a new attempt is faster
 	settleTimeout  = time.Second            // of a settle call, including its new connection
 	firstBodyPart  = 32 << 10               // maximum bytes of body in the first frame, with the head
+	streamWindow   = 256 << 10              // bytes in flight of one body; fixed, as gRPC otherwise pings with each message to measure the link
+	connWindow     = 1 << 20                // bytes in flight on a connection
 	reconnectDelay = 100 * time.Millisecond // after the first failed attempt
 	reconnectMax   = 500 * time.Millisecond // upper limit after repeated failed attempts
 )
@@ -98,6 +100,8 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(c.credentials),
 		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(codec{}), grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(connWindow),
 		grpc.WithReadBufferSize(bufferSize),
 		grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithDisableRetry(),
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -70,6 +70,8 @@
 		grpc.MaxConcurrentStreams(maxServerStreams),
 		grpc.NumStreamWorkers(streamWorkers),
 		grpc.MaxHeaderListSize(maxHeaderListSize),
+		grpc.StaticStreamWindowSize(streamWindow),
+		grpc.StaticConnWindowSize(connWindow),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
 		grpc.StatsHandler(bytes),
