btnode: batches of membership changes and reports on narrow links

Change: with Peer.LinkMegabits below 250, members, statuses and reports wait up to 50 ms for others on the same edge. Trips, pulls, configuration and heartbeats are sent at once, behind what waits.

--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -392,7 +392,7 @@
 	if outcomes := n.config.State().Outcomes; len(outcomes) > 0 {
 		e.send(&btpeer.Gossip{Outcomes: outcomes})
 	}
-	go e.sendLoop(conn)
+	go e.sendLoop(conn, n.settings.Peer.HasNarrowLink())
 	go n.receiveLoop(e, conn, first)
 	<-e.ctx.Done()
 	n.removeEdge(e)
@@ -415,21 +415,6 @@
 	n.members.mu.Unlock()
 }
 
-// sendLoop writes the queued messages to the stream until the edge closes.
-func (e *edge) sendLoop(conn *btpeer.GossipConn) {
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case m := <-e.queue:
-			if err := conn.Send(m); err != nil {
-				e.cancel(err)
-				return
-			}
-		}
-	}
-}
-
 // receiveLoop handles the first message of an edge itself and passes the others
 // to the workers, until receiving fails.
 func (n *Node) receiveLoop(e *edge, conn *btpeer.GossipConn, first *btpeer.Gossip) {
