--- a/btcaller/account_test.go
+++ b/btcaller/account_test.go
@@ -101,3 +101,19 @@
 		t.Errorf("allocations (-without +with):\n%s", diff)
 	}
 }
+
+// BenchmarkRequestWithKey compares the conversion of a request with a key to that of one without.
+func BenchmarkRequestWithKey(b *testing.B) {
+	s := &Server{Names: DefaultNames()}
+	for name, header := range map[string]string{"without": "X-Other: gjqnirth5mgjy5rcpihh\r\n", "with": "Baobabtide-Account-Key: gjqnirth5mgjy5rcpihh\r\n"} {
+		b.Run(name, func(b *testing.B) {
+			in := parse(b, "GET /a/b HTTP/1.1\r\nHost: h\r\nUser-Agent: u\r\nAccept: */*\r\n"+header+"\r\n")
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, refusal := s.request(in); refusal != nil {
+					b.Fatal(refusal)
+				}
+			}
+		})
+	}
+}
--- a/btdispatch/account_test.go
+++ b/btdispatch/account_test.go
@@ -120,3 +120,36 @@
 		t.Errorf("reasons (-want +got):\n%s", diff)
 	}
 }
+
+// TestIdentifyDoesNotAllocate guards against work for the garbage collector with each request of an
+// account.
+func TestIdentifyDoesNotAllocate(t *testing.T) {
+	key := baobabtide.DigestKey([]byte("key"))
+	table := accountTable(false, baobabtide.Account{Name: "a", Keys: []baobabtide.KeyDigest{key}})
+	route := table.Match("c", "", "GET", "/service-0")
+	req := request("GET", "")
+	req.KeyDigest = &key
+	if n := testing.AllocsPerRun(100, func() { _ = identify(req, table.Accounts("c"), &route.Terms) }); n != 0 || req.Account != "a" {
+		t.Errorf("%g allocations, account %q", n, req.Account)
+	}
+}
+
+// BenchmarkPrepare compares a request of an account to one of a contract without accounts.
+func BenchmarkPrepare(b *testing.B) {
+	key := baobabtide.DigestKey([]byte("key"))
+	for name, table := range map[string]*btroute.Table{
+		"account": accountTable(false, baobabtide.Account{Name: "a", Keys: []baobabtide.KeyDigest{key}}), "no accounts": accountTable(false),
+	} {
+		b.Run(name, func(b *testing.B) {
+			d := &Dispatcher{Node: "self", Table: func() *btroute.Table { return table }}
+			req := request("GET", "")
+			req.KeyDigest = &key
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, refusal := d.prepare(req); refusal != nil {
+					b.Fatal(refusal)
+				}
+			}
+		})
+	}
+}
--- a/btoperator/api.go
+++ b/btoperator/api.go
@@ -18,6 +18,7 @@
 	pathVersions  = "/v1/versions"
 	pathAudit     = "/v1/audit"
 	pathDrain     = "/v1/drain"
+	pathAccounts  = "/v1/accounts"
 
 	pathQuarantine = "/v1/quarantine"
 	pathClear      = "/v1/quarantine/clear"
@@ -32,6 +33,8 @@
 	Status(ctx context.Context) (*Status, error)
 	// Contracts returns the contracts in force.
 	Contracts(ctx context.Context) (*Contracts, error)
+	// Accounts returns the client accounts of the contracts in force.
+	Accounts(ctx context.Context) (*Accounts, error)
 	// Versions returns the released versions of each service.
 	Versions(ctx context.Context) (*Versions, error)
 	// Audit returns the audit entries that the node retains, oldest first.
@@ -61,6 +64,19 @@
 	Contract baobabtide.Contract
 }
 
+// Accounts holds the client accounts that a node knows, ordered by customer and name.
+type Accounts struct {
+	Node     string            // node that reports the accounts
+	Offset   baobabtide.Offset // of the configuration in force on that node
+	Accounts []Account
+}
+
+// Account holds a client account with its customer.
+type Account struct {
+	Customer string
+	baobabtide.Account
+}
+
 // Versions holds the released versions, ordered by service.
 type Versions struct {
 	Services []ServiceVersions
--- a/btoperator/client.go
+++ b/btoperator/client.go
@@ -77,6 +77,11 @@
 	return get[Contracts](ctx, c, pathContracts)
 }
 
+// Accounts implements Node.
+func (c *Client) Accounts(ctx context.Context) (*Accounts, error) {
+	return get[Accounts](ctx, c, pathAccounts)
+}
+
 // Versions implements Node.
 func (c *Client) Versions(ctx context.Context) (*Versions, error) {
 	return get[Versions](ctx, c, pathVersions)
--- a/btoperator/server.go
+++ b/btoperator/server.go
@@ -38,6 +38,7 @@
 		"GET " + pathQuarantine: handleGet(node.Quarantine),
 		"GET " + pathStatus:     handleGet(node.Status),
 		"GET " + pathContracts:  handleGet(node.Contracts),
+		"GET " + pathAccounts:   handleGet(node.Accounts),
 		"GET " + pathVersions:   handleGet(node.Versions),
 		"GET " + pathAudit:      handleGet(node.Audit),
 	}
--- a/btroute/accounts_test.go
+++ b/btroute/accounts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -104,3 +105,49 @@
 		t.Errorf("%g allocations", n)
 	}
 }
+
+// Sizes of contracts for benchmarks: that of a deployment, and 100,000 keys.
+var accountSizes = []struct{ accounts, keys int }{{84, 1}, {1000, 100}}
+
+func BenchmarkFindAccount(b *testing.B) {
+	for _, size := range accountSizes {
+		b.Run(fmt.Sprintf("%d accounts of %d keys", size.accounts, size.keys), func(b *testing.B) {
+			list := accounts(size.accounts, size.keys)
+			table := Build(withAccounts(list), nil, locality, nil)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if table.Accounts("c").Find(&list[i%size.accounts].Keys[i%size.keys]) == nil {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkBuildAccounts measures the time to build the accounts of a table, and the memory that
+// they keep besides that of the contract.
+func BenchmarkBuildAccounts(b *testing.B) {
+	for _, size := range accountSizes {
+		list := accounts(size.accounts, size.keys)
+		prev := newAccounts(list, nil)
+		equal := accounts(size.accounts, size.keys)
+		changed := accounts(size.accounts, size.keys)
+		changed[size.accounts-1].Priority = 1
+		for name, terms := range map[string][]baobabtide.Account{"same": list, "equal": equal, "changed": changed} {
+			b.Run(fmt.Sprintf("%d accounts of %d keys, %s", size.accounts, size.keys, name), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				kept := newAccounts(terms, prev)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportAllocs()
+				for b.Loop() {
+					kept = newAccounts(terms, prev)
+				}
+				b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "B-kept")
+				runtime.KeepAlive(kept)
+			})
+		}
+	}
+}
