--- a/baobabtidectl/account.go
+++ b/baobabtidectl/account.go
@@ -17,7 +17,10 @@
 	Customer string `flag:"customer" help:"customer whose accounts to show; by default those of all customers"`
 }
 
-func init() {
+func init() { register(accountCommand()) }
+
+// accountCommand returns the command with its subcommands.
+func accountCommand() *cobra.Command {
 	parent := &cobra.Command{Use: "account", Short: "Show the client accounts in force on a node"}
 	options := &accountOptions{}
 	btflag.Bind(parent.PersistentFlags(), options)
@@ -35,7 +38,7 @@
 			RunE:  func(c *cobra.Command, args []string) error { return showAccount(c, args[0], options) },
 		},
 	)
-	register(parent)
+	return parent
 }
 
 // fetchAccounts returns the accounts in force on the node at --node. An empty customer or name
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -92,6 +92,7 @@
 	Requests, Answered, NotRun, MayHaveRun, Moves, Retries, Settled atomic.Int64
 	FailedLost, MovesLost, RetriesLost                              atomic.Int64
 	InvalidLoads                                                    atomic.Int64 // reports of load that no target can have
+	UnknownKeys                                                     atomic.Int64 // requests refused with ReasonUnknownKey
 }
 
 // refuseQuarantined returns the refusal of a request that has crashed the backend servers that
@@ -142,6 +143,9 @@
 	case err.Verdict == baobabtide.MayHaveRun:
 		d.Counters.MayHaveRun.Add(1)
 	}
+	if err.Reason == baobabtide.ReasonUnknownKey {
+		d.Counters.UnknownKeys.Add(1)
+	}
 	if err.Verdict != baobabtide.NotRun && err.Reason == baobabtide.ReasonLost {
 		d.Counters.FailedLost.Add(1)
 	}
--- a/btnode/summary.go
+++ b/btnode/summary.go
@@ -12,7 +12,7 @@
 // servedCounts holds the values of the counters of requests at one time.
 type servedCounts struct {
 	asked, answered, notRun, mayHaveRun, retries, moves int64
-	failedLost, movesLost, retriesLost                  int64
+	failedLost, movesLost, retriesLost, unknownKeys     int64
 }
 
 func loadServedCounts(c *btdispatch.Counters) servedCounts {
@@ -20,6 +20,7 @@
 		asked: c.Requests.Load(), answered: c.Answered.Load(), notRun: c.NotRun.Load(), mayHaveRun: c.MayHaveRun.Load(),
 		retries: c.Retries.Load(), moves: c.Moves.Load(),
 		failedLost: c.FailedLost.Load(), movesLost: c.MovesLost.Load(), retriesLost: c.RetriesLost.Load(),
+		unknownKeys: c.UnknownKeys.Load(),
 	}
 }
 
@@ -42,12 +43,16 @@
 func (n *Node) logServed(previous servedCounts) servedCounts {
 	now := loadServedCounts(&n.dispatch.Counters)
 	if now != previous {
-		n.log.Info().Str("event", string(btlog.RequestsServed)).Int64("asked", now.asked-previous.asked).Int64("answered", now.answered-previous.answered).
+		line := n.log.Info().Str("event", string(btlog.RequestsServed)).Int64("asked", now.asked-previous.asked).Int64("answered", now.answered-previous.answered).
 			Int64("not-run", now.notRun-previous.notRun).Int64("may-have-run", now.mayHaveRun-previous.mayHaveRun).
 			Int64("failed-lost", now.failedLost-previous.failedLost).
 			Int64("moves", now.moves-previous.moves).Int64("moves-lost", now.movesLost-previous.movesLost).
 			Int64("retries", now.retries-previous.retries).Int64("retries-lost", now.retriesLost-previous.retriesLost).
-			Int("running", n.local.Active()).Uint64("config", uint64(n.inForce())).Send()
+			Int("running", n.local.Active()).Uint64("config", uint64(n.inForce()))
+		if unknown := now.unknownKeys - previous.unknownKeys; unknown > 0 {
+			line = line.Int64("unknown-key", unknown)
+		}
+		line.Send()
 	}
 	return now
 }
--- a/btnode/summary_test.go
+++ b/btnode/summary_test.go
@@ -44,3 +44,20 @@
 		t.Errorf("line (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnknownKeysAreLogged guards against requests that are refused for their keys without a line:
+// a line for each would let unknown clients crowd out all others.
+func TestUnknownKeysAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	n := idleNode(t, zerolog.New(&out))
+	n.dispatch.Counters.Requests.Add(7)
+	n.dispatch.Counters.UnknownKeys.Add(7)
+	n.logServed(n.logServed(servedCounts{}))
+	var got map[string]any
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+		t.Fatalf("not one line: %v\n%s", err, out.String())
+	}
+	if diff := cmp.Diff(any(7.), got["unknown-key"]); diff != "" {
+		t.Errorf("requests with an unknown key (-want +got):\n%s", diff)
+	}
+}
