--- /dev/null
+++ b/btquota/coordinator.go
@@ -0,0 +1,442 @@
+package btquota
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Coordinator collects the demand of the nodes of a zone and of the other zones, and tells the nodes
+// what they may use. It is safe for concurrent use. One that gets no reports does nothing.
+type Coordinator struct {
+	node    string
+	process uint64
+	zone    string
+
+	mu       sync.Mutex
+	accounts []account
+	index    map[uint64]int // in accounts, by the account's number
+	sources  map[string]*source
+	noticed  map[string]time.Time // last notice to each node that has not reported lately
+	members  int                  // live members of all zones
+	zones    map[string]int       // live members of each other zone
+	begun    time.Time            // first report after an idle time, zero while idle
+	lastSeen time.Time            // last report of a node
+	combined time.Time            // when the sums of the accounts were computed
+}
+
+// account holds the sums of an account over all nodes.
+type account struct {
+	limit Limit
+	id    uint64
+	level float64 // tokens of the bucket of all nodes, at the time of the sums
+	own   int64   // use that nodes have reported to this coordinator in total
+
+	demand    float64 // requests per second of the nodes and zones that report
+	ownDemand float64 // of the nodes that report to this coordinator
+	slow      float64 // sum of sourceRow.slow of those
+	held      float64 // sum of the shares that are reserved for those that no longer report
+	admit     float64
+}
+
+// source is a node of the zone or the coordinator of another one.
+type source struct {
+	process     uint64
+	zone        string
+	coordinator bool
+	at          time.Time // of the last report
+	rows        []sourceRow
+}
+
+// sourceRow is the demand of a source for one account, in the order of Coordinator.accounts.
+type sourceRow struct {
+	demand  float64 // requests per second at time at
+	slow    float64 // follows demand up at once and down with slowTime
+	share   float64 // that the source was told to use, or that another zone claims
+	used    int64   // last total of another coordinator
+	counted bool    // used is valid
+	at      time.Time
+}
+
+// NewCoordinator returns a Coordinator for a zone without limits.
+func NewCoordinator(node string, process uint64, zone string) *Coordinator {
+	return &Coordinator{node: node, process: process, zone: zone, sources: make(map[string]*source), noticed: make(map[string]time.Time)}
+}
+
+// SetLimits replaces the limits. An account that keeps its name keeps the level of its bucket, up to
+// the new size.
+func (c *Coordinator) SetLimits(limits []Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	accounts := make([]account, len(limits))
+	index := make(map[uint64]int, len(limits))
+	for i, limit := range limits {
+		a := account{limit: limit, id: limit.id(), admit: 1}
+		// After a restart of all nodes, the burst may have been used just before.
+		a.level = min(a.target()+slack/2, a.size())
+		if old, ok := c.index[a.id]; ok {
+			a = c.accounts[old]
+			a.limit = limit
+			a.level = min(a.level, a.size())
+		}
+		accounts[i], index[a.id] = a, i
+	}
+	for _, s := range c.sources {
+		rows := make([]sourceRow, len(limits))
+		for i := range accounts {
+			if old, ok := c.index[accounts[i].id]; ok {
+				rows[i] = s.rows[old]
+			}
+		}
+		s.rows = rows
+	}
+	c.accounts, c.index, c.combined = accounts, index, time.Time{}
+}
+
+// SetMembers sets the number of live members of each zone, and removes the nodes that have left.
+func (c *Coordinator) SetMembers(zones map[string]int, left []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members, c.zones = 0, make(map[string]int, len(zones))
+	for zone, members := range zones {
+		c.members += members
+		if zone != c.zone {
+			c.zones[zone] = members
+		}
+	}
+	for _, node := range left {
+		delete(c.sources, node)
+		delete(c.noticed, node)
+	}
+}
+
+// size returns the number of tokens that the bucket of an account holds at most.
+func (a *account) size() float64 { return a.limit.Burst + slack }
+
+// target returns the level of the bucket that the control aims at under overload.
+func (a *account) target() float64 { return reserve * a.limit.Burst }
+
+// Report takes the report of a node or another coordinator and returns the answer.
+func (c *Coordinator) Report(r *Report, now time.Time) *Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer := &Answer{Node: c.node, Process: c.process, Zone: c.zone}
+	if r.Coordinator {
+		c.combine(now, false)
+		answer.Rows = c.rows()
+		c.addZone(r.Node, r.Process, r.Zone, r.Rows, now)
+		return answer
+	}
+	c.begin(r, now)
+	s := c.source(r.Node, r.Process, r.Zone, false)
+	s.at = now
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		if k, ok := c.index[row.Account]; ok {
+			s.rows[k].update(float64(row.Demand), now)
+			c.accounts[k].own += row.Used
+			c.accounts[k].level -= float64(row.Used)
+		}
+	}
+	c.combine(now, false)
+	answer.Ready = c.ready(now)
+	answer.Shares = c.shares(r, s)
+	return answer
+}
+
+// begin records the time of a report. A coordinator that takes over from another one does not know
+// the use of the last seconds, so its buckets begin with the reserve only.
+func (c *Coordinator) begin(r *Report, now time.Time) {
+	if age(c.lastSeen, now) > freshFor {
+		c.begun = now
+		if r.Moved {
+			c.combine(now, true)
+			for k := range c.accounts {
+				a := &c.accounts[k]
+				a.level = min(a.level, a.target()+slack/2)
+			}
+		}
+	}
+	c.lastSeen = now
+}
+
+// Due reports whether the sums of a zone are no longer recent.
+func (c *Coordinator) Due(zone string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.sources {
+		if s.coordinator && s.zone == zone && now.Sub(s.at) < exchangeAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// Exchange returns the report to the other coordinators.
+func (c *Coordinator) Exchange(now time.Time) *Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.combine(now, false)
+	return &Report{Node: c.node, Process: c.process, Zone: c.zone, Coordinator: true, Rows: c.rows()}
+}
+
+// AddAnswer takes the answer of another coordinator to a report of Exchange.
+func (c *Coordinator) AddAnswer(a *Answer, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addZone(a.Node, a.Process, a.Zone, a.Rows, now)
+}
+
+// Active reports whether a node reports to this coordinator, so that it must exchange sums.
+func (c *Coordinator) Active(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.lastSeen.IsZero() && now.Sub(c.lastSeen) < holdFor
+}
+
+// source returns the state of a source, and creates it if its process is new.
+func (c *Coordinator) source(node string, process uint64, zone string, coordinator bool) *source {
+	name := node
+	if coordinator {
+		name = "zone " + node // a coordinator is also a node that may report
+	}
+	s := c.sources[name]
+	if s == nil || s.process != process {
+		s = &source{process: process, zone: zone, coordinator: coordinator, rows: make([]sourceRow, len(c.accounts))}
+		c.sources[name] = s
+	}
+	return s
+}
+
+// update records the demand of a source.
+func (r *sourceRow) update(demand float64, now time.Time) {
+	if !r.at.IsZero() {
+		r.slow *= math.Exp(-now.Sub(r.at).Seconds() / slowTime.Seconds())
+	}
+	r.slow = max(r.slow, demand)
+	r.demand, r.at = demand, now
+}
+
+// addZone records the sums of another coordinator. It takes the place of an earlier one of its zone
+// that is silent.
+func (c *Coordinator) addZone(node string, process uint64, zone string, rows []Row, now time.Time) {
+	if node == c.node {
+		return
+	}
+	for name, s := range c.sources {
+		if s.coordinator && s.zone == zone && name != "zone "+node && age(s.at, now) > freshFor && zone != c.zone {
+			delete(c.sources, name)
+		}
+	}
+	s := c.source(node, process, zone, true)
+	s.at = now
+	reported := make([]bool, len(c.accounts))
+	for i := range rows {
+		k, ok := c.index[rows[i].Account]
+		if !ok {
+			continue
+		}
+		reported[k] = true
+		row := &s.rows[k]
+		if row.counted {
+			c.accounts[k].level -= float64(rows[i].Used - row.used)
+		}
+		row.used, row.counted = rows[i].Used, true
+		row.update(float64(rows[i].Demand), now)
+	}
+	for k := range s.rows {
+		if !reported[k] && !s.rows[k].at.IsZero() {
+			s.rows[k].update(0, now)
+		}
+	}
+	c.combine(now, true)
+	for k := range s.rows {
+		s.rows[k].share = c.accounts[k].part(&s.rows[k])
+	}
+}
+
+// rows returns the sums of the nodes that report to this coordinator, without accounts that had no
+// demand yet.
+func (c *Coordinator) rows() []Row {
+	var rows []Row
+	for k := range c.accounts {
+		if a := &c.accounts[k]; a.ownDemand > 0 || a.own != 0 {
+			rows = append(rows, Row{Account: a.id, Demand: float32(a.ownDemand), Used: a.own})
+		}
+	}
+	return rows
+}
+
+// combine computes the sums of all accounts, unless they are recent and force is not set.
+func (c *Coordinator) combine(now time.Time, force bool) {
+	elapsed := now.Sub(c.combined)
+	if elapsed < combine && !force {
+		return
+	}
+	if c.combined.IsZero() || elapsed < 0 {
+		elapsed = 0
+	}
+	c.combined = now
+	for k := range c.accounts {
+		a := &c.accounts[k]
+		a.demand, a.ownDemand, a.slow, a.held = 0, 0, 0, 0
+	}
+	for name, s := range c.sources {
+		if !c.combineSource(s, now) {
+			delete(c.sources, name)
+		}
+	}
+	for k := range c.accounts {
+		c.accounts[k].control(elapsed)
+	}
+}
+
+// combineSource adds the demand of a source to the sums, or the shares that are reserved for it if
+// it has gone silent. It returns false for one that needs no longer be known.
+func (c *Coordinator) combineSource(s *source, now time.Time) bool {
+	silence := age(s.at, now)
+	limit := holdFor
+	if s.coordinator {
+		limit = zoneFor
+	}
+	if silence > limit {
+		return false
+	}
+	equal := 1 / float64(max(c.members, 1))
+	for k := range s.rows {
+		row, a := &s.rows[k], &c.accounts[k]
+		switch {
+		case row.at.IsZero():
+		case silence > freshFor && row.demand > 0 && s.coordinator:
+			a.held += row.share
+		case silence > freshFor && row.demand > 0:
+			a.held += heldShare(row.share, equal, silence)
+		default:
+			a.demand += row.demand
+			if !s.coordinator {
+				a.ownDemand += row.demand
+			}
+			a.slow += row.slow * math.Exp(-now.Sub(row.at).Seconds()/slowTime.Seconds())
+		}
+	}
+	return true
+}
+
+// control advances the bucket of an account by a time and determines which fraction of the requests
+// the nodes admit: the one at which the level returns to its reserve with the time constant settle.
+func (a *account) control(elapsed time.Duration) {
+	a.held = min(a.held, 1)
+	rate := a.limit.Rate * (1 - a.held)
+	a.level = min(a.level+rate*elapsed.Seconds(), a.size())
+	a.level = max(a.level, -maxDebt*a.limit.Rate)
+	allowed := max(0, rate+(a.level-a.target())/settle.Seconds())
+	a.admit = 1
+	if a.demand > allowed {
+		a.admit = allowed / a.demand
+	}
+}
+
+// part returns the share of the limit that a source may use, in proportion to its demand.
+func (a *account) part(row *sourceRow) float64 {
+	if a.slow <= 0 {
+		return 0
+	}
+	return min(1, row.slow/a.slow) * (1 - a.held)
+}
+
+// shares returns the shares of the accounts in a report, and the admitted fraction of the others
+// that are short.
+func (c *Coordinator) shares(r *Report, s *source) []Share {
+	shares := make([]Share, 0, len(r.Rows))
+	equal := 1 / float64(max(c.members, 1))
+	listed := make([]bool, len(c.accounts))
+	for i := range r.Rows {
+		k, ok := c.index[r.Rows[i].Account]
+		if !ok {
+			continue
+		}
+		listed[k] = true
+		a, row := &c.accounts[k], &s.rows[k]
+		row.share = a.part(row)
+		shares = append(shares, a.share(row.share))
+	}
+	for k := range c.accounts {
+		if a := &c.accounts[k]; !listed[k] && a.admit < 1 {
+			shares = append(shares, a.share(min(equal, 1-a.held)))
+		}
+	}
+	return shares
+}
+
+// share returns the message to a node that may use a fraction of the limit.
+func (a *account) share(fraction float64) Share {
+	return Share{
+		Account:  a.id,
+		Fraction: float32(fraction),
+		Tokens:   float32(fraction*max(0, a.level) + a.limit.floor()),
+		Admit:    float32(a.admit),
+		Use:      float32(a.demand / a.limit.Rate),
+	}
+}
+
+// Notice returns the shares of the accounts that are short, for the nodes of the zone that have not
+// reported lately: each could admit a request before its report is answered. It returns them for
+// those of the given nodes that were not told within the last noticeAfter.
+func (c *Coordinator) Notice(nodes []string, now time.Time) ([]string, []Share) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.combine(now, false)
+	var shares []Share
+	equal := 1 / float64(max(c.members, 1))
+	for k := range c.accounts {
+		if a := &c.accounts[k]; a.admit < 1 {
+			shares = append(shares, a.share(min(equal, 1-a.held)))
+		}
+	}
+	if len(shares) == 0 || c.lastSeen.IsZero() || age(c.lastSeen, now) > freshFor {
+		return nil, nil
+	}
+	var silent []string
+	for _, node := range nodes {
+		s := c.sources[node]
+		if (s == nil || age(s.at, now) > freshFor) && now.Sub(c.noticed[node]) > noticeAfter {
+			silent = append(silent, node)
+			c.noticed[node] = now
+		}
+	}
+	return silent, shares
+}
+
+// ready reports whether this coordinator knows the demand of all zones with members. It does not wait
+// longer than readyFor: for a zone that does not answer, it reserves the part of its members.
+func (c *Coordinator) ready(now time.Time) bool {
+	missing := false
+	for zone, members := range c.zones {
+		if members == 0 || c.heard(zone) {
+			continue
+		}
+		missing = true
+		if now.Sub(c.begun) >= readyFor {
+			c.reserve(zone, members, now)
+		}
+	}
+	return !missing || now.Sub(c.begun) >= readyFor
+}
+
+func (c *Coordinator) heard(zone string) bool {
+	for _, s := range c.sources {
+		if s.coordinator && s.zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// reserve adds a silent source for a zone that has never answered. Its share is that of its members.
+func (c *Coordinator) reserve(zone string, members int, now time.Time) {
+	s := c.source("?"+zone, 0, zone, true)
+	s.at = now.Add(-2 * freshFor)
+	for k := range s.rows {
+		s.rows[k] = sourceRow{demand: 1, share: float64(members) / float64(max(c.members, members)), at: s.at}
+	}
+}
--- /dev/null
+++ b/btquota/meter.go
@@ -0,0 +1,452 @@
+package btquota
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	surge       = 8.0                   // requests beyond four deviations of the expected number that show a flood
+	surgeWeight = 0.8                   // of a report that shows one in the measured demand
+	minCount    = 0.05                  // requests within rateTime below which a demand counts as ended
+	maxCredit   = 2.0                   // admissions that a node can save up while requests are thinned out
+	minWait     = 10 * time.Millisecond // bounds of the time that Take returns for a refused request
+	maxWait     = 10 * time.Second
+)
+
+// Meter admits the requests of accounts on one node. It is safe for concurrent use. A Meter without
+// limits admits every request.
+type Meter struct {
+	table  atomic.Pointer[meterTable] // nil for no limits
+	wake   chan struct{}
+	demand atomic.Bool // there was demand since the last report
+	short  atomic.Bool // an account has used up most of what the last answer gave it
+
+	mu         sync.Mutex // for the fields below, held before that of an account
+	random     *rand.Rand
+	members    int
+	reportedAt time.Time // when the last report was made
+}
+
+// meterTable holds the accounts with a limit. It does not change.
+type meterTable struct {
+	byKey map[Key]*meterAccount
+	byID  map[uint64]*meterAccount
+}
+
+// meterAccount is the state of one account on a node. Its bucket is refilled at the rate of the
+// node's share, and each answer sets its level.
+type meterAccount struct {
+	mu       sync.Mutex
+	limit    Limit
+	id       uint64
+	equal    float64 // an equal part of the limit for each live member
+	share    float64
+	admit    float64 // fraction of requests that are admitted
+	use      float64
+	answered time.Time // when the report was made whose answer gave share, zero for none
+	level    float64   // tokens, at time touched
+	credit   float64   // a request takes one; grows by admit with each request
+	touched  time.Time
+
+	count    int64     // requests since the last report
+	rate     float64   // requests per second, at time measured
+	measured time.Time // zero before the first report
+	used     int64     // tokens taken less those returned, since the last answered report
+	reported int64     // part of used that is in the report that waits for its answer
+	open     bool      // the last report held a row with demand
+	pending  bool      // the report that waits for its answer holds a row
+
+	admitted, refused int64 // in total
+}
+
+// NewMeter returns a Meter without limits. The source serves to spread the admission of thinned out
+// requests over the nodes.
+func NewMeter(random *rand.Rand) *Meter {
+	return &Meter{wake: make(chan struct{}, 1), random: random, members: 1}
+}
+
+// Wake returns a channel that receives a value when a report is due: after the first request since
+// the last report, and when an account has little left of its share.
+func (m *Meter) Wake() <-chan struct{} { return m.wake }
+
+// signal makes Wake receive a value.
+func (m *Meter) signal() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Active reports whether any account has a limit.
+func (m *Meter) Active() bool { return m.table.Load() != nil }
+
+// SetLimits replaces the limits, and the number of live members. An account that keeps its name
+// keeps its share, of the new limit.
+func (m *Meter) SetLimits(limits []Limit, members int, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members = max(members, 1)
+	old := m.table.Load()
+	if len(limits) == 0 {
+		m.table.Store(nil)
+		return
+	}
+	table := &meterTable{make(map[Key]*meterAccount, len(limits)), make(map[uint64]*meterAccount, len(limits))}
+	equal := 1 / float64(m.members)
+	for _, limit := range limits {
+		var a *meterAccount
+		if old != nil {
+			a = old.byKey[limit.Key]
+		}
+		if a == nil {
+			a = &meterAccount{
+				id: limit.id(), share: equal, admit: 1, credit: m.random.Float64(), touched: now,
+				level: limit.floor() + limit.Burst*equal*reserve, // others may have used the burst just before
+			}
+		}
+		a.setLimit(limit, equal, now)
+		table.byKey[limit.Key] = a
+		table.byID[a.id] = a
+	}
+	m.table.Store(table)
+}
+
+// SetMembers sets the number of live members, which is the divisor of an equal part of a limit.
+func (m *Meter) SetMembers(members int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	members = max(members, 1)
+	table := m.table.Load()
+	if members == m.members || table == nil {
+		return
+	}
+	m.members = members
+	for _, a := range table.byID {
+		a.mu.Lock()
+		a.equal = 1 / float64(members)
+		a.mu.Unlock()
+	}
+}
+
+func (a *meterAccount) setLimit(limit Limit, equal float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limit.Rate > 0 {
+		a.refill(now)
+	}
+	a.limit, a.equal = limit, equal
+	a.level = min(a.level, a.capacity(a.share))
+}
+
+// capacity returns the size of the bucket for a share.
+func (a *meterAccount) capacity(share float64) float64 {
+	return share*a.limit.Burst + a.limit.floor()
+}
+
+// capacityAt is capacity at a time. Without answers, the floors of all nodes would add up to several
+// bursts.
+func (a *meterAccount) capacityAt(share float64, now time.Time) float64 {
+	if !a.answered.IsZero() && a.open && age(a.answered, now) > keepFor {
+		return share*a.limit.Burst + 1
+	}
+	return a.capacity(share)
+}
+
+// held returns the share that the node may use at a time.
+func (a *meterAccount) held(now time.Time) float64 {
+	if a.answered.IsZero() {
+		return a.equal
+	}
+	return heldShare(a.share, a.equal, age(a.answered, now))
+}
+
+// refill adds the tokens of the time since the last call. After a pause of the process it begins
+// anew with little: the share may have been given to others.
+func (a *meterAccount) refill(now time.Time) {
+	idle := now.Sub(a.touched)
+	if idle <= 0 && !now.Round(0).After(a.touched.Round(0).Add(paused)) {
+		return
+	}
+	share := a.held(now)
+	a.level = min(a.level+idle.Seconds()*share*a.limit.Rate, a.capacityAt(share, now))
+	if !a.answered.IsZero() && a.open && age(a.touched, now) > paused && age(a.answered, now) > paused {
+		a.level = min(a.level, 1+share*a.limit.Rate*Period.Seconds())
+	}
+	if a.admit < 1 && age(a.answered, now) > keepFor {
+		a.admit = 1 // the fraction describes a demand that has passed; the bucket alone decides
+	}
+	a.touched = now
+}
+
+// Take admits a request of an account, or returns the time after which one would be admitted.
+func (m *Meter) Take(key Key, now time.Time) (time.Duration, bool) {
+	table := m.table.Load()
+	if table == nil {
+		return 0, true
+	}
+	a := table.byKey[key]
+	if a == nil {
+		return 0, true
+	}
+	a.mu.Lock()
+	wait, ok := a.take(now)
+	short := a.level < a.limit.floor()/2 && a.admit >= 1
+	a.mu.Unlock()
+	first := !m.demand.Load() && !m.demand.Swap(true)
+	if short && !m.short.Load() && !m.short.Swap(true) || first {
+		m.signal()
+	}
+	return wait, ok
+}
+
+func (a *meterAccount) take(now time.Time) (time.Duration, bool) {
+	a.refill(now)
+	a.count++
+	if a.admit < 1 {
+		a.credit = min(a.credit+a.admit, maxCredit)
+		if a.credit < 1 {
+			a.refused++
+			return a.wait(1-a.credit, a.admit*a.rate), false
+		}
+	}
+	if a.level < 1 {
+		a.refused++
+		return a.wait(1-a.level, a.held(now)*a.limit.Rate), false
+	}
+	if a.admit < 1 {
+		a.credit--
+	}
+	a.level--
+	a.used++
+	a.admitted++
+	return 0, true
+}
+
+// wait returns the time until an amount has accrued at a rate. The next answer may admit requests
+// earlier; without one, the equal part of the limit accrues at least.
+func (a *meterAccount) wait(amount, rate float64) time.Duration {
+	rate = max(rate, a.equal*a.limit.Rate)
+	seconds := min(amount/rate, maxWait.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minWait)
+}
+
+// Return gives back the token of a request that was admitted and did not run.
+func (m *Meter) Return(key Key) {
+	table := m.table.Load()
+	if table == nil {
+		return
+	}
+	a := table.byKey[key]
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.level = min(a.level+1, a.capacity(a.share))
+	a.used--
+	a.admitted--
+}
+
+// Use returns the demand of an account over all nodes divided by its limit, 0 if unknown.
+func (m *Meter) Use(key Key, now time.Time) float64 {
+	table := m.table.Load()
+	if table == nil {
+		return 0
+	}
+	a := table.byKey[key]
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.answered.IsZero() || age(a.answered, now) > keepFor {
+		return 0
+	}
+	return a.use
+}
+
+// Next returns the time of the next report, and false if none is due before the next value of Wake.
+func (m *Meter) Next() (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.short.Load():
+		return m.reportedAt.Add(urgent), true
+	case m.demand.Load() || m.open():
+		return m.reportedAt.Add(Period), true
+	default:
+		return time.Time{}, false
+	}
+}
+
+// Report returns the rows of the accounts with demand since the last report, and a last row with no
+// demand for each that had some before. It is called again only after Apply or Unanswered.
+func (m *Meter) Report(now time.Time) []Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.demand.Store(false)
+	m.short.Store(false)
+	table := m.table.Load()
+	if table == nil {
+		return nil
+	}
+	m.reportedAt = now
+	var rows []Row
+	for id, a := range table.byID {
+		if row, ok := a.report(now); ok {
+			row.Account = id
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// open reports whether a row is due although there was no demand since the last report.
+func (m *Meter) open() bool {
+	table := m.table.Load()
+	if table == nil {
+		return false
+	}
+	for _, a := range table.byID {
+		a.mu.Lock()
+		open := a.open || a.used != 0
+		a.mu.Unlock()
+		if open {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *meterAccount) report(now time.Time) (Row, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.count == 0 && a.used == 0 && !a.open {
+		return Row{}, false
+	}
+	interval := Period.Seconds()
+	if !a.measured.IsZero() && a.open {
+		interval = max(now.Sub(a.measured).Seconds(), 1e-3)
+	}
+	weight := 1 - math.Exp(-interval/rateTime.Seconds())
+	if expected := a.rate * interval; a.open && float64(a.count) > expected+4*math.Sqrt(expected)+surge {
+		weight = max(weight, surgeWeight)
+	}
+	if !a.open {
+		a.rate = 0
+	}
+	a.rate += (float64(a.count)/interval - a.rate) * weight
+	if a.count == 0 && a.rate*rateTime.Seconds() < minCount {
+		a.rate = 0
+	}
+	a.measured, a.count = now, 0
+	a.open = a.rate > 0
+	a.reported, a.pending = a.used, true
+	return Row{Demand: float32(a.rate), Used: a.used}, true
+}
+
+// Apply takes the shares of an answer to the report that was made at time sent.
+func (m *Meter) Apply(shares []Share, ready bool, sent, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	table := m.table.Load()
+	if table == nil {
+		return
+	}
+	current := ready && age(sent, now) <= freshFor
+	for i := range shares {
+		if a := table.byID[shares[i].Account]; a != nil && current {
+			a.apply(&shares[i], sent, now)
+		}
+	}
+	for _, a := range table.byID {
+		a.mu.Lock()
+		if a.pending {
+			a.used -= a.reported
+		}
+		if current && !a.answered.Equal(sent) {
+			a.admit = 1 // the answer lists each account that is short
+		}
+		a.reported, a.pending = 0, false
+		a.mu.Unlock()
+	}
+}
+
+func (a *meterAccount) apply(s *Share, sent, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now)
+	a.share, a.admit, a.use, a.answered = float64(s.Fraction), float64(s.Admit), float64(s.Use), sent
+	// What was taken since the report is not yet part of the coordinator's sums.
+	a.level = min(float64(s.Tokens)-float64(a.used-a.reported), a.capacity(a.share))
+}
+
+// Notice takes the shares that a coordinator sent on its own to a node without demand.
+func (m *Meter) Notice(shares []Share, now time.Time) {
+	table := m.table.Load()
+	if table == nil {
+		return
+	}
+	for i := range shares {
+		a := table.byID[shares[i].Account]
+		if a == nil {
+			continue
+		}
+		a.mu.Lock()
+		idle := !a.open && a.count == 0
+		a.mu.Unlock()
+		if idle {
+			a.apply(&shares[i], now, now)
+		}
+	}
+}
+
+// Unanswered records that the last report got no answer. The next one repeats its counts.
+func (m *Meter) Unanswered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	table := m.table.Load()
+	if table == nil {
+		return
+	}
+	for _, a := range table.byID {
+		a.mu.Lock()
+		a.reported, a.pending = 0, false
+		a.mu.Unlock()
+	}
+}
+
+// Status is the state of one account on a node.
+type Status struct {
+	Limit
+	Share    float64       // of the limit that the node may use
+	Admit    float64       // fraction of requests that the node admits
+	Use      float64       // demand over all nodes divided by the limit, 0 if unknown
+	Demand   float64       // requests per second on this node
+	Age      time.Duration // of the last answer, -1 for none
+	Admitted int64         // requests that this process admitted and that ran or are running
+	Refused  int64         // requests that this process refused for the limit
+}
+
+// Statuses returns the state of all accounts, in no order.
+func (m *Meter) Statuses(now time.Time) []Status {
+	table := m.table.Load()
+	if table == nil {
+		return nil
+	}
+	statuses := make([]Status, 0, len(table.byID))
+	for _, a := range table.byID {
+		a.mu.Lock()
+		s := Status{Limit: a.limit, Share: a.held(now), Admit: a.admit, Use: a.use, Demand: a.rate, Age: -1, Admitted: a.admitted, Refused: a.refused}
+		if !a.answered.IsZero() {
+			s.Age = age(a.answered, now)
+		}
+		a.mu.Unlock()
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
--- /dev/null
+++ b/btquota/quota_test.go
@@ -0,0 +1,184 @@
+package btquota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	usual = 1 / 1.6 // usual demand of an account relative to its limit
+	flood = 7.5     // demand relative to the usual one in a flood
+)
+
+// limitOf returns a limit with the burst of one second.
+func limitOf(name string, rate float64) Limit {
+	return Limit{Key: Key{"customer", name}, Rate: rate, Burst: rate}
+}
+
+// rates are those of the smallest, of some and of the largest account.
+var rates = []float64{4.5, 12, 50, 200, 595}
+
+// scenario is a load on one account, and what happens to the fleet meanwhile.
+type scenario struct {
+	factor func(at time.Duration) float64 // demand relative to the usual one
+	on     func(n *simNode, at time.Duration) bool
+	event  func(s *sim, at time.Duration) // called before each tick
+	check  time.Duration                  // windows begin at this time or later
+	lost   float64                        // largest fraction of admissible requests that are refused
+}
+
+func always(factor float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return factor }
+}
+
+// after returns the usual load, and another one from a time on.
+func after(from time.Duration, factor float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from {
+			return factor
+		}
+		return 1
+	}
+}
+
+// nodes sends to the first nodes only.
+func nodes(count int) func(*simNode, time.Duration) bool {
+	return func(n *simNode, _ time.Duration) bool { return n.index < count }
+}
+
+// zoneAt sends to one zone, which changes every three seconds.
+func zoneAt(n *simNode, at time.Duration) bool { return n.zone == int(at.Seconds())/3%4 }
+
+// during calls begin and end at two times.
+func during(from, to time.Duration, begin, end func(s *sim)) func(s *sim, at time.Duration) {
+	return func(s *sim, at time.Duration) {
+		if at == from {
+			begin(s)
+		}
+		if at == to && end != nil {
+			end(s)
+		}
+	}
+}
+
+func cutZone(s *sim) {
+	s.cut = func(a, b *simNode) bool { return (a.zone == 1) != (b.zone == 1) }
+}
+
+// cutThird separates 35% of the nodes from the others.
+func cutThird(s *sim) {
+	s.cut = func(a, b *simNode) bool { return (a.index%20 < 7) != (b.index%20 < 7) }
+}
+
+// cutEach separates 35% of the nodes from all others, each on its own.
+func cutEach(s *sim) {
+	s.cut = func(a, b *simNode) bool { return a.index%20 < 7 || b.index%20 < 7 }
+}
+
+func heal(s *sim) { s.cut = nil }
+
+func restartAll(s *sim) {
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+}
+
+// stopCoordinators stops the coordinators of two zones.
+func stopCoordinators(s *sim) { s.nodes[0].down, s.nodes[1].down = true, true }
+
+func startCoordinators(s *sim) {
+	for _, n := range s.nodes[:2] {
+		n.down = false
+		s.start(n)
+	}
+}
+
+func lowerLimits(s *sim) {
+	for i := range s.limits {
+		s.limits[i].Rate /= 3
+		s.limits[i].Burst /= 3
+	}
+	for _, n := range s.nodes {
+		n.meter.SetLimits(s.limits, len(s.nodes), s.now)
+		n.coordinator.SetLimits(s.limits)
+	}
+}
+
+// restOfNodes sends to all nodes but two, whose processes are stopped for a while.
+func restOfNodes(n *simNode, _ time.Duration) bool { return n.index >= 2 }
+
+var scenarios = map[string]scenario{
+	"usual on all nodes":   {factor: always(1), lost: 0.01},
+	"usual on ten nodes":   {factor: always(1), on: nodes(10), lost: 0.01},
+	"usual on one node":    {factor: always(1), on: nodes(1), lost: 0.01},
+	"usual moves by zones": {factor: always(1), on: zoneAt, lost: 0.01},
+	"bursts":               {factor: func(at time.Duration) float64 { return 1 + 0.7*float64((int(at.Seconds())/4+1)%2) }, lost: 0.01},
+	"flood on one node":    {factor: after(5*time.Second, flood), on: nodes(1), lost: 0.05},
+	"flood on ten nodes":   {factor: after(5*time.Second, flood), on: nodes(10), lost: 0.05},
+	"flood on all nodes":   {factor: after(5*time.Second, flood), lost: 0.05},
+	"flood moves by zones": {factor: always(flood), on: zoneAt, lost: 0.05},
+	"flood in two steps":   {factor: func(at time.Duration) float64 { return []float64{1, 3, flood, flood}[int(at.Seconds())/5] }, lost: 0.05},
+	"flood in each third second": {factor: func(at time.Duration) float64 {
+		if int(at.Seconds())%3 == 0 {
+			return flood
+		}
+		return 0.8
+	}, lost: 0.08},
+	"usual, two coordinators stop":  {factor: always(1), on: restOfNodes, event: during(8*time.Second, 10*time.Second, stopCoordinators, startCoordinators), lost: 0.01},
+	"flood, two coordinators stop":  {factor: after(5*time.Second, flood), on: restOfNodes, event: during(8*time.Second, 10*time.Second, stopCoordinators, startCoordinators), lost: 0.1},
+	"flood as coordinators stop":    {factor: after(8*time.Second, flood), on: restOfNodes, event: during(8*time.Second, 10*time.Second, stopCoordinators, startCoordinators), lost: 0.1},
+	"usual, all nodes restart":      {factor: always(1), event: during(8*time.Second, 0, restartAll, nil), lost: 0.01},
+	"flood, all nodes restart":      {factor: after(5*time.Second, flood), event: during(8*time.Second, 0, restartAll, nil), lost: 0.1},
+	"usual, zone cut off":           {factor: always(1), event: during(8*time.Second, 14*time.Second, cutZone, heal), lost: 0.01},
+	"flood, zone cut off":           {factor: after(5*time.Second, flood), event: during(8*time.Second, 14*time.Second, cutZone, heal), lost: 0.1},
+	"flood as zone is cut off":      {factor: after(8*time.Second, flood), event: during(8*time.Second, 14*time.Second, cutZone, heal), lost: 0.1},
+	"usual, 35% cut off together":   {factor: always(1), event: during(4*time.Second, 16*time.Second, cutThird, heal), lost: 0.01},
+	"flood, 35% cut off together":   {factor: after(2*time.Second, flood), event: during(4*time.Second, 16*time.Second, cutThird, heal), lost: 0.1},
+	"flood as 35% are cut off":      {factor: after(4*time.Second, flood), event: during(4*time.Second, 16*time.Second, cutThird, heal), lost: 0.1},
+	"usual, 35% cut off each":       {factor: always(1), event: during(4*time.Second, 16*time.Second, cutEach, heal), lost: 0.01},
+	"flood, 35% cut off each":       {factor: after(2*time.Second, flood), event: during(4*time.Second, 16*time.Second, cutEach, heal), lost: 0.1},
+	"flood as 35% are cut off each": {factor: after(4*time.Second, flood), event: during(4*time.Second, 16*time.Second, cutEach, heal), lost: 0.1},
+	"limit lowered in a flood":      {factor: after(5*time.Second, flood), event: during(10*time.Second, 0, lowerLimits, nil), check: 10 * time.Second, lost: 0.1},
+}
+
+// run runs a scenario on 83 nodes in four zones for 20 s.
+func (sc *scenario) run(t *testing.T, seed uint64, limit Limit) *sim {
+	s := newSim(t, seed, 83, 4, limit)
+	s.run(20*time.Second, func(at time.Duration) {
+		if sc.event != nil {
+			sc.event(s, at)
+		}
+		var targets []*simNode
+		for _, n := range s.nodes {
+			if sc.on == nil || sc.on(n, at) {
+				targets = append(targets, n)
+			}
+		}
+		for range s.poisson(limit.Rate * usual * sc.factor(at)) {
+			s.request(0, targets[s.random.IntN(len(targets))])
+		}
+	})
+	return s
+}
+
+// The bound on the requests of an account must hold in every window, and requests within the limit
+// must be admitted, wherever they arrive and whatever fails meanwhile.
+func TestScenarios(t *testing.T) {
+	for name, sc := range scenarios {
+		for _, rate := range rates {
+			t.Run(fmt.Sprintf("%s/%g", name, rate), func(t *testing.T) {
+				s := sc.run(t, 7, limitOf("a", rate))
+				ratio, worst := s.worstWindow(0, sc.check)
+				t.Logf("worst window %d, %.2f of the bound; %d of %d admissible requests refused; %.0f messages/s and node",
+					worst, ratio, max(0, s.offered[0]-s.taken[0]), s.offered[0], float64(s.messages)/20/83)
+				if ratio > 1 {
+					t.Errorf("%d requests in a window, %.2f of the bound", worst, ratio)
+				}
+				if lost := s.lost(0); lost > sc.lost && s.offered[0]-s.taken[0] > 2 {
+					t.Errorf("%.3f of the admissible requests were refused", lost)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/btquota/sim_test.go
@@ -0,0 +1,276 @@
+package btquota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// simTick is the resolution of a simulation. Messages arrive one tick after they are sent.
+const simTick = 10 * time.Millisecond
+
+// sim runs the meters and coordinators of a fleet on simulated time, without a network. It sends
+// reports and exchanges as btnode does.
+type sim struct {
+	t      *testing.T
+	random *rand.Rand
+	now    time.Time
+	tick   int
+	limits []Limit
+	zones  int
+	nodes  []*simNode
+	cut    func(a, b *simNode) bool // the two can't reach each other, nil for none
+
+	admitted [][]int // by account and tick
+	ideal    []simBucket
+	offered  []int // requests that a single bucket for all nodes would have admitted, by account
+	refused  []int // of those, refused in total over the account: max(0, ideal - admitted)
+	total    []int // requests
+	taken    []int
+	messages int
+	returned float64 // fraction of admitted requests that don't run
+}
+
+type simBucket struct{ level float64 }
+
+type simNode struct {
+	index, zone int
+	name        string
+	process     uint64
+	meter       *Meter
+	coordinator *Coordinator
+	phase       int
+	paused      bool
+	down        bool
+
+	lastAnswer  time.Time
+	answeredBy  string
+	lastSent    int // tick of the last report
+	candidate   int
+	candidateAt int // tick at which the candidate was chosen
+	inFlight    bool
+	shares      []Share
+	ready       bool
+	sent        time.Time
+}
+
+func newSim(t *testing.T, seed uint64, nodes, zones int, limits ...Limit) *sim {
+	t.Helper()
+	s := &sim{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), limits: limits, zones: zones,
+		admitted: make([][]int, len(limits)), ideal: make([]simBucket, len(limits)),
+		offered: make([]int, len(limits)), refused: make([]int, len(limits)), total: make([]int, len(limits)), taken: make([]int, len(limits)),
+	}
+	for i := range limits {
+		s.ideal[i].level = limits[i].Burst
+	}
+	for i := range nodes {
+		n := &simNode{index: i, zone: i % zones, name: fmt.Sprintf("n%d", i), phase: s.random.IntN(20)}
+		s.nodes = append(s.nodes, n)
+		s.start(n)
+	}
+	return s
+}
+
+// start begins a new process of a node.
+func (s *sim) start(n *simNode) {
+	n.process++
+	n.meter = NewMeter(rand.New(rand.NewPCG(uint64(n.index), n.process)))
+	n.meter.SetLimits(s.limits, len(s.nodes), s.now)
+	n.coordinator = NewCoordinator(n.name, n.process, s.zoneName(n.zone))
+	n.coordinator.SetLimits(s.limits)
+	zones := make(map[string]int)
+	for i := range s.nodes {
+		zones[s.zoneName(s.nodes[i].zone)]++
+	}
+	n.coordinator.SetMembers(zones, nil)
+	n.lastAnswer, n.answeredBy, n.inFlight, n.candidate = time.Time{}, "", false, 0
+}
+
+func (s *sim) zoneName(z int) string { return fmt.Sprintf("z%d", z) }
+
+// candidates returns the nodes of a zone in the order in which they coordinate it.
+func (s *sim) candidates(zone int) []*simNode {
+	var c []*simNode
+	for _, n := range s.nodes {
+		if n.zone == zone {
+			c = append(c, n)
+		}
+	}
+	return c[:min(4, len(c))]
+}
+
+func (s *sim) reachable(a, b *simNode) bool {
+	return a == b || !a.down && !b.down && !b.paused && (s.cut == nil || !s.cut(a, b))
+}
+
+// request sends one request of an account to a node.
+func (s *sim) request(account int, n *simNode) {
+	s.total[account]++
+	if n.down || n.paused {
+		return
+	}
+	ideal := &s.ideal[account]
+	if ideal.level >= 1 {
+		ideal.level--
+		s.offered[account]++
+	}
+	key := s.limits[account].Key
+	if _, ok := n.meter.Take(key, s.now); !ok {
+		return
+	}
+	if s.returned > 0 && s.random.Float64() < s.returned {
+		n.meter.Return(key)
+		ideal.level++
+		s.offered[account]--
+		return
+	}
+	s.taken[account]++
+	s.admitted[account][s.tick]++
+}
+
+// run advances the simulation. The load function sends the requests of one tick.
+func (s *sim) run(d time.Duration, load func(at time.Duration)) {
+	begin := s.now
+	for s.now.Sub(begin) < d {
+		for i := range s.limits {
+			s.admitted[i] = append(s.admitted[i], 0)
+			l := &s.limits[i]
+			s.ideal[i].level = min(s.ideal[i].level+l.Rate*simTick.Seconds(), l.Burst)
+		}
+		load(s.now.Sub(begin))
+		for _, n := range s.nodes {
+			if !n.paused && !n.down {
+				s.step(n)
+			}
+		}
+		s.now = s.now.Add(simTick)
+		s.tick++
+	}
+}
+
+// poisson returns the number of events in one tick at a rate per second.
+func (s *sim) poisson(rate float64) int {
+	mean := rate * simTick.Seconds()
+	count := 0
+	for limit, p := math.Exp(-mean), s.random.Float64(); p > limit; count++ {
+		p *= s.random.Float64()
+	}
+	return count
+}
+
+// step does what the loop of a node does in one tick.
+func (s *sim) step(n *simNode) {
+	if n.inFlight {
+		n.inFlight = false
+		if n.shares != nil || n.ready {
+			n.meter.Apply(n.shares, n.ready, n.sent, s.now)
+		}
+	}
+	if at, ok := n.meter.Next(); ok && !s.now.Before(at) {
+		s.report(n)
+	}
+	if (s.tick+n.phase)%20 == 0 && n.coordinator.Active(s.now) {
+		s.exchange(n)
+	}
+}
+
+func (s *sim) report(n *simNode) {
+	rows := n.meter.Report(s.now)
+	if len(rows) == 0 {
+		return
+	}
+	if n.candidate > 0 && s.tick-n.candidateAt > 200 {
+		n.candidate = 0
+	}
+	candidates := s.candidates(n.zone)
+	for tries := range 2 {
+		to := candidates[n.candidate%len(candidates)]
+		s.messages++
+		if !s.reachable(n, to) {
+			if tries == 0 {
+				n.candidate, n.candidateAt = (n.candidate+1)%len(candidates), s.tick
+			}
+			continue
+		}
+		moved := n.answeredBy != "" && n.answeredBy != to.name && s.now.Sub(n.lastAnswer) < movedWindow
+		answer := to.coordinator.Report(&Report{Node: n.name, Process: n.process, Zone: s.zoneName(n.zone), Rows: rows, Moved: moved}, s.now)
+		if err := answer.Check(); err != nil {
+			s.t.Fatal(err)
+		}
+		n.answeredBy, n.lastAnswer = to.name, s.now
+		n.inFlight, n.shares, n.ready, n.sent = true, answer.Shares, answer.Ready, s.now
+		if !answer.Ready {
+			n.meter.Apply(nil, false, s.now, s.now)
+		}
+		return
+	}
+	n.meter.Unanswered()
+}
+
+func (s *sim) exchange(n *simNode) {
+	byName := make(map[string]*simNode)
+	var names []string
+	for _, other := range s.nodes {
+		if other.zone == n.zone {
+			byName[other.name] = other
+			names = append(names, other.name)
+		}
+	}
+	silent, shares := n.coordinator.Notice(names, s.now)
+	for _, name := range silent {
+		s.messages++
+		if s.reachable(n, byName[name]) {
+			byName[name].meter.Notice(shares, s.now)
+		}
+	}
+	for zone := range s.zones {
+		if zone != n.zone && !n.coordinator.Due(s.zoneName(zone), s.now) {
+			continue
+		}
+		for _, to := range s.candidates(zone) {
+			if zone == n.zone && to == n {
+				break // only with those that precede it
+			}
+			s.messages++
+			if !s.reachable(n, to) {
+				continue
+			}
+			answer := to.coordinator.Report(n.coordinator.Exchange(s.now), s.now)
+			n.coordinator.AddAnswer(answer, s.now)
+			break
+		}
+	}
+}
+
+// worstWindow returns the largest number of admitted requests of an account in 5 s that begin at or
+// after a time, relative to the bound.
+func (s *sim) worstWindow(account int, from time.Duration) (float64, int) {
+	l := &s.limits[account]
+	bound := (l.Rate*5+l.Burst)*1.1 + 20
+	width := int(5 * time.Second / simTick)
+	sum, worst := 0, 0
+	begin := int(from / simTick)
+	for i := begin; i < len(s.admitted[account]); i++ {
+		sum += s.admitted[account][i]
+		if i-begin >= width {
+			sum -= s.admitted[account][i-width]
+		}
+		worst = max(worst, sum)
+	}
+	return float64(worst) / bound, worst
+}
+
+// lost returns the fraction of the admissible requests that were refused.
+func (s *sim) lost(account int) float64 {
+	return max(0, float64(s.offered[account]-s.taken[account])) / math.Max(1, float64(s.offered[account]))
+}
+
+// resetCounts starts the counts of lost and taken anew.
+func (s *sim) resetCounts() {
+	clear(s.offered)
+	clear(s.taken)
+	clear(s.total)
+}
