--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -17,7 +17,10 @@
 	accounts []account
 	index    map[uint64]int // in accounts, by the account's number
 	sources  map[string]*source
-	noticed  map[string]time.Time // last notice to each node that has not reported lately
+	noticed  map[string]time.Time // last notice sent to each node that has not reported lately
+	reached  map[string]time.Time // last notice that each of them got
+	own      []string             // live members of the zone
+	takenAt  time.Time            // when this coordinator took over from one that its nodes had reported to, zero if it did not
 	members  int                  // live members of all zones
 	zones    map[string]int       // live members of each other zone
 	begun    time.Time            // first report after an idle time, zero while idle
@@ -36,6 +39,7 @@
 	ownDemand float64 // of the nodes that report to this coordinator
 	slow      float64 // sum of sourceRow.slow of those
 	held      float64 // sum of the shares that are reserved for those that no longer report
+	ownHeld   float64 // of those, by this coordinator for nodes of its zone
 	admit     float64
 }
 
@@ -53,6 +57,7 @@
 	demand  float64 // requests per second at time at
 	slow    float64 // follows demand up at once and down with slowTime
 	share   float64 // that the source was told to use, or that another zone claims
+	held    float64 // that another coordinator reserves for nodes of its zone
 	used    int64   // last total of another coordinator
 	counted bool    // used is valid
 	at      time.Time
@@ -60,7 +65,7 @@
 
 // NewCoordinator returns a Coordinator for a zone without limits.
 func NewCoordinator(node string, process uint64, zone string) *Coordinator {
-	return &Coordinator{node: node, process: process, zone: zone, sources: make(map[string]*source), noticed: make(map[string]time.Time)}
+	return &Coordinator{node: node, process: process, zone: zone, sources: make(map[string]*source), noticed: make(map[string]time.Time), reached: make(map[string]time.Time)}
 }
 
 // SetLimits replaces the limits. An account that keeps its name keeps the level of its bucket, up to
@@ -73,7 +78,7 @@
 	for i, limit := range limits {
 		a := account{limit: limit, id: limit.id(), admit: 1}
 		// After a restart of all nodes, the burst may have been used just before.
-		a.level = min(a.target()+slack/2, a.size())
+		a.level = min(a.target()+slack/4, a.size())
 		if old, ok := c.index[a.id]; ok {
 			a = c.accounts[old]
 			a.limit = limit
@@ -93,11 +98,12 @@
 	c.accounts, c.index, c.combined = accounts, index, time.Time{}
 }
 
-// SetMembers sets the number of live members of each zone, and removes the nodes that have left.
-func (c *Coordinator) SetMembers(zones map[string]int, left []string) {
+// SetMembers sets the number of live members of each zone, the names of those of this zone, and
+// removes the nodes that have left.
+func (c *Coordinator) SetMembers(zones map[string]int, own, left []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members, c.zones = 0, make(map[string]int, len(zones))
+	c.members, c.zones, c.own = 0, make(map[string]int, len(zones)), own
 	for zone, members := range zones {
 		c.members += members
 		if zone != c.zone {
@@ -107,6 +113,7 @@
 	for _, node := range left {
 		delete(c.sources, node)
 		delete(c.noticed, node)
+		delete(c.reached, node)
 	}
 }
 
@@ -149,11 +156,13 @@
 func (c *Coordinator) begin(r *Report, now time.Time) {
 	if age(c.lastSeen, now) > freshFor {
 		c.begun = now
+		c.takenAt = time.Time{}
 		if r.Moved {
+			c.takenAt = now
 			c.combine(now, true)
 			for k := range c.accounts {
 				a := &c.accounts[k]
-				a.level = min(a.level, a.target()+slack/2)
+				a.level = min(a.level, a.target()+slack/4)
 			}
 		}
 	}
@@ -229,6 +238,7 @@
 		}
 	}
 	s := c.source(node, process, zone, true)
+	silent := age(s.at, now) > freshFor
 	s.at = now
 	reported := make([]bool, len(c.accounts))
 	for i := range rows {
@@ -238,14 +248,19 @@
 		}
 		reported[k] = true
 		row := &s.rows[k]
+		used := float64(rows[i].Used - row.used)
+		if silent { // the share of the zone was reserved since then
+			used = min(used, row.share*c.accounts[k].limit.Rate*freshFor.Seconds())
+		}
 		if row.counted {
-			c.accounts[k].level -= float64(rows[i].Used - row.used)
+			c.accounts[k].level -= used
 		}
-		row.used, row.counted = rows[i].Used, true
+		row.used, row.counted, row.held = rows[i].Used, true, float64(rows[i].Held)
 		row.update(float64(rows[i].Demand), now)
 	}
 	for k := range s.rows {
 		if !reported[k] && !s.rows[k].at.IsZero() {
+			s.rows[k].held = 0
 			s.rows[k].update(0, now)
 		}
 	}
@@ -261,7 +276,7 @@
 	var rows []Row
 	for k := range c.accounts {
 		if a := &c.accounts[k]; a.ownDemand > 0 || a.own != 0 {
-			rows = append(rows, Row{Account: a.id, Demand: float32(a.ownDemand), Used: a.own})
+			rows = append(rows, Row{Account: a.id, Demand: float32(a.ownDemand), Held: float32(min(a.ownHeld, 1)), Used: a.own})
 		}
 	}
 	return rows
@@ -279,15 +294,21 @@
 	c.combined = now
 	for k := range c.accounts {
 		a := &c.accounts[k]
-		a.demand, a.ownDemand, a.slow, a.held = 0, 0, 0, 0
+		a.demand, a.ownDemand, a.slow, a.held, a.ownHeld = 0, 0, 0, 0, 0
 	}
 	for name, s := range c.sources {
 		if !c.combineSource(s, now) {
 			delete(c.sources, name)
 		}
 	}
+	unknown := c.unknown(now)
 	for k := range c.accounts {
-		c.accounts[k].control(elapsed)
+		a := &c.accounts[k]
+		if a.ownDemand > 0 {
+			a.ownHeld += unknown
+		}
+		a.held += a.ownHeld
+		a.control(elapsed)
 	}
 }
 
@@ -307,11 +328,12 @@
 		row, a := &s.rows[k], &c.accounts[k]
 		switch {
 		case row.at.IsZero():
-		case silence > freshFor && row.demand > 0 && s.coordinator:
-			a.held += row.share
+		case silence > freshFor && s.coordinator && (row.demand > 0 || row.held > 0):
+			a.held += row.share + row.held
 		case silence > freshFor && row.demand > 0:
-			a.held += heldShare(row.share, equal, silence)
+			a.ownHeld += heldShare(row.share, equal, silence)
 		default:
+			a.held += row.held
 			a.demand += row.demand
 			if !s.coordinator {
 				a.ownDemand += row.demand
@@ -358,53 +380,80 @@
 		listed[k] = true
 		a, row := &c.accounts[k], &s.rows[k]
 		row.share = a.part(row)
-		shares = append(shares, a.share(row.share))
+		shares = append(shares, a.share(row.share, equal))
 	}
 	for k := range c.accounts {
 		if a := &c.accounts[k]; !listed[k] && a.admit < 1 {
-			shares = append(shares, a.share(min(equal, 1-a.held)))
+			shares = append(shares, a.share(min(equal, 1-a.held), equal))
 		}
 	}
 	return shares
 }
 
 // share returns the message to a node that may use a fraction of the limit.
-func (a *account) share(fraction float64) Share {
+func (a *account) share(fraction, equal float64) Share {
 	return Share{
 		Account:  a.id,
 		Fraction: float32(fraction),
-		Tokens:   float32(fraction*max(0, a.level) + a.limit.floor()),
+		Tokens:   float32(fraction*max(0, a.level) + a.limit.floor(equal)),
 		Admit:    float32(a.admit),
 		Use:      float32(a.demand / a.limit.Rate),
 	}
 }
 
-// Notice returns the shares of the accounts that are short, for the nodes of the zone that have not
-// reported lately: each could admit a request before its report is answered. It returns them for
-// those of the given nodes that were not told within the last noticeAfter.
-func (c *Coordinator) Notice(nodes []string, now time.Time) ([]string, []Share) {
+// unknown returns the part of each limit that is reserved for the members of the zone that have not
+// reported since this coordinator took over. They may be cut off together with the earlier one.
+func (c *Coordinator) unknown(now time.Time) float64 {
+	if c.takenAt.IsZero() || now.Sub(c.takenAt) > holdFor || c.members == 0 {
+		return 0
+	}
+	count := 0
+	for _, node := range c.own {
+		if c.sources[node] == nil && !c.reached[node].After(c.takenAt) {
+			count++
+		}
+	}
+	return float64(count) / float64(c.members)
+}
+
+// Notice returns a message for nodes of the zone that have not reported lately, and the names of
+// those, if there is any reason to send it: that accounts are short, of which each of these nodes
+// could admit a request before its report is answered, or that this coordinator has taken over and
+// does not know whether they are idle or cut off. Each node gets a notice once per noticeAfter.
+func (c *Coordinator) Notice(now time.Time) ([]string, *Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lastSeen.IsZero() || age(c.lastSeen, now) > freshFor {
+		return nil, nil
+	}
 	c.combine(now, false)
-	var shares []Share
+	notice := &Report{Node: c.node, Process: c.process, Zone: c.zone, Notice: true}
 	equal := 1 / float64(max(c.members, 1))
 	for k := range c.accounts {
 		if a := &c.accounts[k]; a.admit < 1 {
-			shares = append(shares, a.share(min(equal, 1-a.held)))
+			notice.Shares = append(notice.Shares, a.share(min(equal, 1-a.held), equal))
 		}
 	}
-	if len(shares) == 0 || c.lastSeen.IsZero() || age(c.lastSeen, now) > freshFor {
+	if len(notice.Shares) == 0 && c.unknown(now) == 0 {
 		return nil, nil
 	}
 	var silent []string
-	for _, node := range nodes {
+	for _, node := range c.own {
 		s := c.sources[node]
-		if (s == nil || age(s.at, now) > freshFor) && now.Sub(c.noticed[node]) > noticeAfter {
+		unheard := s == nil && !c.takenAt.IsZero() && !c.reached[node].After(c.takenAt)
+		if (unheard || len(notice.Shares) > 0 && (s == nil || age(s.at, now) > freshFor)) && now.Sub(c.noticed[node]) > noticeAfter {
 			silent = append(silent, node)
 			c.noticed[node] = now
 		}
 	}
-	return silent, shares
+	return silent, notice
+}
+
+// Reached records that a node got a notice.
+func (c *Coordinator) Reached(node string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reached[node] = now
 }
 
 // ready reports whether this coordinator knows the demand of all zones with members. It does not wait
--- a/btquota/doc.go
+++ b/btquota/doc.go
@@ -39,8 +39,9 @@
 	slack      = 8.0  // tokens beyond the burst; the tolerance of a limit includes 20 requests whatever its rate
 	reserve    = 0.2  // level that the control aims at under overload, as a part of the burst; covers the delay of reports
 	floor      = 4.0  // tokens of a node's bucket beyond its share, for a node that has not reported any demand yet
-	floorBurst = 0.02 // the same as a part of the burst
-	maxDebt    = 2.0  // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
+	floorBurst = 0.02 // the same as a part of the burst, unless that is more than floorParts of the node's part
+	floorParts = 0.5
+	maxDebt    = 2.0 // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
 )
 
 // Key identifies an account.
@@ -63,8 +64,11 @@
 	Burst float64 // requests beyond Rate
 }
 
-// floor returns the tokens of one node beyond its share of the burst.
-func (l *Limit) floor() float64 { return floor + floorBurst*l.Burst }
+// floor returns the tokens of one node beyond its share of the burst. An equal part is that of each
+// node.
+func (l *Limit) floor(equal float64) float64 {
+	return floor + min(floorBurst, floorParts*equal)*l.Burst
+}
 
 // age returns the time since an instant by the clock that shows more: the monotonic clock stands
 // still while a VM is suspended, and the time of day may be set back.
--- a/btquota/message.go
+++ b/btquota/message.go
@@ -20,7 +20,8 @@
 	Coordinator bool    `cbor:"4,keyasint,omitempty"` // the rows are sums over the nodes that report to the sender
 	Rows        []Row   `cbor:"5,keyasint,omitempty"`
 	Moved       bool    `cbor:"6,keyasint,omitempty"` // another coordinator has answered the sender shortly before
-	Shares      []Share `cbor:"7,keyasint,omitempty"` // notice of a coordinator to a node that has not reported lately, alone
+	Shares      []Share `cbor:"7,keyasint,omitempty"` // in a notice: of the accounts that are short
+	Notice      bool    `cbor:"8,keyasint,omitempty"` // of a coordinator to a node that has not reported lately
 }
 
 // Row is the demand for one account.
@@ -28,6 +29,7 @@
 	_       struct{} `cbor:",toarray"`
 	Account uint64
 	Demand  float32 // requests per second, including refused ones; 0 ends the reports on an account
+	Held    float32 // part of the limit that the sender reserves for nodes that have gone silent
 	Used    int64   // admitted requests less those that did not run: since the last answered report, or of a coordinator in total
 }
 
@@ -71,6 +73,9 @@
 		if !isAmount(rows[i].Demand) {
 			return baobabtide.WithinIndex("Rows", i, baobabtide.Fieldf("Demand", "%v is not a rate", rows[i].Demand))
 		}
+		if !isAmount(rows[i].Held) || rows[i].Held > 1 {
+			return baobabtide.WithinIndex("Rows", i, baobabtide.Fieldf("Held", "%v, 0 to 1 are allowed", rows[i].Held))
+		}
 	}
 	return nil
 }
--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -29,6 +29,7 @@
 	random     *rand.Rand
 	members    int
 	reportedAt time.Time // when the last report was made
+	answered   time.Time // when the last report with an answer was made
 }
 
 // meterTable holds the accounts with a limit. It does not change.
@@ -59,6 +60,7 @@
 	reported int64     // part of used that is in the report that waits for its answer
 	open     bool      // the last report held a row with demand
 	pending  bool      // the report that waits for its answer holds a row
+	failed   bool      // the last report got no answer
 
 	admitted, refused int64 // in total
 }
@@ -105,7 +107,7 @@
 		if a == nil {
 			a = &meterAccount{
 				id: limit.id(), share: equal, admit: 1, credit: m.random.Float64(), touched: now,
-				level: limit.floor() + limit.Burst*equal*reserve, // others may have used the burst just before
+				level: 1 + limit.Rate*equal/2, // others may have used the burst just before
 			}
 		}
 		a.setLimit(limit, equal, now)
@@ -144,13 +146,13 @@
 
 // capacity returns the size of the bucket for a share.
 func (a *meterAccount) capacity(share float64) float64 {
-	return share*a.limit.Burst + a.limit.floor()
+	return share*a.limit.Burst + a.limit.floor(a.equal)
 }
 
-// capacityAt is capacity at a time. Without answers, the floors of all nodes would add up to several
-// bursts.
+// capacityAt is capacity for the share that the node holds at a time. Without answers, the floors of
+// all nodes would add up to several bursts.
 func (a *meterAccount) capacityAt(share float64, now time.Time) float64 {
-	if !a.answered.IsZero() && a.open && age(a.answered, now) > keepFor {
+	if a.failed || (a.open && !a.answered.IsZero() && age(a.answered, now) > keepFor) {
 		return share*a.limit.Burst + 1
 	}
 	return a.capacity(share)
@@ -177,7 +179,9 @@
 		a.level = min(a.level, 1+share*a.limit.Rate*Period.Seconds())
 	}
 	if a.admit < 1 && age(a.answered, now) > keepFor {
-		a.admit = 1 // the fraction describes a demand that has passed; the bucket alone decides
+		// The fraction describes a demand that has passed, so that the bucket alone decides. The
+		// burst has been used up.
+		a.admit, a.level = 1, min(a.level, 1+share*a.limit.Rate*Period.Seconds())
 	}
 	a.touched = now
 }
@@ -194,7 +198,7 @@
 	}
 	a.mu.Lock()
 	wait, ok := a.take(now)
-	short := a.level < a.limit.floor()/2 && a.admit >= 1
+	short := a.level < a.limit.floor(a.equal)/2 && a.admit >= 1 && !a.failed
 	a.mu.Unlock()
 	first := !m.demand.Load() && !m.demand.Swap(true)
 	if short && !m.short.Load() && !m.short.Swap(true) || first {
@@ -338,6 +342,9 @@
 	}
 	if !a.open {
 		a.rate = 0
+		if a.count > surge {
+			weight = surgeWeight
+		}
 	}
 	a.rate += (float64(a.count)/interval - a.rate) * weight
 	if a.count == 0 && a.rate*rateTime.Seconds() < minCount {
@@ -357,6 +364,7 @@
 	if table == nil {
 		return
 	}
+	m.answered = sent
 	current := ready && age(sent, now) <= freshFor
 	for i := range shares {
 		if a := table.byID[shares[i].Account]; a != nil && current {
@@ -371,7 +379,7 @@
 		if current && !a.answered.Equal(sent) {
 			a.admit = 1 // the answer lists each account that is short
 		}
-		a.reported, a.pending = 0, false
+		a.reported, a.pending, a.failed = 0, false, false
 		a.mu.Unlock()
 	}
 }
@@ -405,8 +413,9 @@
 	}
 }
 
-// Unanswered records that the last report got no answer. The next one repeats its counts.
-func (m *Meter) Unanswered() {
+// Unanswered records that the last report got no answer. The next one repeats its counts, unless
+// there was no answer for so long that a coordinator reserves the node's share.
+func (m *Meter) Unanswered(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	table := m.table.Load()
@@ -415,6 +424,13 @@
 	}
 	for _, a := range table.byID {
 		a.mu.Lock()
+		if a.pending {
+			a.failed = true
+			a.level = min(a.level, a.capacityAt(a.share, m.reportedAt))
+		}
+		if a.pending && age(m.answered, now) > freshFor {
+			a.used -= a.reported // within the share that the coordinator reserves
+		}
 		a.reported, a.pending = 0, false
 		a.mu.Unlock()
 	}
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -71,6 +72,9 @@
 		s.nodes = append(s.nodes, n)
 		s.start(n)
 	}
+	for _, n := range s.nodes {
+		s.start(n) // with all members
+	}
 	return s
 }
 
@@ -82,10 +86,14 @@
 	n.coordinator = NewCoordinator(n.name, n.process, s.zoneName(n.zone))
 	n.coordinator.SetLimits(s.limits)
 	zones := make(map[string]int)
-	for i := range s.nodes {
-		zones[s.zoneName(s.nodes[i].zone)]++
+	var own []string
+	for _, other := range s.nodes {
+		zones[s.zoneName(other.zone)]++
+		if other.zone == n.zone {
+			own = append(own, other.name)
+		}
 	}
-	n.coordinator.SetMembers(zones, nil)
+	n.coordinator.SetMembers(zones, own, nil)
 	n.lastAnswer, n.answeredBy, n.inFlight, n.candidate = time.Time{}, "", false, 0
 }
 
@@ -207,23 +215,19 @@
 		}
 		return
 	}
-	n.meter.Unanswered()
+	n.meter.Unanswered(s.now)
 }
 
 func (s *sim) exchange(n *simNode) {
-	byName := make(map[string]*simNode)
-	var names []string
+	silent, notice := n.coordinator.Notice(s.now)
 	for _, other := range s.nodes {
-		if other.zone == n.zone {
-			byName[other.name] = other
-			names = append(names, other.name)
+		if !slices.Contains(silent, other.name) {
+			continue
 		}
-	}
-	silent, shares := n.coordinator.Notice(names, s.now)
-	for _, name := range silent {
 		s.messages++
-		if s.reachable(n, byName[name]) {
-			byName[name].meter.Notice(shares, s.now)
+		if s.reachable(n, other) {
+			other.meter.Notice(notice.Shares, s.now)
+			n.coordinator.Reached(other.name, s.now)
 		}
 	}
 	for zone := range s.zones {
