btquota, btpeer, btnode, btdispatch: enforce the limits of accounts over all nodes

A request of an account goes through the node's meter before its first attempt, and its token is given back if it has not run. Nodes report demand to a coordinator of their zone in the RPC Usage, and the coordinators of the zones exchange sums.

TestScenarios still fails where a flood and a partition begin at the same instant.

--- a/baobabtidectl/status.go
+++ b/baobabtidectl/status.go
@@ -1,14 +1,18 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btoperator"
 )
 
@@ -37,6 +41,7 @@
 		fmt.Fprintln(w)
 		printNodes(w, status)
 		printRateLimits(w, status)
+		printAccounts(w, status)
 	})
 }
 
@@ -116,6 +121,38 @@
 	_ = t.Flush()
 }
 
+// printAccounts writes a table with the limits of the largest accounts, summed up over the nodes, and
+// nothing if there are none.
+func printAccounts(w io.Writer, s *btoperator.Status) {
+	type key struct{ customer, account string }
+	sums := make(map[key]*baobabtide.AccountStatus)
+	for i := range s.Nodes {
+		for _, a := range s.Nodes[i].Accounts {
+			sum := sums[key{a.Customer, a.Account}]
+			if sum == nil {
+				sum = &baobabtide.AccountStatus{Customer: a.Customer, Account: a.Account}
+				sums[key{a.Customer, a.Account}] = sum
+			}
+			sum.RequestsPerSecond, sum.Burst = max(sum.RequestsPerSecond, a.RequestsPerSecond), max(sum.Burst, a.Burst)
+			sum.Use = max(sum.Use, a.Use)
+			sum.Admitted += a.Admitted
+			sum.Refused += a.Refused
+		}
+	}
+	if len(sums) == 0 {
+		return
+	}
+	accounts := slices.SortedFunc(maps.Values(sums), func(a, b *baobabtide.AccountStatus) int {
+		return cmp.Or(cmp.Compare(b.RequestsPerSecond, a.RequestsPerSecond), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Account, b.Account))
+	})
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "\nCUSTOMER\tACCOUNT\tREQUESTS/S\tBURST\tUSE\tADMITTED\tREFUSED")
+	for _, a := range accounts {
+		fmt.Fprintf(t, "%s\t%s\t%g\t%g\t%.2f\t%d\t%d\n", a.Customer, a.Account, a.RequestsPerSecond, a.Burst, a.Use, a.Admitted, a.Refused)
+	}
+	_ = t.Flush()
+}
+
 func yesOrDash(b bool) string {
 	if b {
 		return "yes"
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -37,6 +37,7 @@
 	gatewayTimeout      = 504                    // status of a backend server's response at the deadline; another attempt would be no faster
 	minRetryTime        = 100 * time.Millisecond // time left before the deadline that justifies another attempt
 	minFailureStatus    = 500                    // lowest status of a response that counts as a failure
+	minAccountJitter    = 200 * time.Millisecond // wait from which the random increase after a refusal for an account's limit is computed at least
 	retryJitter         = 0.5                    // maximum relative random increase of RetryAfter, spreads the retries of callers over time
 )
 
@@ -61,6 +62,15 @@
 	RecordRetry(reason baobabtide.Reason)
 }
 
+// Accounts enforces the limits of client accounts. It must be safe for concurrent use.
+type Accounts interface {
+	// Take admits a request of an account and sets its AccountUse. For a request over the limit it
+	// returns false and the time after which a request is admitted.
+	Take(req *baobabtide.Request, now time.Time) (time.Duration, bool)
+	// Return takes back that a request was admitted, which did not run.
+	Return(req *baobabtide.Request)
+}
+
 // Dispatcher implements baobabtide.Handler: it sends each request to targets until one
 // responds or no further attempt is allowed. Its fields must be set before Serve, which is
 // safe for concurrent use.
@@ -73,6 +83,7 @@
 	Budgets     btretry.Budgets
 	Quarantine  *btquarantine.Table            // nil for none
 	OnEntry     func(entry btquarantine.Entry) // called with each change of Quarantine that the dispatcher makes, nil for none
+	Accounts    Accounts                       // nil for accounts without limits
 	Observer    Observer                       // nil for none
 	Recorder    Recorder                       // nil for none
 	Log         *btlog.DecisionLog
@@ -187,6 +198,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := d.takeAccount(req); err != nil {
+		return nil, err
+	}
 	d.Budgets.Earn(s.destination.Service)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	for {
@@ -204,12 +218,36 @@
 				return s.held, nil
 			}
 			final := s.finalError(attemptErr)
+			if final.Verdict == baobabtide.NotRun {
+				d.returnAccount(req)
+			}
 			d.logFinal(s, attemptErr, final)
 			return nil, final
 		}
 	}
 }
 
+// takeAccount returns the refusal of a request over the limit of its account, nil for any other.
+func (d *Dispatcher) takeAccount(req *baobabtide.Request) *baobabtide.RequestError {
+	if d.Accounts == nil || req.Account == "" {
+		return nil
+	}
+	wait, ok := d.Accounts.Take(req, time.Now())
+	if ok {
+		return nil
+	}
+	// Callers that retry at the same moment would use up the limit at once and be refused again.
+	wait += time.Duration(rand.Float64() * retryJitter * float64(max(wait, minAccountJitter)))
+	return baobabtide.Refuse(baobabtide.ReasonAccountLimit, wait, nil)
+}
+
+// returnAccount gives back what takeAccount took for a request that did not run.
+func (d *Dispatcher) returnAccount(req *baobabtide.Request) {
+	if d.Accounts != nil && req.Account != "" {
+		d.Accounts.Return(req)
+	}
+}
+
 // recordLoad records the load of a target that came with a response or a refusal, unless it is
 // impossible, and whether the route is a call route.
 func (d *Dispatcher) recordLoad(target *btroute.Target, route string, load baobabtide.Load) {
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -61,7 +61,9 @@
 	OutcomeAppend     Event = "outcome.append"
 	OutcomesUnread    Event = "outcomes.unread"
 	DirectoryFailed   Event = "directory.failed"
-	LinesDropped      Event = "log.dropped" // number of lines that were not written since the last such line
+	AccountsAnswered  Event = "accounts.answered" // another node answers this one's reports on accounts
+	AccountsFallback  Event = "accounts.fallback" // no node answers them, so this one falls back to a fixed part of the limits
+	LinesDropped      Event = "log.dropped"       // number of lines that were not written since the last such line
 )
 
 // Events returns all events.
@@ -70,6 +72,6 @@
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogReader,
 		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
-		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
+		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, AccountsAnswered, AccountsFallback, LinesDropped,
 	}
 }
--- a/btnode/info.go
+++ b/btnode/info.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btpeer"
@@ -35,6 +36,8 @@
 		LogReads:    reads,
 		LogAppends:  appends,
 		RateLimits:  n.local.RateLimits(),
+		Accounts:    n.accounts.statuses(time.Now()),
+		Coordinator: n.accounts.coordinator.Active(time.Now()),
 	}
 }
 
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -125,6 +125,7 @@
 		}
 		return time.Since(time.UnixMicro(n.inForceAt.Load())).Seconds()
 	})
+	n.addAccountMetrics()
 	load := func(value func(l *baobabtide.Load) int) func() float64 {
 		return func() float64 {
 			total := 0
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -87,6 +87,7 @@
 	directoryAddresses chan []string   // addresses from the directory, for tickLoop
 	edges              edges
 	rollouts           rollouts
+	accounts           *accounts
 	quarantine         btquarantine.Table
 	unstored           unstored
 
@@ -174,6 +175,7 @@
 		n.entryChanged(entry, nil)
 	}
 	n.local = local
+	n.accounts = newAccounts(n.locality, n.incarnation)
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
 	n.seeds = btmember.NewSeeds(settings.Peer.Seeds, now, n.jitterFraction())
@@ -186,6 +188,7 @@
 		Local:       local,
 		Quarantine:  &n.quarantine,
 		OnEntry:     local.OnEntry,
+		Accounts:    n.accounts,
 		Observer:    &n.rollouts,
 		Recorder:    &requestMetrics{set: n.metrics},
 		Log:         n.decisions,
--- a/btnode/operator.go
+++ b/btnode/operator.go
@@ -200,6 +200,8 @@
 	s.Draining = info.Draining
 	s.Held = info.Held
 	s.RateLimits = info.RateLimits
+	s.Accounts = info.Accounts
+	s.Coordinator = info.Coordinator
 	s.Cost = btoperator.NodeCost{
 		ControlBytesIn:  info.ControlIn,
 		ControlBytesOut: info.ControlOut,
--- a/btnode/routes.go
+++ b/btnode/routes.go
@@ -52,6 +52,7 @@
 	if old != nil && old.Offset == table.Offset {
 		return
 	}
+	n.setAccountLimits(accountLimits(state), now)
 	n.inForceAt.Store(now.UnixMicro())
 	n.log.Info().Str("event", "config.in-force").Uint64("offset", uint64(table.Offset)).Send()
 	n.changed.signal()
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	n.tick(time.Now()) // before readLoop starts, so that a reader starts to read at once
-	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop, n.summaryLoop, n.quarantineLoop} {
+	for _, loop := range []func(){n.tickLoop, n.registryLoop, n.rebuildLoop, n.readLoop, n.snapshotLoop, n.directoryLoop, n.outcomeLoop, n.summaryLoop, n.quarantineLoop, n.usageLoop, n.coordinateLoop} {
 		n.wg.Go(func() { n.runLoop(loop) })
 	}
 	n.log.Info().Str("event", "node.started").Str("zone", n.locality.Zone).Uint64("incarnation", n.incarnation).Send()
--- a/btoperator/api.go
+++ b/btoperator/api.go
@@ -130,6 +130,9 @@
 	Cost         NodeCost
 
 	RateLimits []baobabtide.ServerRateLimit `json:",omitempty"` // that the backend servers beside the node name
+
+	Accounts    []baobabtide.AccountStatus `json:",omitempty"` // those with the largest limits
+	Coordinator bool                       `json:",omitempty"` // the node coordinates the limits of accounts for its zone
 }
 
 // NodeCost holds the resources that a node has used since it started, and its
--- a/btpeer/client.go
+++ b/btpeer/client.go
@@ -21,6 +21,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btclock"
+	"github.com/baobabtide/baobabtide/btquota"
 )
 
 const (
@@ -297,6 +298,11 @@
 	return err
 }
 
+// Usage sends a report on the demand of accounts to the node at an address.
+func (c *Client) Usage(ctx context.Context, address string, report *btquota.Report) (*btquota.Answer, error) {
+	return callShared[btquota.Report, btquota.Answer](ctx, c, address, usageMethod, report)
+}
+
 // Settle implements baobabtide.Forwarder. It uses a new connection, because the one
 // on which the response was lost may no longer carry data. On errors the verdict is
 // MayHaveRun.
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -259,6 +259,9 @@
 	LogAppends  int64             `cbor:"16,keyasint"`
 
 	RateLimits []baobabtide.ServerRateLimit `cbor:"17,keyasint,omitempty"` // of the backend servers beside the node
+
+	Accounts    []baobabtide.AccountStatus `cbor:"18,keyasint,omitempty"` // those with the largest limits
+	Coordinator bool                       `cbor:"19,keyasint,omitempty"` // the node coordinates the limits of accounts for its zone
 }
 
 // DrainRequest tells a node to drain its requests and stop.
--- a/btpeer/peer_test.go
+++ b/btpeer/peer_test.go
@@ -16,6 +16,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btquota"
 )
 
 const testSilenceLimit = 1500 * time.Millisecond
@@ -24,6 +25,7 @@
 type fakeNode struct {
 	admit  func(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error)
 	settle func(attempt string) baobabtide.Verdict
+	usage  func(report *btquota.Report) *btquota.Answer
 }
 
 func (n *fakeNode) Admit(ctx context.Context, _ string, _ uint64, req *baobabtide.Request) (*baobabtide.Response, error) {
@@ -36,6 +38,7 @@
 func (n *fakeNode) Info() Info                                               { return Info{Node: "fake"} }
 func (n *fakeNode) Drain(string) int                                         { return 0 }
 func (n *fakeNode) ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord { return key }
+func (n *fakeNode) Usage(r *btquota.Report) *btquota.Answer                  { return n.usage(r) }
 func (n *fakeNode) ResolveKey(baobabtide.KeyRecord)                          {}
 func (n *fakeNode) Gossip(conn *Stream[Gossip, Gossip]) error {
 	for {
--- a/btpeer/server.go
+++ b/btpeer/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btpanic"
+	"github.com/baobabtide/baobabtide/btquota"
 )
 
 const (
@@ -39,6 +40,8 @@
 	ReserveKey(key baobabtide.KeyRecord) baobabtide.KeyRecord
 	// ResolveKey records how the attempt with a reserved key ended.
 	ResolveKey(key baobabtide.KeyRecord)
+	// Usage takes a report on the demand of accounts and returns the answer.
+	Usage(report *btquota.Report) *btquota.Answer
 	// Process returns a number that differs for each start of the node's process.
 	Process() uint64
 	// Info returns the status of the node.
@@ -123,6 +126,8 @@
 	return &ResolveResponse{}
 }
 
+func (s *Server) usage(req *btquota.Report) *btquota.Answer { return s.node.Usage(req) }
+
 func (s *Server) ping(*PingRequest) *PingResponse { return &PingResponse{} }
 
 func (s *Server) info(*InfoRequest) *Info {
--- a/btpeer/service.go
+++ b/btpeer/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btpanic"
+	"github.com/baobabtide/baobabtide/btquota"
 )
 
 const (
@@ -21,6 +22,7 @@
 	drainMethod   = "/" + serviceName + "/Drain"
 	reserveMethod = "/" + serviceName + "/Reserve"
 	resolveMethod = "/" + serviceName + "/Resolve"
+	usageMethod   = "/" + serviceName + "/Usage"
 )
 
 // handler has one method per RPC of the gRPC service.
@@ -33,6 +35,7 @@
 	drain(req *DrainRequest) *DrainResponse
 	reserve(req *baobabtide.KeyRecord) *baobabtide.KeyRecord
 	resolve(req *baobabtide.KeyRecord) *ResolveResponse
+	usage(req *btquota.Report) *btquota.Answer
 	reportPanic(err *btpanic.Error)
 }
 
@@ -49,6 +52,7 @@
 		unary("Drain", handler.drain),
 		unary("Reserve", handler.reserve),
 		unary("Resolve", handler.resolve),
+		unary("Usage", handler.usage),
 	},
 	Streams: []grpc.StreamDesc{
 		stream("Gossip", handler.gossip),
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -1,7 +1,6 @@
 package btquota
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -98,22 +97,35 @@
 	c.accounts, c.index, c.combined = accounts, index, time.Time{}
 }
 
-// SetMembers sets the number of live members of each zone, the names of those of this zone, and
-// removes the nodes that have left.
-func (c *Coordinator) SetMembers(zones map[string]int, own, left []string) {
+// Member is a node that the membership knows.
+type Member struct {
+	Name    string
+	Zone    string
+	Process uint64
+	Left    bool // it has stopped as planned
+}
+
+// SetMembers sets the members of all zones. What is reserved for those that have left or have started
+// again is free.
+func (c *Coordinator) SetMembers(members []Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members, c.zones, c.own = 0, make(map[string]int, len(zones)), own
-	for zone, members := range zones {
-		c.members += members
-		if zone != c.zone {
-			c.zones[zone] = members
+	c.members, c.zones, c.own = 0, make(map[string]int), nil
+	for _, m := range members {
+		if s := c.sources[m.Name]; s != nil && (m.Left || m.Process > s.process) {
+			delete(c.sources, m.Name)
+		}
+		if m.Left {
+			delete(c.noticed, m.Name)
+			delete(c.reached, m.Name)
+			continue
+		}
+		c.members++
+		if m.Zone == c.zone {
+			c.own = append(c.own, m.Name)
+		} else {
+			c.zones[m.Zone]++
 		}
-	}
-	for _, node := range left {
-		delete(c.sources, node)
-		delete(c.noticed, node)
-		delete(c.reached, node)
 	}
 }
 
@@ -200,7 +212,7 @@
 func (c *Coordinator) Active(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.lastSeen.IsZero() && now.Sub(c.lastSeen) < holdFor
+	return !c.lastSeen.IsZero() && now.Sub(c.lastSeen) < keepFor
 }
 
 // source returns the state of a source, and creates it if its process is new.
@@ -220,12 +232,18 @@
 // update records the demand of a source.
 func (r *sourceRow) update(demand float64, now time.Time) {
 	if !r.at.IsZero() {
-		r.slow *= math.Exp(-now.Sub(r.at).Seconds() / slowTime.Seconds())
+		r.slow = r.slowAt(now)
 	}
 	r.slow = max(r.slow, demand)
 	r.demand, r.at = demand, now
 }
 
+// slowAt returns slow at a time after at. It decreases nearly as an exponential does, at a fraction
+// of the cost: this is computed for each account and source.
+func (r *sourceRow) slowAt(now time.Time) float64 {
+	return r.slow / (1 + now.Sub(r.at).Seconds()/slowTime.Seconds())
+}
+
 // addZone records the sums of another coordinator. It takes the place of an earlier one of its zone
 // that is silent.
 func (c *Coordinator) addZone(node string, process uint64, zone string, rows []Row, now time.Time) {
@@ -338,7 +356,7 @@
 			if !s.coordinator {
 				a.ownDemand += row.demand
 			}
-			a.slow += row.slow * math.Exp(-now.Sub(row.at).Seconds()/slowTime.Seconds())
+			a.slow += row.slowAt(now)
 		}
 	}
 	return true
--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -1,8 +1,10 @@
 package btquota
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,34 +153,39 @@
 
 // capacityAt is capacity for the share that the node holds at a time. Without answers, the floors of
 // all nodes would add up to several bursts.
-func (a *meterAccount) capacityAt(share float64, now time.Time) float64 {
-	if a.failed || (a.open && !a.answered.IsZero() && age(a.answered, now) > keepFor) {
+func (a *meterAccount) capacityAt(share float64, since time.Duration) float64 {
+	if a.failed || (a.open && since != never && since > keepFor) {
 		return share*a.limit.Burst + 1
 	}
 	return a.capacity(share)
 }
 
-// held returns the share that the node may use at a time.
-func (a *meterAccount) held(now time.Time) float64 {
+// never is the age of an answer that there was not.
+const never = time.Duration(math.MaxInt64)
+
+// sinceAnswer returns the age of the last answer.
+func (a *meterAccount) sinceAnswer(now time.Time) time.Duration {
 	if a.answered.IsZero() {
-		return a.equal
+		return never
 	}
-	return heldShare(a.share, a.equal, age(a.answered, now))
+	return age(a.answered, now)
+}
+
+// heldAt returns the share that the node may use when its last answer has an age.
+func (a *meterAccount) heldAt(since time.Duration) float64 {
+	return heldShare(a.share, a.equal, since)
 }
 
 // refill adds the tokens of the time since the last call. After a pause of the process it begins
 // anew with little: the share may have been given to others.
 func (a *meterAccount) refill(now time.Time) {
-	idle := now.Sub(a.touched)
-	if idle <= 0 && !now.Round(0).After(a.touched.Round(0).Add(paused)) {
-		return
-	}
-	share := a.held(now)
-	a.level = min(a.level+idle.Seconds()*share*a.limit.Rate, a.capacityAt(share, now))
-	if !a.answered.IsZero() && a.open && age(a.touched, now) > paused && age(a.answered, now) > paused {
+	idle, since := max(0, now.Sub(a.touched)), a.sinceAnswer(now)
+	share := a.heldAt(since)
+	a.level = min(a.level+idle.Seconds()*share*a.limit.Rate, a.capacityAt(share, since))
+	if since > paused && since != never && a.open && age(a.touched, now) > paused {
 		a.level = min(a.level, 1+share*a.limit.Rate*Period.Seconds())
 	}
-	if a.admit < 1 && age(a.answered, now) > keepFor {
+	if a.admit < 1 && since > keepFor {
 		// The fraction describes a demand that has passed, so that the bucket alone decides. The
 		// burst has been used up.
 		a.admit, a.level = 1, min(a.level, 1+share*a.limit.Rate*Period.Seconds())
@@ -186,25 +193,30 @@
 	a.touched = now
 }
 
-// Take admits a request of an account, or returns the time after which one would be admitted.
-func (m *Meter) Take(key Key, now time.Time) (time.Duration, bool) {
+// Take admits a request of an account, or returns the time after which one would be admitted. It also
+// returns the demand of the account over all nodes divided by its limit, 0 if unknown.
+func (m *Meter) Take(key Key, now time.Time) (time.Duration, float64, bool) {
 	table := m.table.Load()
 	if table == nil {
-		return 0, true
+		return 0, 0, true
 	}
 	a := table.byKey[key]
 	if a == nil {
-		return 0, true
+		return 0, 0, true
 	}
 	a.mu.Lock()
 	wait, ok := a.take(now)
+	use := a.use
+	if now.Sub(a.answered) > keepFor {
+		use = 0
+	}
 	short := a.level < a.limit.floor(a.equal)/2 && a.admit >= 1 && !a.failed
 	a.mu.Unlock()
 	first := !m.demand.Load() && !m.demand.Swap(true)
 	if short && !m.short.Load() && !m.short.Swap(true) || first {
 		m.signal()
 	}
-	return wait, ok
+	return wait, use, ok
 }
 
 func (a *meterAccount) take(now time.Time) (time.Duration, bool) {
@@ -219,7 +231,7 @@
 	}
 	if a.level < 1 {
 		a.refused++
-		return a.wait(1-a.level, a.held(now)*a.limit.Rate), false
+		return a.wait(1-a.level, a.heldAt(a.sinceAnswer(now))*a.limit.Rate), false
 	}
 	if a.admit < 1 {
 		a.credit--
@@ -255,24 +267,6 @@
 	a.admitted--
 }
 
-// Use returns the demand of an account over all nodes divided by its limit, 0 if unknown.
-func (m *Meter) Use(key Key, now time.Time) float64 {
-	table := m.table.Load()
-	if table == nil {
-		return 0
-	}
-	a := table.byKey[key]
-	if a == nil {
-		return 0
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.answered.IsZero() || age(a.answered, now) > keepFor {
-		return 0
-	}
-	return a.use
-}
-
 // Next returns the time of the next report, and false if none is due before the next value of Wake.
 func (m *Meter) Next() (time.Time, bool) {
 	m.mu.Lock()
@@ -426,7 +420,7 @@
 		a.mu.Lock()
 		if a.pending {
 			a.failed = true
-			a.level = min(a.level, a.capacityAt(a.share, m.reportedAt))
+			a.level = min(a.level, a.capacityAt(a.share, 0))
 		}
 		if a.pending && age(m.answered, now) > freshFor {
 			a.used -= a.reported // within the share that the coordinator reserves
@@ -448,7 +442,7 @@
 	Refused  int64         // requests that this process refused for the limit
 }
 
-// Statuses returns the state of all accounts, in no order.
+// Statuses returns the state of all accounts, those with the largest limits first.
 func (m *Meter) Statuses(now time.Time) []Status {
 	table := m.table.Load()
 	if table == nil {
@@ -457,12 +451,15 @@
 	statuses := make([]Status, 0, len(table.byID))
 	for _, a := range table.byID {
 		a.mu.Lock()
-		s := Status{Limit: a.limit, Share: a.held(now), Admit: a.admit, Use: a.use, Demand: a.rate, Age: -1, Admitted: a.admitted, Refused: a.refused}
+		s := Status{Limit: a.limit, Share: a.heldAt(a.sinceAnswer(now)), Admit: a.admit, Use: a.use, Demand: a.rate, Age: -1, Admitted: a.admitted, Refused: a.refused}
 		if !a.answered.IsZero() {
 			s.Age = age(a.answered, now)
 		}
 		a.mu.Unlock()
 		statuses = append(statuses, s)
 	}
+	slices.SortFunc(statuses, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Account, b.Account))
+	})
 	return statuses
 }
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -85,15 +85,11 @@
 	n.meter.SetLimits(s.limits, len(s.nodes), s.now)
 	n.coordinator = NewCoordinator(n.name, n.process, s.zoneName(n.zone))
 	n.coordinator.SetLimits(s.limits)
-	zones := make(map[string]int)
-	var own []string
+	var members []Member
 	for _, other := range s.nodes {
-		zones[s.zoneName(other.zone)]++
-		if other.zone == n.zone {
-			own = append(own, other.name)
-		}
+		members = append(members, Member{Name: other.name, Zone: s.zoneName(other.zone), Process: other.process})
 	}
-	n.coordinator.SetMembers(zones, own, nil)
+	n.coordinator.SetMembers(members)
 	n.lastAnswer, n.answeredBy, n.inFlight, n.candidate = time.Time{}, "", false, 0
 }
 
@@ -126,7 +122,7 @@
 		s.offered[account]++
 	}
 	key := s.limits[account].Key
-	if _, ok := n.meter.Take(key, s.now); !ok {
+	if _, _, ok := n.meter.Take(key, s.now); !ok {
 		return
 	}
 	if s.returned > 0 && s.random.Float64() < s.returned {
@@ -203,7 +199,7 @@
 			}
 			continue
 		}
-		moved := n.answeredBy != "" && n.answeredBy != to.name && s.now.Sub(n.lastAnswer) < movedWindow
+		moved := n.answeredBy != "" && n.answeredBy != to.name && s.now.Sub(n.lastAnswer) < MovedWindow
 		answer := to.coordinator.Report(&Report{Node: n.name, Process: n.process, Zone: s.zoneName(n.zone), Rows: rows, Moved: moved}, s.now)
 		if err := answer.Check(); err != nil {
 			s.t.Fatal(err)
