--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -187,7 +187,11 @@
 		answer, err := n.sendUsage(to, report)
 		if err == nil {
 			a.meter.Apply(answer.Shares, answer.Ready, now, time.Now())
+			n.leaveCoordinator(candidates, to.Name)
 			n.recordUsageAnswer(to.Name, now)
+			if answer.Yield {
+				r.first = 0
+			}
 			return
 		}
 		r.first, r.firstSince = (r.first+1)%len(candidates), now
@@ -197,6 +201,18 @@
 	n.sleep(btquota.Period)
 }
 
+// leaveCoordinator tells the candidate that answered until now, if that was another one, that this
+// node no longer reports to it.
+func (n *Node) leaveCoordinator(candidates []baobabtide.Member, next string) {
+	former := n.accounts.reporter.coordinate
+	i := slices.IndexFunc(candidates, func(m baobabtide.Member) bool { return m.Name == former })
+	if former == next || i < 0 {
+		return
+	}
+	// If it can't be reached, it reserves the share for as long as this node might use it.
+	_, _ = n.sendUsage(&candidates[i], &btquota.Report{Node: n.locality.Node, Process: n.incarnation, Zone: n.locality.Zone, Leave: true})
+}
+
 // sendUsage sends a report to a member, which may be this node, and returns the answer.
 func (n *Node) sendUsage(to *baobabtide.Member, report *btquota.Report) (*btquota.Answer, error) {
 	if to.Name == n.locality.Node {
@@ -235,7 +251,7 @@
 		a.meter.Notice(report.Shares, time.Now())
 		return &btquota.Answer{Node: n.locality.Node, Process: n.incarnation, Zone: n.locality.Zone}
 	}
-	if !report.Coordinator {
+	if !report.Coordinator && !report.Leave {
 		select {
 		case a.reported <- struct{}{}:
 		default:
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -12,19 +12,20 @@
 	process uint64
 	zone    string
 
-	mu       sync.Mutex
-	accounts []account
-	index    map[uint64]int // in accounts, by the account's number
-	sources  map[string]*source
-	noticed  map[string]time.Time // last notice sent to each node that has not reported lately
-	reached  map[string]time.Time // last notice that each of them got
-	own      []string             // live members of the zone
-	takenAt  time.Time            // when this coordinator took over from one that its nodes had reported to, zero if it did not
-	members  int                  // live members of all zones
-	zones    map[string]int       // live members of each other zone
-	begun    time.Time            // first report after an idle time, zero while idle
-	lastSeen time.Time            // last report of a node
-	combined time.Time            // when the sums of the accounts were computed
+	mu         sync.Mutex
+	accounts   []account
+	index      map[uint64]int // in accounts, by the account's number
+	sources    map[string]*source
+	noticed    map[string]time.Time // last notice sent to each node that has not reported lately
+	reached    map[string]time.Time // last notice that each of them got
+	own        []string             // live members of the zone
+	takenAt    time.Time            // when this coordinator took over from one that its nodes had reported to, zero if it did not
+	precededAt time.Time            // last answer of a candidate of the zone that precedes this one
+	members    int                  // live members of all zones
+	zones      map[string]int       // live members of each other zone
+	begun      time.Time            // first report after an idle time, zero while idle
+	lastSeen   time.Time            // last report of a node
+	combined   time.Time            // when the sums of the accounts were computed
 }
 
 // account holds the sums of an account over all nodes.
@@ -77,7 +78,7 @@
 	for i, limit := range limits {
 		a := account{limit: limit, id: limit.id(), admit: 1}
 		// After a restart of all nodes, the burst may have been used just before.
-		a.level = min(a.target()+slack/4, a.size())
+		a.level = min(a.afterStart(), a.size())
 		if old, ok := c.index[a.id]; ok {
 			a = c.accounts[old]
 			a.limit = limit
@@ -129,11 +130,19 @@
 	}
 }
 
-// size returns the number of tokens that the bucket of an account holds at most.
-func (a *account) size() float64 { return a.limit.Burst + slack }
+// size returns the number of tokens that the bucket of an account holds at most. The part of those
+// that can't be reached is left to them.
+func (a *account) size() float64 { return (a.limit.Burst + slack) * (1 - a.held) }
 
-// target returns the level of the bucket that the control aims at under overload.
-func (a *account) target() float64 { return reserve * a.limit.Burst }
+// target returns the level of the bucket that the control aims at. An account that sends little more
+// than its limit may use the whole burst: its use does not change much until it is reported.
+func (a *account) target() float64 {
+	overload := min(max(a.demand/a.limit.Rate-1, 0), 1)
+	return overload * reserve * a.limit.Burst * (1 - a.held)
+}
+
+// afterStart is the level of a bucket whose use in the last seconds is not known.
+func (a *account) afterStart() float64 { return startBurst*a.limit.Burst + slack/2 }
 
 // Report takes the report of a node or another coordinator and returns the answer.
 func (c *Coordinator) Report(r *Report, now time.Time) *Answer {
@@ -146,6 +155,10 @@
 		c.addZone(r.Node, r.Process, r.Zone, r.Rows, now)
 		return answer
 	}
+	if r.Leave {
+		delete(c.sources, r.Node)
+		return answer
+	}
 	c.begin(r, now)
 	s := c.source(r.Node, r.Process, r.Zone, false)
 	s.at = now
@@ -159,6 +172,7 @@
 	}
 	c.combine(now, false)
 	answer.Ready = c.ready(now)
+	answer.Yield = !c.precededAt.IsZero() && age(c.precededAt, now) <= freshFor
 	answer.Shares = c.shares(r, s)
 	return answer
 }
@@ -174,7 +188,7 @@
 			c.combine(now, true)
 			for k := range c.accounts {
 				a := &c.accounts[k]
-				a.level = min(a.level, a.target()+slack/4)
+				a.level = min(a.level, a.afterStart())
 			}
 		}
 	}
@@ -206,6 +220,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.addZone(a.Node, a.Process, a.Zone, a.Rows, now)
+	if a.Zone == c.zone && a.Node != c.node {
+		c.precededAt = now // Exchange is sent to none of the zone but those
+	}
 }
 
 // Active reports whether a node reports to this coordinator, so that it must exchange sums.
@@ -256,7 +273,7 @@
 		}
 	}
 	s := c.source(node, process, zone, true)
-	silent := age(s.at, now) > freshFor
+	silent := age(s.at, now) > zoneFresh
 	s.at = now
 	reported := make([]bool, len(c.accounts))
 	for i := range rows {
@@ -266,12 +283,8 @@
 		}
 		reported[k] = true
 		row := &s.rows[k]
-		used := float64(rows[i].Used - row.used)
-		if silent { // the share of the zone was reserved since then
-			used = min(used, row.share*c.accounts[k].limit.Rate*freshFor.Seconds())
-		}
-		if row.counted {
-			c.accounts[k].level -= used
+		if row.counted && !silent { // of a silent zone, the share was reserved
+			c.accounts[k].level -= float64(rows[i].Used - row.used)
 		}
 		row.used, row.counted, row.held = rows[i].Used, true, float64(rows[i].Held)
 		row.update(float64(rows[i].Demand), now)
@@ -334,9 +347,9 @@
 // it has gone silent. It returns false for one that needs no longer be known.
 func (c *Coordinator) combineSource(s *source, now time.Time) bool {
 	silence := age(s.at, now)
-	limit := holdFor
+	fresh, limit := freshFor, holdFor
 	if s.coordinator {
-		limit = zoneFor
+		fresh, limit = zoneFresh, zoneFor
 	}
 	if silence > limit {
 		return false
@@ -346,9 +359,9 @@
 		row, a := &s.rows[k], &c.accounts[k]
 		switch {
 		case row.at.IsZero():
-		case silence > freshFor && s.coordinator && (row.demand > 0 || row.held > 0):
+		case silence > fresh && s.coordinator && (row.demand > 0 || row.held > 0):
 			a.held += row.share + row.held
-		case silence > freshFor && row.demand > 0:
+		case silence > fresh && row.demand > 0:
 			a.ownHeld += heldShare(row.share, equal, silence)
 		default:
 			a.held += row.held
--- a/btquota/doc.go
+++ b/btquota/doc.go
@@ -20,6 +20,7 @@
 
 const (
 	freshFor      = 3 * Period              // age up to which an answer or a report describes the present demand
+	zoneFresh     = 350 * time.Millisecond  // the same for another zone: a flood that begins as the zones lose each other must not use the whole limit in each
 	keepFor       = 2 * time.Second         // age of an answer up to which a node uses its whole share
 	halfFor       = 6 * time.Second         // age up to which it uses half its share; then only an equal part of the limit
 	holdFor       = 20 * time.Second        // silence of a node up to which its coordinator reserves a share for it
@@ -41,7 +42,8 @@
 	floor      = 4.0  // tokens of a node's bucket beyond its share, for a node that has not reported any demand yet
 	floorBurst = 0.02 // the same as a part of the burst, unless that is more than floorParts of the node's part
 	floorParts = 0.5
-	maxDebt    = 2.0 // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
+	startBurst = 0.05 // part of the burst that a bucket holds whose use in the last seconds is not known
+	maxDebt    = 2.0  // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
 )
 
 // Key identifies an account.
--- a/btquota/message.go
+++ b/btquota/message.go
@@ -23,6 +23,7 @@
 	Moved       bool   `cbor:"6,keyasint,omitempty"` // another coordinator has answered the sender shortly before
 	Shares      Shares `cbor:"7,keyasint,omitempty"` // in a notice: of the accounts that are short
 	Notice      bool   `cbor:"8,keyasint,omitempty"` // of a coordinator to a node that has not reported lately
+	Leave       bool   `cbor:"9,keyasint,omitempty"` // the sender reports to another coordinator from now on; there are no rows
 }
 
 // Row is the demand for one account.
@@ -40,6 +41,7 @@
 	Process uint64 `cbor:"2,keyasint"`
 	Zone    string `cbor:"3,keyasint"`
 	Ready   bool   `cbor:"4,keyasint,omitempty"` // the sender knows the demand of the other zones
+	Yield   bool   `cbor:"7,keyasint,omitempty"` // a preceding candidate of the zone answers again: the node reports to that one
 	Shares  Shares `cbor:"5,keyasint,omitempty"` // of the accounts that the node reported, and of all that are short
 	Rows    Rows   `cbor:"6,keyasint,omitempty"`
 }
--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -30,6 +30,7 @@
 	mu         sync.Mutex // for the fields below, held before that of an account
 	random     *rand.Rand
 	members    int
+	started    time.Time // when the first limits were set
 	reportedAt time.Time // when the last report was made
 	answered   time.Time // when the last report with an answer was made
 }
@@ -94,6 +95,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.members = max(members, 1)
+	if m.started.IsZero() {
+		m.started = now
+	}
 	old := m.table.Load()
 	if len(limits) == 0 {
 		m.table.Store(nil)
@@ -295,7 +299,7 @@
 	m.reportedAt = now
 	var rows []Row
 	for id, a := range table.byID {
-		if row, ok := a.report(now); ok {
+		if row, ok := a.report(m.started, now); ok {
 			row.Account = id
 			rows = append(rows, row)
 		}
@@ -320,7 +324,7 @@
 	return false
 }
 
-func (a *meterAccount) report(now time.Time) (Row, bool) {
+func (a *meterAccount) report(started, now time.Time) (Row, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.count == 0 && a.used == 0 && !a.open {
@@ -336,7 +340,10 @@
 	}
 	if !a.open {
 		a.rate = 0
-		if a.count > surge {
+		if fresh := now.Sub(started); fresh < 2*rateTime {
+			// Nothing is known from before, which would count as no demand.
+			interval, weight = max(fresh, urgent).Seconds(), 1
+		} else if a.count > surge {
 			weight = surgeWeight
 		}
 	}
@@ -376,6 +383,10 @@
 		a.reported, a.pending, a.failed = 0, false, false
 		a.mu.Unlock()
 	}
+	if !ready { // the next answer may be
+		m.short.Store(true)
+		m.signal()
+	}
 }
 
 func (a *meterAccount) apply(s *Share, sent, now time.Time) {
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -200,11 +200,22 @@
 			continue
 		}
 		moved := n.answeredBy != "" && n.answeredBy != to.name && s.now.Sub(n.lastAnswer) < MovedWindow
+		if !to.coordinator.Active(s.now) { // begins to exchange at once
+			to.phase = 20 - (s.tick+1)%20
+		}
 		answer := to.coordinator.Report(&Report{Node: n.name, Process: n.process, Zone: s.zoneName(n.zone), Rows: rows, Moved: moved}, s.now)
 		if err := answer.Check(); err != nil {
 			s.t.Fatal(err)
 		}
+		for _, former := range candidates {
+			if former.name == n.answeredBy && former != to && s.reachable(n, former) {
+				former.coordinator.Report(&Report{Node: n.name, Process: n.process, Zone: s.zoneName(n.zone), Leave: true}, s.now)
+			}
+		}
 		n.answeredBy, n.lastAnswer = to.name, s.now
+		if answer.Yield {
+			n.candidate = 0
+		}
 		n.inFlight, n.shares, n.ready, n.sent = true, answer.Shares, answer.Ready, s.now
 		if !answer.Ready {
 			n.meter.Apply(nil, false, s.now, s.now)
