--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -291,11 +291,12 @@
 		if zone == n.locality.Zone {
 			self := slices.IndexFunc(candidates, func(m baobabtide.Member) bool { return m.Name == n.locality.Node })
 			candidates = candidates[:max(self, 0)]
-		} else if !a.coordinator.Due(zone, time.Now()) {
-			continue
 		}
 		wg.Go(func() {
 			for i := range candidates[:min(usageTries, len(candidates))] {
+				if !a.coordinator.Due(candidates[i].Name, time.Now()) {
+					return
+				}
 				answer, err := n.sendUsage(&candidates[i], a.coordinator.Exchange(time.Now()))
 				if err == nil {
 					a.coordinator.AddAnswer(answer, time.Now())
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -195,16 +195,12 @@
 	c.lastSeen = now
 }
 
-// Due reports whether the sums of a zone are no longer recent.
-func (c *Coordinator) Due(zone string, now time.Time) bool {
+// Due reports whether the sums of another coordinator are no longer recent.
+func (c *Coordinator) Due(node string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.sources {
-		if s.coordinator && s.zone == zone && now.Sub(s.at) < exchangeAfter {
-			return false
-		}
-	}
-	return true
+	s := c.sources["zone "+node]
+	return s == nil || now.Sub(s.at) >= exchangeAfter
 }
 
 // Exchange returns the report to the other coordinators.
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -238,13 +238,13 @@
 		}
 	}
 	for zone := range s.zones {
-		if zone != n.zone && !n.coordinator.Due(s.zoneName(zone), s.now) {
-			continue
-		}
 		for _, to := range s.candidates(zone) {
 			if zone == n.zone && to == n {
 				break // only with those that precede it
 			}
+			if !n.coordinator.Due(to.name, s.now) {
+				break
+			}
 			s.messages++
 			if !s.reachable(n, to) {
 				continue
