btadmit, btlocal, btbackend: use the load reports of backend servers

A backend server knows better than the node how fast it runs and how many requests it has: its run time changes within 600 ms, which the average of the run times follows when it is over, and runs of an earlier process of the node or of canceled requests hold slots that the queue takes for free.

The report is read from the header that HeaderNames.Load names, checked, and passed to the queue. Run times are averaged at a normal service time and multiplied by the latest one, which fades with a half-life of 400 ms. Requests beyond the queue's own count as slots in use until a run's time has passed. Run time and release of the slot are recorded in one critical section, so that a request takes the queue's lock as often as before.

A server without reports is estimated as before.

The header is no longer passed on to callers.

--- a/btadmit/estimate.go
+++ b/btadmit/estimate.go
@@ -60,7 +60,7 @@
 // requests of higher ranks. It returns at least one slot and at least
 // minLateFraction of the limit.
 func (q *Queue) availableSlots(r rank, now time.Time) float64 {
-	available := q.limit
+	available := q.limit - float64(q.foreign(now))
 	for other, d := range q.accepted {
 		if other.outranks(r) {
 			available -= d.work.perSecond(now)
@@ -74,16 +74,18 @@
 	return time.Duration(float64(q.stats.RunTime(route)) * q.slowdown(now))
 }
 
-// slowdown returns the factor, at least 1, by which the mean age of the running
-// requests exceeds slowAgeFactor times the expected run time. It detects a slow
-// backend server before any of its slow responses arrive.
+// slowdown returns the present run times relative to those of the statistics: the factor
+// by which the mean age of the running requests exceeds slowAgeFactor times the expected
+// run time, but at least the service time that the backend server reports, 1 without
+// reports. The age detects a slow backend server before any of its slow responses arrive.
 func (q *Queue) slowdown(now time.Time) float64 {
+	relative := q.report.relativeTime(now)
 	expected := float64(q.stats.MeanRunTime())
 	if q.inFlight == 0 || expected == 0 {
-		return 1
+		return relative
 	}
 	age := float64(now.Sub(q.epoch)) - float64(q.grantOffsetSum)/float64(q.inFlight)
-	return max(1, age/(expected*slowAgeFactor))
+	return max(relative, age/(expected*slowAgeFactor))
 }
 
 // wait estimates how long a waiter waits for a slot and for its turn under the rate limit.
@@ -95,7 +97,7 @@
 // before it. A waiter of a lower rank waits for the slots that higher ranks leave,
 // or for the grants reserved for lower priorities, whichever comes first.
 func (q *Queue) slotWait(w *Waiter, now time.Time) time.Duration {
-	if q.hasFreeSlot() && len(q.waiting) == 0 {
+	if q.hasFreeSlot(now) && len(q.waiting) == 0 {
 		return 0
 	}
 	residual := residualFraction * float64(q.stats.MeanRunTime())
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -86,7 +86,8 @@
 	inFlight       int
 	grantOffsetSum time.Duration // sum of the grant times of the running requests, each relative to epoch
 	epoch          time.Time     // time of the first grant, or of the last release that left no request running
-	stats          RunStats
+	stats          RunStats // at the service time 1 of report
+	report         serverReport
 	waiting        []*Waiter        // in order of arrival
 	running        map[string]int   // running requests by customer
 	grants         int              // slots granted so far
@@ -177,10 +178,12 @@
 	return err
 }
 
-func (q *Queue) hasFreeSlot() bool { return float64(q.inFlight) < max(1, float64(int(q.limit))) }
+func (q *Queue) hasFreeSlot(now time.Time) bool {
+	return q.inFlight < max(1, int(q.limit)-q.foreign(now))
+}
 
 // canGrant reports whether a slot is free and the rate limit allows a request.
-func (q *Queue) canGrant(now time.Time) bool { return q.hasFreeSlot() && q.hasTurn(now) }
+func (q *Queue) canGrant(now time.Time) bool { return q.hasFreeSlot(now) && q.hasTurn(now) }
 
 func (q *Queue) grant(t *Ticket, now time.Time) {
 	if q.epoch.IsZero() {
@@ -238,6 +241,18 @@
 func (q *Queue) Release(customer string, took time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.release(customer, took, now)
+}
+
+// Complete is RecordRun and Release in one, for a request that got a response.
+func (q *Queue) Complete(customer, route string, took time.Duration, failed bool, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recordRun(route, took, failed, now)
+	q.release(customer, took, now)
+}
+
+func (q *Queue) release(customer string, took time.Duration, now time.Time) {
 	q.inFlight--
 	q.grantOffsetSum -= now.Add(-took).Sub(q.epoch)
 	if q.inFlight == 0 {
@@ -246,7 +261,7 @@
 	if q.running[customer]--; q.running[customer] <= 0 {
 		delete(q.running, customer)
 	}
-	if q.inFlight+1 >= int(q.limit) {
+	if q.inFlight+1+q.foreign(now) >= int(q.limit) {
 		q.limit = min(float64(q.slots), q.limit+1/q.limit)
 	}
 	q.admit(now)
@@ -261,16 +276,20 @@
 }
 
 // RecordShed records that the backend server refused to run an admitted request. If most
-// of the limit is in use, the backend server is overloaded and the limit shrinks.
-// Otherwise the backend server is faulty and the request counts as a failed run.
-func (q *Queue) RecordShed() {
+// of the limit is in use by the queue, the backend server is overloaded and the limit
+// shrinks. If requests that are not the queue's fill the server, nothing changes: the slots
+// that they hold are known. Otherwise the backend server is faulty and the request counts
+// as a failed run.
+func (q *Queue) RecordShed(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if float64(q.inFlight) >= busyFraction*q.limit {
+	busy := busyFraction * q.limit
+	switch {
+	case float64(q.inFlight) >= busy:
 		q.limit = max(1, q.limit*limitDecrease)
-		return
+	case float64(q.inFlight+q.foreign(now)) < busy:
+		q.stats.RecordFailure()
 	}
-	q.stats.RecordFailure()
 }
 
 // admit grants free slots to waiters, as far as the rate limit allows.
@@ -289,9 +308,10 @@
 
 // expire refuses the waiters that can no longer be answered before their deadlines.
 func (q *Queue) expire(now time.Time) {
+	relative := q.report.relativeTime(now)
 	for i := len(q.waiting) - 1; i >= 0; i-- {
 		t := &q.waiting[i].ticket
-		if now.Add(time.Duration(expireMargin * float64(q.stats.RunTime(t.Route)))).After(t.Deadline) {
+		if now.Add(time.Duration(expireMargin * float64(q.stats.RunTime(t.Route)) * relative)).After(t.Deadline) {
 			q.refuse(i, q.refusal(baobabtide.ReasonDeadline, t, 0, now))
 		}
 	}
@@ -364,7 +384,7 @@
 
 func (q *Queue) load(route string, now time.Time) baobabtide.Load {
 	l := baobabtide.Load{
-		InFlight: q.inFlight,
+		InFlight: q.inFlight + q.foreign(now),
 		Queued:   len(q.waiting),
 		Slots:    max(1, int(q.limit)),
 		Work:     q.runTime(route, now),
--- a/btadmit/queue_test.go
+++ b/btadmit/queue_test.go
@@ -150,7 +150,7 @@
 	q := NewQueue(10)
 	fill(q, 10)
 	for range 5 {
-		q.RecordShed()
+		q.RecordShed(now)
 	}
 	limit := q.Load("", now).Slots
 	if limit > 4 {
@@ -178,7 +178,7 @@
 	q := NewQueue(10)
 	fill(q, 2)
 	for range 20 {
-		q.RecordShed()
+		q.RecordShed(now)
 	}
 	load := q.Load("", now)
 	if load.Slots != 10 || load.Failing < 500 {
--- /dev/null
+++ b/btadmit/report.go
@@ -0,0 +1,79 @@
+package btadmit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	reportHalfLife     = 400 * time.Millisecond // after which half the difference between the reported and the mean service time counts
+	minForeignLifetime = 100 * time.Millisecond // of the requests that a report shows beyond the node's own
+)
+
+// Report is what a backend server reports about its load.
+type Report struct {
+	Requests    int     // that run or wait at the server
+	ServiceTime float64 // relative to the normal one, 0 if not reported
+}
+
+// serverReport is what the reports of a backend server say. The zero value is a server that
+// reports nothing.
+type serverReport struct {
+	serviceTime float64   // latest one, 0 for none
+	mean        float64   // of the service times at the end of each run, 0 if none was reported
+	at          time.Time // of the latest service time
+	excess      int       // requests beyond the node's own in the latest report
+	foreign     int       // the lesser excess of the latest two reports
+	foreignAt   time.Time // of the latest report
+}
+
+// RecordReport records a report that came with a response to a request of this queue, while
+// that request holds its slot. Requests at the server beyond those of the queue were begun by
+// an earlier process of the node, or were canceled while the server goes on with them. They
+// hold slots. A request that ended between the writing and the reading of a report is in the
+// report only, so the excess counts only if the report before showed it too.
+func (q *Queue) RecordReport(r Report, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := &q.report
+	if r.ServiceTime > 0 {
+		s.serviceTime, s.at = r.ServiceTime, now
+		if s.mean == 0 {
+			s.mean = r.ServiceTime
+			q.stats.scale(1 / r.ServiceTime)
+		}
+	}
+	excess := min(max(0, r.Requests-q.inFlight), q.slots)
+	s.foreign, s.excess, s.foreignAt = min(excess, s.excess), excess, now
+}
+
+// relativeTime returns the service time that is expected now: the latest one, which fades to
+// the mean. It is 1 without reports.
+func (s *serverReport) relativeTime(now time.Time) float64 {
+	if s.mean == 0 {
+		return 1
+	}
+	age := float64(max(0, now.Sub(s.at)))
+	return s.mean + (s.serviceTime-s.mean)*math.Exp2(-age/float64(reportHalfLife))
+}
+
+// recordRun records a run that has just ended at its normal run time, so that a change of the
+// service time counts at once and only once.
+func (q *Queue) recordRun(route string, took time.Duration, failed bool, now time.Time) {
+	relative := q.report.relativeTime(now)
+	if q.report.mean > 0 {
+		q.report.mean = smooth(q.report.mean, relative)
+	}
+	q.stats.RecordRun(route, time.Duration(float64(took)/relative), failed)
+}
+
+// foreign returns the number of requests at the server that are not the queue's: those of the
+// latest report, which are expected to end within the time of a run.
+func (q *Queue) foreign(now time.Time) int {
+	if q.report.foreign == 0 {
+		return 0
+	}
+	lifetime := max(minForeignLifetime, time.Duration(float64(q.stats.MeanRunTime())*q.report.relativeTime(now)))
+	left := 1 - float64(now.Sub(q.report.foreignAt))/float64(lifetime)
+	return int(math.Ceil(max(0, left) * float64(q.report.foreign)))
+}
--- /dev/null
+++ b/btadmit/report_test.go
@@ -0,0 +1,126 @@
+package btadmit
+
+import (
+	"math"
+	"testing"
+	"time"
+
+)
+
+// predictionError returns the root mean square of the logarithmic error of the expected run
+// time at a noisy server. All times are multiplied by scale, so that the half-life becomes
+// shorter relative to the windows.
+func predictionError(reports bool, scale float64) float64 {
+	scaled := func(d time.Duration) time.Duration { return time.Duration(float64(d) * scale) }
+	const run = 140 * time.Millisecond
+	loads := []load{{requestClass: requestClass{"read", 30 / scale, scaled(run), scaled(time.Second), scaled(2 * time.Second), 8, false}}}
+	squares, count := 0.0, 0
+	for seed := range uint64(4) {
+		r := newReplay(6, seed)
+		r.noisyShare, r.window, r.reports = 0.15, scaled(600*time.Millisecond), reports
+		r.onBegin = func(route string, at time.Time, relative float64) {
+			if at.Sub(now) > scaled(5*time.Second) {
+				squares += math.Pow(math.Log(float64(r.queue.runTime(route, at))/(float64(scaled(run))*relative)), 2)
+				count++
+			}
+		}
+		r.play(loads, scaled(100*time.Second))
+	}
+	return math.Sqrt(squares / float64(count))
+}
+
+// A server whose runs take 2.5 times as long for 15% of the time, in windows of 600 ms: the
+// moving average of the run times follows when the window is over. The half-life must be near
+// the best one: scaled times show what a shorter and a longer one would give.
+func TestReportsPredictRunTimes(t *testing.T) {
+	without := predictionError(false, 1)
+	with := predictionError(true, 1)
+	t.Logf("without reports %.3f, with reports %.3f", without, with)
+	if with > 0.7*without {
+		t.Errorf("error of the expected run time %.3f with reports, %.3f without", with, without)
+	}
+	for _, halfLife := range []float64{25, 50, 100, 200, 400, 800, 1600, 6400} {
+		got := predictionError(true, reportHalfLife.Seconds()*1000/halfLife)
+		t.Logf("half-life %4.0f ms: %.3f", halfLife, got)
+		if got < 0.95*with {
+			t.Errorf("error %.3f with a half-life of %.0f ms, %.3f with the chosen one", got, halfLife, with)
+		}
+	}
+}
+
+// After a restart of the node, the runs of the process before hold slots: until a report shows
+// them, the server refuses what is granted beyond. They must not lower the limit or count as
+// failures, and the slots must come back without further reports.
+func TestForeignRunsHoldSlots(t *testing.T) {
+	q := NewQueue(6)
+	for range 20 {
+		q.RecordRun("read", 100*time.Millisecond, false)
+	}
+	request := Ticket{Customer: "c", Route: "read", Deadline: now.Add(time.Minute)}
+	for range 2 {
+		offer(t, q, request)
+	}
+	report := Report{Requests: 6}
+	q.RecordReport(report, now)
+	if got := q.Load("read", now).InFlight; got != 2 {
+		t.Errorf("%d requests run after one report, want 2: it may show a request that has ended meanwhile", got)
+	}
+	q.RecordReport(report, now)
+	q.RecordShed(now)
+	load := q.Load("read", now)
+	if load.InFlight != 6 || load.Slots != 6 || load.Failing != 0 {
+		t.Errorf("%+v, want 6 running of 6 slots and no failures", load)
+	}
+	if isReady(offer(t, q, request)) {
+		t.Error("granted although the server is full")
+	}
+	q.Release("c", 0, now.Add(60*time.Millisecond))
+	if got := q.Load("read", now.Add(60*time.Millisecond)); got.Queued != 0 || got.InFlight != 4 {
+		t.Errorf("%+v after 0.6 run times, want 2 foreign and 2 own requests", got)
+	}
+	if got := q.Load("read", now.Add(110*time.Millisecond)).InFlight; got != 2 {
+		t.Errorf("%d requests run after the time of a run, want 2", got)
+	}
+}
+
+// All slots but one are foreign for ever: one request at a time finds out when that ends.
+func TestForeignRunsLeaveOneSlot(t *testing.T) {
+	q := NewQueue(2)
+	for range 2 {
+		q.RecordReport(Report{Requests: 1 << 16}, now)
+	}
+	if !isReady(offer(t, q, ticket("a", 0))) {
+		t.Error("nothing is granted, so nothing would report the end of the foreign runs")
+	}
+}
+
+// A server that stops reporting, or begins to, is expected to be as fast as its runs show.
+func TestRunTimesWithoutFreshReports(t *testing.T) {
+	q := NewQueue(6)
+	run := func(took time.Duration, at time.Time) { q.recordRun("read", took, false, at) }
+	for range 50 {
+		run(100*time.Millisecond, now)
+	}
+	q.RecordReport(Report{ServiceTime: 1.6}, now)
+	if got := q.runTime("read", now).Round(time.Millisecond); got != 100*time.Millisecond {
+		t.Errorf("%s after the first report, want 100ms", got)
+	}
+	q.RecordReport(Report{ServiceTime: 4}, now)
+	if got := q.runTime("read", now).Round(time.Millisecond); got != 250*time.Millisecond {
+		t.Errorf("%s at 2.5 times the service time, want 250ms", got)
+	}
+	later := now.Add(time.Minute)
+	for range 50 {
+		run(100*time.Millisecond, later)
+	}
+	if got := q.runTime("read", later).Round(time.Millisecond); got != 100*time.Millisecond {
+		t.Errorf("%s a minute after the last report, want 100ms", got)
+	}
+}
+
+func TestRecordReportDoesNotAllocate(t *testing.T) {
+	q := NewQueue(6)
+	if got := testing.AllocsPerRun(100, func() { q.RecordReport(Report{Requests: 3, ServiceTime: 1.2}, now) }); got != 0 {
+		t.Errorf("%v allocations", got)
+	}
+}
--- a/btadmit/runstats.go
+++ b/btadmit/runstats.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// scale multiplies all run times by a factor.
+func (s *RunStats) scale(factor float64) {
+	s.mean *= factor
+	for route := range s.routes {
+		s.routes[route] *= factor
+	}
+}
+
 // RecordFailure records a request that the backend server refused to run.
 func (s *RunStats) RecordFailure() { s.updateFailing(true) }
 
--- a/btadmit/turn.go
+++ b/btadmit/turn.go
@@ -163,7 +163,7 @@
 
 // scheduleTurn calls Alarm if a waiter has a slot but no turn yet.
 func (q *Queue) scheduleTurn(now time.Time) {
-	if q.turns != nil && q.Alarm != nil && len(q.waiting) > 0 && q.hasFreeSlot() {
+	if q.turns != nil && q.Alarm != nil && len(q.waiting) > 0 && q.hasFreeSlot(now) {
 		wait := q.turnWait(0, float64(q.turns.Limit()), now)
 		if cold := q.coldUntil.Sub(now); cold > 0 {
 			wait = min(wait, cold)
--- a/btbackend/notice_test.go
+++ b/btbackend/notice_test.go
@@ -12,6 +12,26 @@
 	"github.com/baobabtide/baobabtide"
 )
 
+const loadHeader = "Test-Load"
+
+// By default no header is a load report.
+func TestLoadIsNotReadByDefault(t *testing.T) {
+	var resp fasthttp.Response
+	resp.Header.Add(loadHeader, "1,0,6")
+	p := &Pool{Names: DefaultNames()}
+	if diff := cmp.Diff(Notice{Status: 200}, p.notice(&resp)); diff != "" {
+		t.Errorf("notice (-want +got):\n%s", diff)
+	}
+}
+
+// Each response carries a report: reading it must not cost an allocation.
+func TestParseLoadDoesNotAllocate(t *testing.T) {
+	value := []byte("3, 1, 6, 112")
+	if got := testing.AllocsPerRun(100, func() { _, _ = parseLoad(value) }); got != 0 {
+		t.Errorf("%v allocations", got)
+	}
+}
+
 func TestNotice(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -32,6 +52,19 @@
 		{"empty", [][2]string{{HeaderRateLimit, ""}}, Notice{Status: 200, Invalid: `""`}},
 		{"leaving", [][2]string{{HeaderLeaving, "1"}}, Notice{Status: 200, Leaving: true}},
 		{"not leaving", [][2]string{{HeaderLeaving, "0"}}, Notice{Status: 200}},
+		{"load", [][2]string{{loadHeader, "3,1,6"}}, Notice{Status: 200, Load: ServerLoad{Running: 3, Waiting: 1, Slots: 6}, HasLoad: true}},
+		{"service time", [][2]string{{loadHeader, " 6, 0 ,6,250"}}, Notice{Status: 200, Load: ServerLoad{Running: 6, Slots: 6, ServiceTime: 2.5}, HasLoad: true}},
+		{"two figures", [][2]string{{loadHeader, "3,1"}}, Notice{Status: 200, InvalidLoad: `"3,1"`}},
+		{"five figures", [][2]string{{loadHeader, "3,1,6,100,1"}}, Notice{Status: 200, InvalidLoad: `"3,1,6,100,1"`}},
+		{"negative running", [][2]string{{loadHeader, "-3,1,6,100"}}, Notice{Status: 200, InvalidLoad: `"-3,1,6,100"`}},
+		{"many running", [][2]string{{loadHeader, "65537,1,6,100"}}, Notice{Status: 200, InvalidLoad: `"65537,1,6,100"`}},
+		{"beyond an integer", [][2]string{{loadHeader, "3,18446744073709551617,6,100"}}, Notice{Status: 200, InvalidLoad: `"3,18446744073709551617,6,100"`}},
+		{"no slots", [][2]string{{loadHeader, "0,0,0,100"}}, Notice{Status: 200, InvalidLoad: `"0,0,0,100"`}},
+		{"service time of 0", [][2]string{{loadHeader, "1,0,6,0"}}, Notice{Status: 200, InvalidLoad: `"1,0,6,0"`}},
+		{"absurd service time", [][2]string{{loadHeader, "1,0,6,10001"}}, Notice{Status: 200, InvalidLoad: `"1,0,6,10001"`}},
+		{"not a figure", [][2]string{{loadHeader, "1,0,6,NaN"}}, Notice{Status: 200, InvalidLoad: `"1,0,6,NaN"`}},
+		{"empty load", [][2]string{{loadHeader, ""}}, Notice{Status: 200, InvalidLoad: `""`}},
+		{"two loads", [][2]string{{loadHeader, "1,0,6"}, {loadHeader, "2,0,6"}}, Notice{Status: 200, InvalidLoad: `"2,0,6"`}},
 		{"not run", [][2]string{{HeaderShed, "1"}, {HeaderRateLimit, "2"}}, Notice{Status: 200, NotRun: true, RateLimit: 2, HasRateLimit: true}},
 	}
 	for _, test := range tests {
@@ -41,6 +74,7 @@
 				resp.Header.Add(field[0], field[1])
 			}
 			p := &Pool{Names: DefaultNames()}
+			p.Names.Load = loadHeader
 			if diff := cmp.Diff(test.want, p.notice(&resp)); diff != "" {
 				t.Errorf("notice (-want +got):\n%s", diff)
 			}
--- a/btbackend/response.go
+++ b/btbackend/response.go
@@ -34,7 +34,7 @@
 			shed = true
 		case "Keep-Alive":
 			c.idleTimeout = keepAliveTimeout(string(value))
-		case p.Names.Attempt: // of no use to callers
+		case p.Names.Attempt, p.Names.Load: // of no use to callers
 		default:
 			if !hopByHop(string(name)) {
 				resp.Header = append(resp.Header, baobabtide.HeaderField{Name: string(name), Value: string(value)})
--- a/btbackend/wire.go
+++ b/btbackend/wire.go
@@ -112,6 +112,7 @@
 	Shed      string // on a response: the request was not run
 	RateLimit string // on a response: requests per second that the server accepts
 	Leaving   string // on a response: the server is about to stop
+	Load      string // on a response: load of the server, not passed on
 	RequestID string // sent by the caller, repeated in the response
 }
 
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -40,6 +40,7 @@
 	ending       ending
 	suspects     atomic.Int32 // running requests with standing btquarantine.Suspect, 0 or 1
 	leaving      atomic.Bool  // the server has said in a response that it is about to stop
+	badReport    atomic.Bool  // a load report that is not valid has been logged
 }
 
 // recordUnreached records that no connection to the server could be opened.
@@ -79,6 +80,8 @@
 
 	Crashes        atomic.Int64 // backend servers that ended while they had requests
 	InvalidNotices atomic.Int64 // responses whose rate limit is not a decimal number
+	Reports        atomic.Int64 // load reports of backend servers
+	InvalidReports atomic.Int64 // load reports that are not valid, all ignored
 
 	mu       sync.Mutex
 	servers  map[string]*server // by name
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -4,7 +4,10 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btadmit"
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btlog"
 )
@@ -62,6 +65,7 @@
 		a.recordLeaving(s)
 	}
 	now := time.Now()
+	a.recordLoad(s, notice, now)
 	s.stated.mu.Lock()
 	defer s.stated.mu.Unlock()
 	rate := &s.stated.rate
@@ -80,6 +84,23 @@
 	line.Send()
 }
 
+// recordLoad records the load report of a response. One that is not valid is counted, and
+// logged once for each server, since it may come with every response. A response of status 421
+// is that of another server.
+func (a *Admitter) recordLoad(s *server, notice *btbackend.Notice, now time.Time) {
+	switch {
+	case notice.InvalidLoad != "":
+		a.InvalidReports.Add(1)
+		if !s.badReport.Swap(true) {
+			a.Log.Server(btlog.ReportInvalid, s.name).Str("value", notice.InvalidLoad).Send()
+		}
+	case notice.HasLoad && notice.Status != fasthttp.StatusMisdirectedRequest:
+		a.Reports.Add(1)
+		load := &notice.Load
+		s.queue.RecordReport(btadmit.Report{Requests: load.Running + load.Waiting, ServiceTime: load.ServiceTime}, now)
+	}
+}
+
 // applyRateLimit sets the rate limit of the queue. The caller holds s.stated.mu.
 func (s *server) applyRateLimit(now time.Time) {
 	if s.stated.rate.limited {
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -101,15 +101,30 @@
 
 // release releases the slot. Repeated calls have no effect.
 func (r *run) release() {
+	if r.endSlot() {
+		now := time.Now()
+		r.server.queue.Release(r.req.Customer, now.Sub(r.started), now)
+	}
+}
+
+// complete records a run that ended with a response and releases the slot.
+func (r *run) complete(failed bool) {
+	if r.endSlot() {
+		now := time.Now()
+		r.server.queue.Complete(r.req.Customer, r.req.Route, now.Sub(r.started), failed, now)
+	}
+}
+
+// endSlot reports whether the slot is to be released, which it is only once.
+func (r *run) endSlot() bool {
 	if r.released {
-		return
+		return false
 	}
 	r.released = true
 	if r.suspect {
 		r.server.suspects.Add(-1)
 	}
-	now := time.Now()
-	r.server.queue.Release(r.req.Customer, now.Sub(r.started), now)
+	return true
 }
 
 // fail ends a request that got no response and returns its error with the load of the
@@ -121,7 +136,7 @@
 	now := time.Now()
 	switch err.Reason {
 	case baobabtide.ReasonOverload:
-		r.server.queue.RecordShed()
+		r.server.queue.RecordShed(now)
 	case baobabtide.ReasonUnreached:
 		r.server.recordUnreached(now)
 	case baobabtide.ReasonMisdirected:
@@ -190,8 +205,7 @@
 	if r.recorded {
 		r.recordEnd(baobabtide.Ran, b.storableAnswer())
 	}
-	r.server.queue.RecordRun(r.req.Route, time.Since(r.started), b.truncated || b.resp.Status >= minFailureStatus)
-	r.release()
+	r.complete(b.truncated || b.resp.Status >= minFailureStatus)
 	r.admitter.end()
 	return err
 }
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -51,6 +51,7 @@
 	QuarantineCleared Event = "quarantine.cleared" // a server has run the request, or an operator cleared it
 	QuarantineFailed  Event = "quarantine.failed"  // quarantined requests could not be read from or written to the platform's log
 	NoticeInvalid     Event = "notice.invalid"     // a backend server names a rate limit that is not a decimal number
+	ReportInvalid     Event = "report.invalid"     // a backend server sends a load report that is not valid
 	HeartbeatRefused  Event = "heartbeat.refused"
 	MemberStatus      Event = "member.status"
 	MemberAccused     Event = "member.accused"
@@ -69,7 +70,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogReader,
-		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, ReportInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
 	}
 }
