btbackend, btlocal: resets of full servers limit concurrency, and nothing sent is not run

A backend server that resets connections when it is full counted as faulty.

ErrReset marks a reset before the first byte of the response. If the server goes on, it is recorded like a refusal: with most slots in use the concurrency limit falls, otherwise it is a failure. A request of which nothing was sent is refused as not run and moves on; on a connection that had been idle it is sent once more. A canceled request holds its slot until the next load report, if the server reports.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -86,7 +86,7 @@
 	inFlight       int
 	grantOffsetSum time.Duration // sum of the grant times of the running requests, each relative to epoch
 	epoch          time.Time     // time of the first grant, or of the last release that left no request running
-	stats          RunStats // at the service time 1 of report
+	stats          RunStats      // at the service time 1 of report
 	report         serverReport
 	waiting        []*Waiter        // in order of arrival
 	running        map[string]int   // running requests by customer
@@ -244,6 +244,15 @@
 	q.release(customer, took, now)
 }
 
+// Abandon is Release for a request that was canceled after it was sent. If the backend server
+// reports its load, the slot counts as in use until its next report: it may go on with the run.
+func (q *Queue) Abandon(customer string, took time.Duration, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.addForeign(now)
+	q.release(customer, took, now)
+}
+
 // Complete is RecordRun and Release in one, for a request that got a response.
 func (q *Queue) Complete(customer, route string, took time.Duration, failed bool, now time.Time) {
 	q.mu.Lock()
--- a/btadmit/replay_test.go
+++ b/btadmit/replay_test.go
@@ -28,12 +28,12 @@
 
 	noise    []float64
 	noiseRNG *rand.Rand // apart from rng, so that policies are compared under the same noise
-	value   float64
-	earned  map[string]float64
-	counts  map[string]*outcomeCounts // by route, or by account if there is one
-	running int                       // requests at the server
-	shed    int                       // granted requests that the server refused
-	onBegin func(route string, now time.Time, relative float64)
+	value    float64
+	earned   map[string]float64
+	counts   map[string]*outcomeCounts // by route, or by account if there is one
+	running  int                       // requests at the server
+	shed     int                       // granted requests that the server refused
+	onBegin  func(route string, now time.Time, relative float64)
 }
 
 func newReplay(slots int, seed uint64) *replay {
--- a/btadmit/report.go
+++ b/btadmit/report.go
@@ -47,6 +47,14 @@
 	s.foreign, s.excess, s.foreignAt = min(excess, s.excess), excess, now
 }
 
+// addForeign adds a request of the queue that may go on at the server.
+func (q *Queue) addForeign(now time.Time) {
+	if s := &q.report; !s.foreignAt.IsZero() {
+		s.foreign = min(q.foreign(now)+1, q.slots)
+		s.excess, s.foreignAt = s.foreign, now
+	}
+}
+
 // relativeTime returns the service time that is expected now: the latest one, which fades to
 // the mean. It is 1 without reports.
 func (s *serverReport) relativeTime(now time.Time) float64 {
--- a/btadmit/report_test.go
+++ b/btadmit/report_test.go
@@ -4,7 +4,6 @@
 	"math"
 	"testing"
 	"time"
-
 )
 
 // predictionError returns the root mean square of the logarithmic error of the expected run
--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -29,19 +29,31 @@
 var errUnknownSender = errors.New("read response: it may belong to an earlier request on the connection")
 
 // Do implements baobabtide.Backend. If ctx is canceled or the deadline passes, the
-// exchange fails and its connection is closed.
+// exchange fails and its connection is closed. An idle connection that is reset before a byte
+// of the request was sent says nothing about the backend server, so the request is sent once
+// more.
 func (p *Pool) Do(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+	resp, reused, err := p.try(ctx, req)
+	if reused && errors.Is(err, ErrReset) && baobabtide.AsRequestError(err).Verdict == baobabtide.NotRun && (req.Body == nil || req.Body.Rewind()) {
+		resp, _, err = p.try(ctx, req)
+	}
+	return resp, err
+}
+
+// try sends a request once. It also reports whether the connection had been used before.
+func (p *Pool) try(ctx context.Context, req *baobabtide.Request) (*baobabtide.Response, bool, error) {
 	maxIdle := defaultIdleTimeout
 	if !req.Idempotent {
 		maxIdle = maxIdleNonIdempotent
 	}
 	c, err := p.acquire(ctx, req.ID, maxIdle)
 	if err != nil {
-		return nil, errorBeforeSend(ctx, req.Deadline, err)
+		return nil, false, errorBeforeSend(ctx, req.Deadline, err)
 	}
+	reused := c.used
 	if err := c.SetDeadline(req.Deadline); err != nil {
 		p.discard(c)
-		return nil, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
+		return nil, reused, baobabtide.Refuse(baobabtide.ReasonBackend, shedRetryAfter, err)
 	}
 	sentAt := time.Now()
 	stopWatching := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -49,23 +61,30 @@
 	if err != nil {
 		stopWatching()
 		p.discard(c)
-		return nil, errorAfterSend(ctx, req.Deadline, err)
+		if !c.sent && errors.Is(err, ErrReset) {
+			return nil, reused, errorBeforeSend(ctx, req.Deadline, err)
+		}
+		return nil, reused, errorAfterSend(ctx, req.Deadline, err)
 	}
 	if p.OnNotice != nil {
 		p.OnNotice(p.notice(resp), sentAt)
 	}
-	return p.response(c, req, resp, stopWatching)
+	converted, err := p.response(c, req, resp, stopWatching)
+	return converted, reused, err
 }
 
 // errorBeforeSend returns the error of a request of which nothing was sent. Its
 // reason is ReasonUnreached only if neither the deadline nor a cancellation ended
-// the request, because those prove nothing about the backend server.
+// the request, because those prove nothing about the backend server. A server that resets
+// the connection is up, so the reason is ReasonOverload then.
 func errorBeforeSend(ctx context.Context, deadline time.Time, err error) *baobabtide.RequestError {
 	switch {
 	case deadlineReached(deadline):
 		return baobabtide.Refuse(baobabtide.ReasonDeadline, 0, err)
 	case ctx.Err() != nil:
 		return baobabtide.Refuse(baobabtide.ReasonCanceled, 0, err)
+	case isReset(err):
+		return baobabtide.Refuse(baobabtide.ReasonOverload, shedRetryAfter, err)
 	default:
 		return baobabtide.Refuse(baobabtide.ReasonUnreached, shedRetryAfter, err)
 	}
@@ -94,14 +113,19 @@
 	out := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(out)
 	p.fillRequest(out, req)
-	if err := out.Write(c.writer); err != nil {
-		return nil, fmt.Errorf("write request: %w", err)
+	c.sent = false
+	err := out.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
 	}
-	if err := c.writer.Flush(); err != nil {
-		return nil, fmt.Errorf("write request: %w", err)
+	if err != nil {
+		return nil, markReset(fmt.Errorf("write request: %w", err))
 	}
-	for range maxMismatchedResponses {
+	for i := range maxMismatchedResponses {
 		resp, err := p.readResponse(c, req)
+		if err != nil && i == 0 && c.reader.Buffered() == 0 {
+			return nil, markReset(err)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -129,6 +153,14 @@
 	return nil, errors.New("read response: received only responses to other requests")
 }
 
+// markReset adds ErrReset to the error of a connection that was reset.
+func markReset(err error) error {
+	if isReset(err) {
+		return fmt.Errorf("%w: %w", ErrReset, err)
+	}
+	return err
+}
+
 // readResponse reads the header of a response and skips interim responses before it. The
 // response's body can be read as a stream.
 func (p *Pool) readResponse(c *backendConn, req *baobabtide.Request) (*fasthttp.Response, error) {
--- a/btbackend/pool.go
+++ b/btbackend/pool.go
@@ -32,10 +32,18 @@
 	idleAt      time.Time     // start of the idle time
 	idleTimeout time.Duration // closed after this time without a request
 	used        bool          // a response has arrived on it
+	sent        bool          // bytes of the present request were written to it
 
 	refusals map[string]time.Time // deadlines of the requests that were refused on it, by their IDs
 }
 
+// Write implements io.Writer.
+func (c *backendConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent = c.sent || n > 0
+	return n, err
+}
+
 // recordRefusal records that a request was refused on the connection. It returns false if the
 // connection can record no more.
 func (c *backendConn) recordRefusal(id string, deadline time.Time) bool {
@@ -120,12 +128,9 @@
 }
 
 func newBackendConn(conn net.Conn) *backendConn {
-	return &backendConn{
-		Conn:        conn,
-		reader:      bufio.NewReaderSize(conn, connBuffer),
-		writer:      bufio.NewWriterSize(conn, connBuffer),
-		idleTimeout: defaultIdleTimeout,
-	}
+	c := &backendConn{Conn: conn, reader: bufio.NewReaderSize(conn, connBuffer), idleTimeout: defaultIdleTimeout}
+	c.writer = bufio.NewWriterSize(c, connBuffer)
+	return c
 }
 
 // Ended reports whether the backend server has ended: its address refuses connections. A
@@ -152,6 +157,15 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// ErrReset means that the connection of a request was reset before the first byte of its
+// response. Some backend servers do that when they are full.
+var ErrReset = errors.New("connection reset before the response")
+
+// isReset reports whether the peer, or its kernel, reset a connection.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // popIdle returns the most recently used idle connection that is open, has no unread input
 // and has not refused the request with the ID. It returns nil if there is none or if that
 // connection has been idle for maxIdle or longer. It closes the unusable connections that it
--- a/btbackend/pool_test.go
+++ b/btbackend/pool_test.go
@@ -98,7 +98,11 @@
 			write(c, "HTTP/1.1 503 No\r\nBaobabtide-Shed: 1\r\nContent-Length: 0\r\n\r\n")
 		}, outcome{Verdict: baobabtide.NotRun, Reason: baobabtide.ReasonOverload}},
 		"closes before it responds": {func(c net.Conn, _, _ int) { _ = c.Close() }, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}},
-		"never responds":            {func(net.Conn, int, int) {}, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonDeadline}},
+		"resets before it responds": {func(c net.Conn, _, _ int) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}},
+		"never responds": {func(net.Conn, int, int) {}, outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonDeadline}},
 		"truncates a body with a length": {func(c net.Conn, _, _ int) {
 			write(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
 			_ = c.Close()
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -80,6 +80,7 @@
 
 	Crashes        atomic.Int64 // backend servers that ended while they had requests
 	InvalidNotices atomic.Int64 // responses whose rate limit is not a decimal number
+	Resets         atomic.Int64 // connections that a backend server, which goes on, reset before its response
 	Reports        atomic.Int64 // load reports of backend servers
 	InvalidReports atomic.Int64 // load reports that are not valid, all ignored
 
--- a/btlocal/report_test.go
+++ b/btlocal/report_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -62,3 +64,44 @@
 		t.Errorf("%d reports and %d that are not valid, want 22 and 4", reports, invalid)
 	}
 }
+
+// A server that resets a connection while all of its slots are in use is full and not faulty: as
+// with refusals that it responds, its limit falls and its failure rate stays.
+func TestResetByFullServerLowersTheLimit(t *testing.T) {
+	const slots = 6
+	var arrived sync.WaitGroup
+	var last atomic.Int64
+	arrived.Add(slots)
+	var later sync.WaitGroup
+	later.Add(1)
+	announcement := backendServer(t, slots, func(ctx *fasthttp.RequestCtx) {
+		arrived.Done()
+		arrived.Wait()
+		if last.Add(1) == 1 {
+			_ = ctx.Conn().(*net.TCPConn).SetLinger(0)
+			_ = ctx.Conn().Close()
+			return
+		}
+		later.Wait()
+	})
+	a, closeAdmitter := New(nil)
+	defer closeAdmitter()
+	a.Update([]btbackend.Server{{Announcement: announcement}})
+	failures := make(chan error, slots)
+	for i := range slots {
+		go func() { failures <- send(a, i) }()
+	}
+	refusal := baobabtide.AsRequestError(<-failures)
+	if refusal.Verdict != baobabtide.MayHaveRun || refusal.Reason != baobabtide.ReasonBackend {
+		t.Errorf("the request whose connection was reset: %v", refusal)
+	}
+	if load := a.Load()["b"]; load.Slots >= slots || load.Failing > 0 || a.Resets.Load() != 1 || a.Crashes.Load() > 0 {
+		t.Errorf("load %+v, %d resets, %d crashes", load, a.Resets.Load(), a.Crashes.Load())
+	}
+	later.Done()
+	for range slots - 1 {
+		if err := <-failures; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -142,17 +142,34 @@
 	case baobabtide.ReasonMisdirected:
 		r.server.queue.Close() // another backend server has the address
 	case baobabtide.ReasonBackend:
-		if btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server) {
-			err.Crashed = true
-			r.recordCrash(now)
+		r.recordFailure(err, now)
+	case baobabtide.ReasonDeadline, baobabtide.ReasonCanceled:
+		if err.Reached && r.endSlot() {
+			r.server.queue.Abandon(r.req.Customer, now.Sub(r.started), now)
 		}
-		r.server.queue.RecordRun(r.req.Route, now.Sub(r.started), true)
 	}
 	err.Load = r.server.queue.Load(r.req.Route, now)
 	r.release()
 	return err
 }
 
+// recordFailure records a run that the server ended without a response. A server that resets a
+// connection and goes on is full if most of its slots are in use, which RecordShed decides.
+func (r *run) recordFailure(err *baobabtide.RequestError, now time.Time) {
+	queue := r.server.queue
+	switch {
+	case btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server):
+		err.Crashed = true
+		r.recordCrash(now)
+		queue.RecordRun(r.req.Route, now.Sub(r.started), true)
+	case errors.Is(err.Err, btbackend.ErrReset):
+		r.admitter.Resets.Add(1)
+		queue.RecordShed(now)
+	default:
+		queue.RecordRun(r.req.Route, now.Sub(r.started), true)
+	}
+}
+
 // succeed returns the response with the load of the server and with a body that ends the
 // request when it is closed. A failure is excused if a call has failed during the run.
 func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -108,6 +108,7 @@
 	gauge("baobabtide_quarantined_requests", n.countQuarantined)
 	gauge("baobabtide_server_crashes_total", func() float64 { return float64(n.local.Crashes.Load()) })
 	gauge("baobabtide_invalid_notices_total", func() float64 { return float64(n.local.InvalidNotices.Load()) })
+	gauge("baobabtide_server_resets_total", func() float64 { return float64(n.local.Resets.Load()) })
 	gauge("baobabtide_server_load_reports_total", func() float64 { return float64(n.local.Reports.Load()) })
 	gauge("baobabtide_invalid_server_load_reports_total", func() float64 { return float64(n.local.InvalidReports.Load()) })
 	gauge("baobabtide_rate_limited_servers", func() float64 { return float64(len(n.local.RateLimits())) })
