btadmit: expect of each running request the run time of its route

The age of the running requests was compared with the mean run time over all routes. Where runs of 27, 77 and 440 ms share the slots, most running requests are long ones, the server was taken for slow, and short urgent requests were refused. Now the routes of the running requests are counted, and both the slowdown and the wait for the next slot go by them. Release, Complete and Abandon take the ticket.

--- a/btadmit/estimate.go
+++ b/btadmit/estimate.go
@@ -75,12 +75,12 @@
 }
 
 // slowdown returns the present run times relative to those of the statistics: the factor
-// by which the mean age of the running requests exceeds slowAgeFactor times the expected
+// by which the mean age of the running requests exceeds slowAgeFactor times their expected
 // run time, but at least the service time that the backend server reports, 1 without
 // reports. The age detects a slow backend server before any of its slow responses arrive.
 func (q *Queue) slowdown(now time.Time) float64 {
 	relative := q.report.relativeTime(now)
-	expected := float64(q.stats.MeanRunTime())
+	expected := float64(q.stats.runningTime(q.runs))
 	if q.inFlight == 0 || expected == 0 {
 		return relative
 	}
@@ -100,7 +100,7 @@
 	if q.hasFreeSlot(now) && len(q.waiting) == 0 {
 		return 0
 	}
-	residual := residualFraction * float64(q.stats.MeanRunTime())
+	residual := residualFraction * float64(q.stats.runningTime(q.runs))
 	ahead, samePriority := residual, residual
 	availableSlots := q.availableSlots(w.ticket.rank(), now)
 	for _, other := range q.waiting {
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -88,6 +88,7 @@
 	epoch          time.Time     // time of the first grant, or of the last release that left no request running
 	stats          RunStats      // at the service time 1 of report
 	report         serverReport
+	runs           routeCounts
 	waiting        []*Waiter        // in order of arrival
 	running        map[string]int   // running requests by customer
 	grants         int              // slots granted so far
@@ -194,6 +195,7 @@
 	}
 	q.inFlight++
 	q.grantOffsetSum += now.Sub(q.epoch)
+	q.runs.add(t.Route)
 	q.running[t.Customer]++
 	q.grants++
 }
@@ -236,39 +238,40 @@
 	return true
 }
 
-// Release returns a slot of a customer's request that was granted the duration took
+// Release returns the slot of a ticket that was granted the duration took
 // before now, and admits the next waiters.
-func (q *Queue) Release(customer string, took time.Duration, now time.Time) {
+func (q *Queue) Release(t *Ticket, took time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.release(customer, took, now)
+	q.release(t, took, now)
 }
 
 // Abandon is Release for a request that was canceled after it was sent. If the backend server
 // reports its load, the slot counts as in use until its next report: it may go on with the run.
-func (q *Queue) Abandon(customer string, took time.Duration, now time.Time) {
+func (q *Queue) Abandon(t *Ticket, took time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.addForeign(now)
-	q.release(customer, took, now)
+	q.release(t, took, now)
 }
 
 // Complete is RecordRun and Release in one, for a request that got a response.
-func (q *Queue) Complete(customer, route string, took time.Duration, failed bool, now time.Time) {
+func (q *Queue) Complete(t *Ticket, took time.Duration, failed bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.recordRun(route, took, failed, now)
-	q.release(customer, took, now)
+	q.recordRun(t.Route, took, failed, now)
+	q.release(t, took, now)
 }
 
-func (q *Queue) release(customer string, took time.Duration, now time.Time) {
+func (q *Queue) release(t *Ticket, took time.Duration, now time.Time) {
 	q.inFlight--
 	q.grantOffsetSum -= now.Add(-took).Sub(q.epoch)
 	if q.inFlight == 0 {
 		q.grantOffsetSum, q.epoch = 0, now
 	}
-	if q.running[customer]--; q.running[customer] <= 0 {
-		delete(q.running, customer)
+	q.runs.remove(t.Route)
+	if q.running[t.Customer]--; q.running[t.Customer] <= 0 {
+		delete(q.running, t.Customer)
 	}
 	if q.inFlight+1+q.foreign(now) >= int(q.limit) {
 		q.limit = min(float64(q.slots), q.limit+1/q.limit)
--- a/btadmit/queue_test.go
+++ b/btadmit/queue_test.go
@@ -47,11 +47,11 @@
 		"low":  offer(t, q, ticket("a", 0)),
 		"high": offer(t, q, ticket("a", 5)),
 	}
-	q.Release("a", time.Millisecond, now)
+	q.Release(&Ticket{Customer: "a"}, time.Millisecond, now)
 	if isReady(waiters["low"]) || !isReady(waiters["high"]) {
 		t.Error("the waiter of higher priority was not granted the first slot")
 	}
-	q.Release("a", time.Millisecond, now)
+	q.Release(&Ticket{Customer: "a"}, time.Millisecond, now)
 	if !isReady(waiters["low"]) {
 		t.Error("the waiter of lower priority was not granted the second slot")
 	}
@@ -67,7 +67,7 @@
 		offer(t, q, ticket("audit", 0))
 	}
 	inspector := offer(t, q, ticket("inspector", 0))
-	q.Release("audit", time.Millisecond, now)
+	q.Release(&Ticket{Customer: "audit"}, time.Millisecond, now)
 	if !isReady(inspector) {
 		t.Error("the customer without running requests was not granted the first slot")
 	}
@@ -120,7 +120,7 @@
 	q := NewQueue(1)
 	offer(t, q, ticket("a", 0))
 	w := offer(t, q, Ticket{Customer: "a", Deadline: now.Add(time.Second)})
-	q.Release("a", time.Millisecond, now.Add(2*time.Second))
+	q.Release(&Ticket{Customer: "a"}, time.Millisecond, now.Add(2*time.Second))
 	if !isReady(w) || reason(w.Refusal()) != baobabtide.ReasonDeadline {
 		t.Errorf("refusal %v", w.Refusal())
 	}
@@ -137,7 +137,7 @@
 		t.Error("Cancel did not withdraw a waiter in the queue")
 	}
 	granted := offer(t, q, ticket("a", 0))
-	q.Release("a", time.Millisecond, now)
+	q.Release(&Ticket{Customer: "a"}, time.Millisecond, now)
 	if q.Cancel(granted) {
 		t.Error("Cancel withdrew a granted waiter, whose slot is then never released")
 	}
@@ -157,14 +157,14 @@
 		t.Errorf("limit %d after shedding", limit)
 	}
 	for q.Load("", now).InFlight > 0 {
-		q.Release("a", time.Millisecond, now)
+		q.Release(&Ticket{Customer: "a"}, time.Millisecond, now)
 	}
 	for range 1000 {
 		q.Offer(ticket("a", 0), now)
 		for q.Load("", now).InFlight < q.Load("", now).Slots {
 			q.Offer(ticket("a", 0), now)
 		}
-		q.Release("a", time.Millisecond, now)
+		q.Release(&Ticket{Customer: "a"}, time.Millisecond, now)
 	}
 	if diff := cmp.Diff(10, q.Load("", now).Slots); diff != "" {
 		t.Errorf("limit after recovery (-want +got):\n%s", diff)
@@ -201,7 +201,7 @@
 	q.Offer(request, now)
 	allocs := testing.AllocsPerRun(1000, func() {
 		q.Offer(request, now)
-		q.Release("a", time.Millisecond, now)
+		q.Release(&Ticket{Customer: "a"}, time.Millisecond, now)
 	})
 	if diff := cmp.Diff(0.0, allocs); diff != "" {
 		t.Errorf("allocations (-want +got):\n%s", diff)
--- a/btadmit/replay_test.go
+++ b/btadmit/replay_test.go
@@ -132,7 +132,7 @@
 		r.count(l, func(c *outcomeCounts) { c.refused++ })
 		r.report(started)
 		r.queue.RecordShed(started)
-		r.queue.Release("c", 0, started)
+		r.queue.Release(&t, 0, started)
 		return
 	}
 	relative := r.relativeTime(started)
@@ -149,13 +149,13 @@
 		if took > left {
 			// The request is canceled, but the server goes on.
 			heap.Push(&r.events, event{started.Add(took), func(time.Time) { r.running-- }})
-			r.queue.Release("c", now.Sub(started), now)
+			r.queue.Abandon(&t, now.Sub(started), now)
 			r.count(l, func(c *outcomeCounts) { c.missed++ })
 			return
 		}
 		r.running--
 		r.report(now)
-		r.queue.Complete("c", l.route, took, false, now)
+		r.queue.Complete(&t, took, false, now)
 		if now.After(t.Objective) {
 			r.earned[l.route] += l.later
 			r.value += l.later
--- a/btadmit/report_test.go
+++ b/btadmit/report_test.go
@@ -73,7 +73,7 @@
 	if isReady(offer(t, q, request)) {
 		t.Error("granted although the server is full")
 	}
-	q.Release("c", 0, now.Add(60*time.Millisecond))
+	q.Release(&request, 0, now.Add(60*time.Millisecond))
 	if got := q.Load("read", now.Add(60*time.Millisecond)); got.Queued != 0 || got.InFlight != 4 {
 		t.Errorf("%+v after 0.6 run times, want 2 foreign and 2 own requests", got)
 	}
--- a/btadmit/runstats.go
+++ b/btadmit/runstats.go
@@ -1,6 +1,9 @@
 package btadmit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	initialRunTime   = 50 * time.Millisecond // expected run time before the first response
@@ -35,6 +38,51 @@
 	}
 }
 
+// routeCounts counts running requests by route. The routes of the requests that run at one
+// time are few. It allocates only when there are more of them than ever before.
+type routeCounts []routeCount
+
+type routeCount struct {
+	route string
+	count int // at least 1
+}
+
+func (c *routeCounts) add(route string) {
+	for i := range *c {
+		if (*c)[i].route == route {
+			(*c)[i].count++
+			return
+		}
+	}
+	*c = append(*c, routeCount{route, 1})
+}
+
+func (c *routeCounts) remove(route string) {
+	for i := range *c {
+		if (*c)[i].route != route {
+			continue
+		}
+		if (*c)[i].count--; (*c)[i].count == 0 {
+			*c = slices.Delete(*c, i, i+1)
+		}
+		return
+	}
+}
+
+// runningTime returns the mean expected run time of running requests, or of all routes if
+// none runs.
+func (s *RunStats) runningTime(running routeCounts) time.Duration {
+	sum, count := time.Duration(0), 0
+	for _, r := range running {
+		sum += time.Duration(r.count) * s.RunTime(r.route)
+		count += r.count
+	}
+	if count == 0 {
+		return s.MeanRunTime()
+	}
+	return sum / time.Duration(count)
+}
+
 // scale multiplies all run times by a factor.
 func (s *RunStats) scale(factor float64) {
 	s.mean *= factor
--- a/btadmit/simulation_test.go
+++ b/btadmit/simulation_test.go
@@ -117,8 +117,7 @@
 		end := started.Add(min(took, ticket.Deadline.Sub(started)))
 		heap.Push(&sim.events, event{end, func(now time.Time) {
 			sim.busy += now.Sub(started)
-			sim.queue.RecordRun(class.route, now.Sub(started), false)
-			sim.queue.Release("c", now.Sub(started), now)
+			sim.queue.Complete(&ticket, now.Sub(started), false, now)
 			switch {
 			case took > ticket.Deadline.Sub(started):
 				outcomes.missed++
--- a/btadmit/turn_test.go
+++ b/btadmit/turn_test.go
@@ -151,7 +151,7 @@
 		case refusal != nil:
 		case isReady(w):
 			granted++
-			q.Release("c", 0, at)
+			q.Release(&Ticket{Customer: "c"}, 0, at)
 		default:
 			q.Cancel(w)
 		}
--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -321,11 +321,12 @@
 	}
 	s.suggestRateLimit(req.RateLimit, time.Now())
 	call := a.calls.Observe(req.Route, req.Origin)
-	if refusal := a.acquire(ctx, s, req, call); refusal != nil {
+	run := &run{admitter: a, server: s, req: req, ticket: ticketOf(req, call)}
+	if refusal := acquire(ctx, s, &run.ticket); refusal != nil {
 		refusal.Load.Call = call
 		return nil, refusal
 	}
-	run := &run{admitter: a, server: s, req: req, call: call, started: time.Now()}
+	run.started = time.Now()
 	panicked := true
 	defer func() {
 		if panicked {
@@ -377,8 +378,8 @@
 
 // acquire waits for a slot of the server. It returns an error if the queue refuses the
 // request, or if ctx is canceled or its deadline passes first.
-func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request, call bool) *baobabtide.RequestError {
-	waiter, refusal := s.queue.Offer(ticketOf(req, call), time.Now())
+func acquire(ctx context.Context, s *server, t *btadmit.Ticket) *baobabtide.RequestError {
+	waiter, refusal := s.queue.Offer(*t, time.Now())
 	if refusal != nil {
 		return refusal
 	}
@@ -388,7 +389,7 @@
 	case <-ctx.Done():
 	}
 	if !s.queue.Cancel(waiter) {
-		s.queue.Release(req.Customer, 0, time.Now())
+		s.queue.Release(t, 0, time.Now())
 	}
 	reason := baobabtide.ReasonCanceled
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), btconn.ErrCallerClosed) {
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btadmit"
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btledger"
 )
@@ -21,7 +22,7 @@
 	admitter *Admitter
 	server   *server
 	req      *baobabtide.Request
-	call     bool // the route is used only by calls that running requests make
+	ticket   btadmit.Ticket
 	started  time.Time
 	keyName  string // as btledger.KeyName returns it, empty for an idempotent request or one without a key
 	recorded bool   // the ledger holds the attempt as running
@@ -103,7 +104,7 @@
 func (r *run) release() {
 	if r.endSlot() {
 		now := time.Now()
-		r.server.queue.Release(r.req.Customer, now.Sub(r.started), now)
+		r.server.queue.Release(&r.ticket, now.Sub(r.started), now)
 	}
 }
 
@@ -111,7 +112,7 @@
 func (r *run) complete(failed bool) {
 	if r.endSlot() {
 		now := time.Now()
-		r.server.queue.Complete(r.req.Customer, r.req.Route, now.Sub(r.started), failed, now)
+		r.server.queue.Complete(&r.ticket, now.Sub(r.started), failed, now)
 	}
 }
 
@@ -145,7 +146,7 @@
 		r.recordFailure(err, now)
 	case baobabtide.ReasonDeadline, baobabtide.ReasonCanceled:
 		if err.Reached && r.endSlot() {
-			r.server.queue.Abandon(r.req.Customer, now.Sub(r.started), now)
+			r.server.queue.Abandon(&r.ticket, now.Sub(r.started), now)
 		}
 	}
 	err.Load = r.server.queue.Load(r.req.Route, now)
@@ -176,7 +177,7 @@
 	r.clear(time.Now())
 	resp.Took = time.Since(r.started)
 	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
-	resp.Load.Call = r.call
+	resp.Load.Call = r.ticket.Call
 	resp.Load.Leaving = r.server.leaving.Load()
 	resp.Excused = resp.Status >= minFailureStatus && r.admitter.callFailed.After(r.started)
 	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp}
--- a/btroute/limit_test.go
+++ b/btroute/limit_test.go
@@ -147,8 +147,7 @@
 		f.granted[target.Ref.Node]++
 		took := time.Duration(float64(fleetRunTime) * (0.5 + f.rng.ExpFloat64()/2))
 		f.after(took, func(now time.Time) {
-			queue.RecordRun("read", took, false)
-			queue.Release("c", took, now)
+			queue.Complete(&btadmit.Ticket{Customer: "c", Route: "read"}, took, false, now)
 			target.Stats.End(now, took, false)
 			target.Stats.RecordLoad("read", queue.Load("read", now), now)
 			if now.Sub(began) <= fleetObjective {
