--- a/btlocal/admitter.go
+++ b/btlocal/admitter.go
@@ -40,6 +40,7 @@
 	ending       ending
 	suspects     atomic.Int32 // running requests with standing btquarantine.Suspect, 0 or 1
 	leaving      atomic.Bool  // the server has said in a response that it is about to stop
+	badReport    atomic.Bool  // a load report that is not valid has been logged
 }
 
 // recordUnreached records that no connection to the server could be opened.
@@ -79,6 +80,9 @@
 
 	Crashes        atomic.Int64 // backend servers that ended while they had requests
 	InvalidNotices atomic.Int64 // responses whose rate limit is not a decimal number
+	Resets         atomic.Int64 // connections that a backend server, which goes on, reset before its response
+	Reports        atomic.Int64 // load reports of backend servers
+	InvalidReports atomic.Int64 // load reports that are not valid, all ignored
 
 	mu       sync.Mutex
 	servers  map[string]*server // by name
@@ -317,11 +321,12 @@
 	}
 	s.suggestRateLimit(req.RateLimit, time.Now())
 	call := a.calls.Observe(req.Route, req.Origin)
-	if refusal := a.acquire(ctx, s, req, call); refusal != nil {
+	run := &run{admitter: a, server: s, req: req, ticket: ticketOf(req, call)}
+	if refusal := acquire(ctx, s, &run.ticket); refusal != nil {
 		refusal.Load.Call = call
 		return nil, refusal
 	}
-	run := &run{admitter: a, server: s, req: req, call: call, started: time.Now()}
+	run.started = time.Now()
 	panicked := true
 	defer func() {
 		if panicked {
@@ -373,8 +378,8 @@
 
 // acquire waits for a slot of the server. It returns an error if the queue refuses the
 // request, or if ctx is canceled or its deadline passes first.
-func (a *Admitter) acquire(ctx context.Context, s *server, req *baobabtide.Request, call bool) *baobabtide.RequestError {
-	waiter, refusal := s.queue.Offer(ticketOf(req, call), time.Now())
+func acquire(ctx context.Context, s *server, t *btadmit.Ticket) *baobabtide.RequestError {
+	waiter, refusal := s.queue.Offer(*t, time.Now())
 	if refusal != nil {
 		return refusal
 	}
@@ -384,7 +389,7 @@
 	case <-ctx.Done():
 	}
 	if !s.queue.Cancel(waiter) {
-		s.queue.Release(req.Customer, 0, time.Now())
+		s.queue.Release(t, 0, time.Now())
 	}
 	reason := baobabtide.ReasonCanceled
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) && !errors.Is(context.Cause(ctx), btconn.ErrCallerClosed) {
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btadmit"
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btledger"
 )
@@ -21,7 +22,7 @@
 	admitter *Admitter
 	server   *server
 	req      *baobabtide.Request
-	call     bool // the route is used only by calls that running requests make
+	ticket   btadmit.Ticket
 	started  time.Time
 	keyName  string // as btledger.KeyName returns it, empty for an idempotent request or one without a key
 	recorded bool   // the ledger holds the attempt as running
@@ -101,15 +102,30 @@
 
 // release releases the slot. Repeated calls have no effect.
 func (r *run) release() {
+	if r.endSlot() {
+		now := time.Now()
+		r.server.queue.Release(&r.ticket, now.Sub(r.started), now)
+	}
+}
+
+// complete records a run that ended with a response and releases the slot.
+func (r *run) complete(failed bool) {
+	if r.endSlot() {
+		now := time.Now()
+		r.server.queue.Complete(&r.ticket, now.Sub(r.started), failed, now)
+	}
+}
+
+// endSlot reports whether the slot is to be released, which it is only once.
+func (r *run) endSlot() bool {
 	if r.released {
-		return
+		return false
 	}
 	r.released = true
 	if r.suspect {
 		r.server.suspects.Add(-1)
 	}
-	now := time.Now()
-	r.server.queue.Release(r.req.Customer, now.Sub(r.started), now)
+	return true
 }
 
 // fail ends a request that got no response and returns its error with the load of the
@@ -121,30 +137,47 @@
 	now := time.Now()
 	switch err.Reason {
 	case baobabtide.ReasonOverload:
-		r.server.queue.RecordShed()
+		r.server.queue.RecordShed(now)
 	case baobabtide.ReasonUnreached:
 		r.server.recordUnreached(now)
 	case baobabtide.ReasonMisdirected:
 		r.server.queue.Close() // another backend server has the address
 	case baobabtide.ReasonBackend:
-		if btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server) {
-			err.Crashed = true
-			r.recordCrash(now)
+		r.recordFailure(err, now)
+	case baobabtide.ReasonDeadline, baobabtide.ReasonCanceled:
+		if err.Reached && r.endSlot() {
+			r.server.queue.Abandon(&r.ticket, now.Sub(r.started), now)
 		}
-		r.server.queue.RecordRun(r.req.Route, now.Sub(r.started), true)
 	}
 	err.Load = r.server.queue.Load(r.req.Route, now)
 	r.release()
 	return err
 }
 
+// recordFailure records a run that the server ended without a response. A server that resets a
+// connection and goes on is full if most of its slots are in use, which RecordShed decides.
+func (r *run) recordFailure(err *baobabtide.RequestError, now time.Time) {
+	queue := r.server.queue
+	switch {
+	case btbackend.IsConnEnd(err.Err) && r.admitter.crashed(r.server):
+		err.Crashed = true
+		r.recordCrash(now)
+		queue.RecordRun(r.req.Route, now.Sub(r.started), true)
+	case errors.Is(err.Err, btbackend.ErrReset):
+		r.admitter.Resets.Add(1)
+		queue.RecordShed(now)
+	default:
+		queue.RecordRun(r.req.Route, now.Sub(r.started), true)
+	}
+}
+
 // succeed returns the response with the load of the server and with a body that ends the
 // request when it is closed. A failure is excused if a call has failed during the run.
 func (r *run) succeed(resp *baobabtide.Response) *baobabtide.Response {
 	r.clear(time.Now())
 	resp.Took = time.Since(r.started)
 	resp.Load = r.server.queue.Load(r.req.Route, time.Now())
-	resp.Load.Call = r.call
+	resp.Load.Call = r.ticket.Call
 	resp.Load.Leaving = r.server.leaving.Load()
 	resp.Excused = resp.Status >= minFailureStatus && r.admitter.callFailed.After(r.started)
 	resp.Body = &runBody{ReadCloser: resp.Body, run: r, resp: resp}
@@ -190,8 +223,7 @@
 	if r.recorded {
 		r.recordEnd(baobabtide.Ran, b.storableAnswer())
 	}
-	r.server.queue.RecordRun(r.req.Route, time.Since(r.started), b.truncated || b.resp.Status >= minFailureStatus)
-	r.release()
+	r.complete(b.truncated || b.resp.Status >= minFailureStatus)
 	r.admitter.end()
 	return err
 }
