btadmit: a server that refuses while it reports free slots is faulty, not full

Change: a refusal that comes with a load report below the number of slots counts as a failed run and leaves the limit. Without such a report nothing changes.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -290,13 +290,16 @@
 // RecordShed records that the backend server refused to run an admitted request. If most
 // of the limit is in use by the queue, the backend server is overloaded and the limit
 // shrinks. If requests that are not the queue's fill the server, nothing changes: the slots
-// that they hold are known. Otherwise the backend server is faulty and the request counts
-// as a failed run.
+// that they hold are known. Otherwise, or if the server reports free slots with the refusal,
+// it is faulty and the request counts as a failed run: with a smaller limit it would refuse
+// as large a share and leave its slots idle.
 func (q *Queue) RecordShed(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	busy := busyFraction * q.limit
 	switch {
+	case q.hasCapacity(now):
+		q.stats.RecordFailure()
 	case float64(q.inFlight) >= busy:
 		q.limit = max(1, q.limit*limitDecrease)
 	case float64(q.inFlight+q.foreign(now)) < busy:
--- a/btadmit/report.go
+++ b/btadmit/report.go
@@ -8,6 +8,7 @@
 const (
 	reportHalfLife     = 400 * time.Millisecond // after which half the difference between the reported and the mean service time counts
 	minForeignLifetime = 100 * time.Millisecond // of the requests that a report shows beyond the node's own
+	freshReport        = 20 * time.Millisecond  // age up to which a report tells whether the server is full: it came with the response at hand
 )
 
 // Report is what a backend server reports about its load.
@@ -22,6 +23,7 @@
 	serviceTime float64   // latest one, 0 for none
 	mean        float64   // of the service times at the end of each run, 0 if none was reported
 	at          time.Time // of the latest service time
+	requests    int       // in the latest report
 	excess      int       // requests beyond the node's own in the latest report
 	foreign     int       // the lesser excess of the latest two reports
 	foreignAt   time.Time // of the latest report
@@ -43,10 +45,17 @@
 			q.stats.scale(1 / r.ServiceTime)
 		}
 	}
+	s.requests = r.Requests
 	excess := min(max(0, r.Requests-q.inFlight), q.slots)
 	s.foreign, s.excess, s.foreignAt = min(excess, s.excess), excess, now
 }
 
+// hasCapacity reports whether the backend server has just reported fewer requests than slots.
+func (q *Queue) hasCapacity(now time.Time) bool {
+	s := &q.report
+	return !s.foreignAt.IsZero() && now.Sub(s.foreignAt) <= freshReport && s.requests < q.slots
+}
+
 // addForeign adds a request of the queue that may go on at the server.
 func (q *Queue) addForeign(now time.Time) {
 	if s := &q.report; !s.foreignAt.IsZero() {
--- a/btadmit/report_test.go
+++ b/btadmit/report_test.go
@@ -123,3 +123,24 @@
 		t.Errorf("%v allocations", got)
 	}
 }
+
+// TestSheddingWithReportedCapacityKeepsLimit guards against a faulty server, which refuses a share
+// of its requests whatever its load, being limited to one request at a time: for the load of a
+// service whose servers all refuse half of what they get, that left 5 of 6 slots idle.
+func TestSheddingWithReportedCapacityKeepsLimit(t *testing.T) {
+	q := NewQueue(6)
+	fill(q, 6)
+	for range 20 {
+		q.RecordReport(Report{Requests: 4}, now)
+		q.RecordShed(now)
+	}
+	load := q.Load("", now)
+	if load.Slots != 6 || load.Failing < 500 {
+		t.Errorf("limit %d, failing %d thousandths, want 6 and over 500", load.Slots, load.Failing)
+	}
+	q.RecordReport(Report{Requests: 30}, now)
+	q.RecordShed(now)
+	if got := q.Load("", now).Slots; got >= 6 {
+		t.Errorf("limit %d after a refusal by a server that reports itself full", got)
+	}
+}
