btcaller: test that a key in a trailer is none

Cause: fasthttp's PeekAll also returns trailers, once they have been read. Change: a test with a chunked body whose trailer holds a key and an account.

--- a/btcaller/account_test.go
+++ b/btcaller/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"strings"
 	"testing"
 
@@ -117,3 +118,25 @@
 		})
 	}
 }
+
+// TestTrailerIsNoKey guards against a key or an account that arrives behind the body, where the
+// systems between the caller and the node don't look for it.
+func TestTrailerIsNoKey(t *testing.T) {
+	var got *baobabtide.KeyDigest
+	var header []baobabtide.HeaderField
+	address := start(t, func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return nil, err
+		}
+		got, header = req.KeyDigest, req.Header
+		return btfixture.OKResponse("ok"), nil
+	})
+	text := "POST / HTTP/1.1\r\nHost: h\r\nTrailer: Baobabtide-Account-Key, Baobabtide-Account\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"4\r\nbody\r\n0\r\nBaobabtide-Account-Key: secret\r\nBaobabtide-Account: a\r\n\r\n"
+	if _, body, err := send(t, address, text, false); err != nil || body != "ok" {
+		t.Fatalf("response %q, %v", body, err)
+	}
+	if got != nil || len(header) > 0 {
+		t.Errorf("digest %v, forwarded headers %v", got, header)
+	}
+}
