--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -194,6 +194,7 @@
 			}
 			return
 		}
+		a.meter.Doubt()
 		r.first, r.firstSince = (r.first+1)%len(candidates), now
 	}
 	a.meter.Unanswered(time.Now())
@@ -293,7 +294,7 @@
 			candidates = candidates[:max(self, 0)]
 		}
 		wg.Go(func() {
-			for i := range candidates[:min(usageTries, len(candidates))] {
+			for i := range candidates {
 				if !a.coordinator.Due(candidates[i].Name, time.Now()) {
 					return
 				}
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -21,6 +21,7 @@
 	own        []string             // live members of the zone
 	takenAt    time.Time            // when this coordinator took over from one that its nodes had reported to, zero if it did not
 	precededAt time.Time            // last answer of a candidate of the zone that precedes this one
+	reporting  int                  // nodes that have reported lately
 	members    int                  // live members of all zones
 	zones      map[string]int       // live members of each other zone
 	begun      time.Time            // first report after an idle time, zero while idle
@@ -35,12 +36,16 @@
 	level float64 // tokens of the bucket of all nodes, at the time of the sums
 	own   int64   // use that nodes have reported to this coordinator in total
 
-	demand    float64 // requests per second of the nodes and zones that report
-	ownDemand float64 // of the nodes that report to this coordinator
-	slow      float64 // sum of sourceRow.slow of those
-	held      float64 // sum of the shares that are reserved for those that no longer report
-	ownHeld   float64 // of those, by this coordinator for nodes of its zone
-	admit     float64
+	demand     float64   // requests per second of the nodes and zones that report
+	ownDemand  float64   // of the nodes that report to this coordinator
+	slow       float64   // sum of the demands, each as sourceRow.slow follows it
+	nodeSlow   float64   // sum of sourceRow.slow of the nodes that report to this coordinator
+	ownSlow    sourceRow // ownDemand as a source. The sum of nodeSlow exceeds it by the variation of each node, which would claim too much for the zone
+	held       float64   // sum of the shares that are reserved for those that no longer report
+	ownHeld    float64   // of those, by this coordinator for nodes of its zone
+	heldBefore float64   // held of the sums before
+	least      float64   // part of the limit that is not reserved, whatever the others have used
+	admit      float64
 }
 
 // source is a node of the zone or the coordinator of another one.
@@ -269,7 +274,8 @@
 		}
 	}
 	s := c.source(node, process, zone, true)
-	silent := age(s.at, now) > zoneFresh
+	since := age(s.at, now)
+	silent := since > zoneFresh
 	s.at = now
 	reported := make([]bool, len(c.accounts))
 	for i := range rows {
@@ -293,7 +299,10 @@
 	}
 	c.combine(now, true)
 	for k := range s.rows {
-		s.rows[k].share = c.accounts[k].part(&s.rows[k])
+		// The largest of the last seconds: as a flood begins, this coordinator sees it in its own zone
+		// first, and would claim the shares of the others if it lost them just then.
+		row := &s.rows[k]
+		row.share = max(c.accounts[k].part(row.slow), row.share/(1+since.Seconds()/shareTime.Seconds()))
 	}
 }
 
@@ -321,13 +330,19 @@
 	c.combined = now
 	for k := range c.accounts {
 		a := &c.accounts[k]
-		a.demand, a.ownDemand, a.slow, a.held, a.ownHeld = 0, 0, 0, 0, 0
+		a.demand, a.ownDemand, a.slow, a.nodeSlow, a.held, a.ownHeld = 0, 0, 0, 0, 0, 0
 	}
 	for name, s := range c.sources {
 		if !c.combineSource(s, now) {
 			delete(c.sources, name)
 		}
 	}
+	c.reporting = 0
+	for _, s := range c.sources {
+		if !s.coordinator && age(s.at, now) <= freshFor {
+			c.reporting++
+		}
+	}
 	unknown := c.unknown(now)
 	for k := range c.accounts {
 		a := &c.accounts[k]
@@ -335,6 +350,9 @@
 			a.ownHeld += unknown
 		}
 		a.held += a.ownHeld
+		a.ownSlow.update(a.ownDemand, now)
+		a.slow += a.ownSlow.slow
+		a.least = leastParts * float64(c.reporting) / float64(max(c.members, 1))
 		a.control(elapsed)
 	}
 }
@@ -362,10 +380,12 @@
 		default:
 			a.held += row.held
 			a.demand += row.demand
-			if !s.coordinator {
+			if s.coordinator {
+				a.slow += row.slowAt(now)
+			} else {
 				a.ownDemand += row.demand
+				a.nodeSlow += row.slowAt(now)
 			}
-			a.slow += row.slowAt(now)
 		}
 	}
 	return true
@@ -374,7 +394,11 @@
 // control advances the bucket of an account by a time and determines which fraction of the requests
 // the nodes admit: the one at which the level returns to its reserve with the time constant settle.
 func (a *account) control(elapsed time.Duration) {
-	a.held = min(a.held, 1)
+	a.held = min(a.held, 1-a.least)
+	if a.held > a.heldBefore && a.level > 0 { // those that can't be reached have the same level
+		a.level *= (1 - a.held) / (1 - a.heldBefore)
+	}
+	a.heldBefore = a.held
 	rate := a.limit.Rate * (1 - a.held)
 	a.level = min(a.level+rate*elapsed.Seconds(), a.size())
 	a.level = max(a.level, -maxDebt*a.limit.Rate)
@@ -385,12 +409,20 @@
 	}
 }
 
-// part returns the share of the limit that a source may use, in proportion to its demand.
-func (a *account) part(row *sourceRow) float64 {
+// part returns the part of the limit for a demand, as one of all demands that are known.
+func (a *account) part(slow float64) float64 {
 	if a.slow <= 0 {
 		return 0
 	}
-	return min(1, row.slow/a.slow) * (1 - a.held)
+	return min(1, slow/a.slow) * (1 - a.held)
+}
+
+// nodePart returns the share of the limit that a node of the zone may use.
+func (a *account) nodePart(row *sourceRow) float64 {
+	if a.nodeSlow <= 0 {
+		return 0
+	}
+	return a.part(a.ownSlow.slow) * min(1, row.slow/a.nodeSlow)
 }
 
 // shares returns the shares of the accounts in a report, and the admitted fraction of the others
@@ -406,7 +438,7 @@
 		}
 		listed[k] = true
 		a, row := &c.accounts[k], &s.rows[k]
-		row.share = a.part(row)
+		row.share = a.nodePart(row)
 		shares = append(shares, a.share(row.share, equal))
 	}
 	for k := range c.accounts {
--- a/btquota/doc.go
+++ b/btquota/doc.go
@@ -26,6 +26,7 @@
 	holdFor       = 20 * time.Second        // silence of a node up to which its coordinator reserves a share for it
 	zoneFor       = 60 * time.Second        // silence of another zone up to which a coordinator reserves a share for it
 	rateTime      = 400 * time.Millisecond  // time constant of the measured demand
+	shareTime     = time.Second             // time constant at which the share shrinks that is reserved for another zone
 	slowTime      = 3 * time.Second         // time constant at which the share of a node with less demand shrinks
 	readyFor      = 1 * time.Second         // activity after which a coordinator answers although another zone has not answered it
 	settle        = 1 * time.Second         // time constant at which the level of a bucket under overload returns to its reserve
@@ -37,12 +38,13 @@
 )
 
 const (
-	slack      = 8.0  // tokens beyond the burst; the tolerance of a limit includes 20 requests whatever its rate
+	slack      = 4.0  // tokens beyond the burst; the tolerance of a limit includes 20 requests whatever its rate
 	reserve    = 0.2  // level that the control aims at under overload, as a part of the burst; covers the delay of reports
 	floor      = 4.0  // tokens of a node's bucket beyond its share, for a node that has not reported any demand yet
 	floorBurst = 0.02 // the same as a part of the burst, unless that is more than floorParts of the node's part
 	floorParts = 0.5
 	startBurst = 0.05 // part of the burst that a bucket holds whose use in the last seconds is not known
+	leastParts = 0.5  // part of the limit that nodes may use that lose all others, in parts of their number
 	maxDebt    = 2.0  // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
 )
 
--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -63,6 +63,7 @@
 	reported int64     // part of used that is in the report that waits for its answer
 	open     bool      // the last report held a row with demand
 	pending  bool      // the report that waits for its answer holds a row
+	draw     float64   // random number from 0 to 1
 	failed   bool      // the last report got no answer
 
 	admitted, refused int64 // in total
@@ -112,7 +113,7 @@
 		}
 		if a == nil {
 			a = &meterAccount{
-				id: limit.id(), share: equal, admit: 1, credit: m.random.Float64(), touched: now,
+				id: limit.id(), share: equal, admit: 1, credit: m.random.Float64(), draw: m.random.Float64(), touched: now,
 				level: 1 + limit.Rate*equal/2, // others may have used the burst just before
 			}
 		}
@@ -380,7 +381,7 @@
 		if current && !a.answered.Equal(sent) {
 			a.admit = 1 // the answer lists each account that is short
 		}
-		a.reported, a.pending, a.failed = 0, false, false
+		a.reported, a.pending, a.failed = 0, false, a.failed && !ready
 		a.mu.Unlock()
 	}
 	if !ready { // the next answer may be
@@ -418,6 +419,19 @@
 	}
 }
 
+// Doubt records that a coordinator has not answered the last report, and another one is asked.
+func (m *Meter) Doubt() {
+	table := m.table.Load()
+	if table == nil {
+		return
+	}
+	for _, a := range table.byID {
+		a.mu.Lock()
+		a.fail()
+		a.mu.Unlock()
+	}
+}
+
 // Unanswered records that the last report got no answer. The next one repeats its counts, unless
 // there was no answer for so long that a coordinator reserves the node's share.
 func (m *Meter) Unanswered(now time.Time) {
@@ -429,10 +443,7 @@
 	}
 	for _, a := range table.byID {
 		a.mu.Lock()
-		if a.pending {
-			a.failed = true
-			a.level = min(a.level, a.capacityAt(a.share, 0))
-		}
+		a.fail()
 		if a.pending && age(m.answered, now) > freshFor {
 			a.used -= a.reported // within the share that the coordinator reserves
 		}
@@ -441,6 +452,18 @@
 	}
 }
 
+// fail restricts the bucket to its share. The tokens beyond the share are for the time until the next
+// answer; of all nodes together they exceed the tolerance of a small limit. Each node rounds its share
+// up or down at random, so that the sum remains.
+func (a *meterAccount) fail() {
+	if a.failed {
+		return
+	}
+	a.failed = true
+	share := max(0, a.level-a.limit.floor(a.equal)) + slack*a.equal
+	a.level = min(a.level, math.Floor(share+a.draw))
+}
+
 // Status is the state of one account on a node.
 type Status struct {
 	Limit
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -142,9 +142,13 @@
 	"limit lowered in a flood":      {factor: after(5*time.Second, flood), event: during(10*time.Second, 0, lowerLimits, nil), check: 10 * time.Second, lost: 0.1},
 }
 
-// run runs a scenario on 83 nodes in four zones for 20 s.
-func (sc *scenario) run(t *testing.T, seed uint64, limit Limit) *sim {
+// run runs a scenario on 83 nodes in four zones for 20 s. In a busy fleet, another account sends its
+// usual rate to all nodes.
+func (sc *scenario) run(t *testing.T, seed uint64, limit Limit, busy bool) *sim {
 	s := newSim(t, seed, 83, 4, limit)
+	if busy {
+		s = newSim(t, seed, 83, 4, limit, limitOf("other", 595))
+	}
 	s.run(20*time.Second, func(at time.Duration) {
 		if sc.event != nil {
 			sc.event(s, at)
@@ -158,6 +162,11 @@
 		for range s.poisson(limit.Rate * usual * sc.factor(at)) {
 			s.request(0, targets[s.random.IntN(len(targets))])
 		}
+		if busy {
+			for range s.poisson(s.limits[1].Rate * usual) {
+				s.request(1, s.nodes[s.random.IntN(len(s.nodes))])
+			}
+		}
 	})
 	return s
 }
@@ -168,7 +177,7 @@
 	for name, sc := range scenarios {
 		for _, rate := range rates {
 			t.Run(fmt.Sprintf("%s/%g", name, rate), func(t *testing.T) {
-				s := sc.run(t, 7, limitOf("a", rate))
+				s := sc.run(t, 7, limitOf("a", rate), true)
 				ratio, worst := s.worstWindow(0, sc.check)
 				t.Logf("worst window %d, %.2f of the bound; %d of %d admissible requests refused; %.0f messages/s and node",
 					worst, ratio, max(0, s.offered[0]-s.taken[0]), s.offered[0], float64(s.messages)/20/83)
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -194,6 +194,7 @@
 		to := candidates[n.candidate%len(candidates)]
 		s.messages++
 		if !s.reachable(n, to) {
+			n.meter.Doubt()
 			if tries == 0 {
 				n.candidate, n.candidateAt = (n.candidate+1)%len(candidates), s.tick
 			}
