btquota: nodes that go silent with others keep their part of every limit

The bound was exceeded by up to 20% where 35% of the nodes were cut off as a small account's flood began.

--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -1,6 +1,7 @@
 package btquota
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -43,6 +44,7 @@
 	ownSlow    sourceRow // ownDemand as a source. The sum of nodeSlow exceeds it by the variation of each node, which would claim too much for the zone
 	held       float64   // sum of the shares that are reserved for those that no longer report
 	ownHeld    float64   // of those, by this coordinator for nodes of its zone
+	idleHeld   float64   // the part of ownHeld for nodes without demand, before it is reduced
 	heldBefore float64   // held of the sums before
 	least      float64   // part of the limit that is not reserved, whatever the others have used
 	admit      float64
@@ -330,7 +332,7 @@
 	c.combined = now
 	for k := range c.accounts {
 		a := &c.accounts[k]
-		a.demand, a.ownDemand, a.slow, a.nodeSlow, a.held, a.ownHeld = 0, 0, 0, 0, 0, 0
+		a.demand, a.ownDemand, a.slow, a.nodeSlow, a.held, a.ownHeld, a.idleHeld = 0, 0, 0, 0, 0, 0, 0
 	}
 	for name, s := range c.sources {
 		if !c.combineSource(s, now) {
@@ -347,8 +349,10 @@
 	for k := range c.accounts {
 		a := &c.accounts[k]
 		if a.ownDemand > 0 {
-			a.ownHeld += unknown
+			a.idleHeld += unknown
 		}
+		// An account that is used at few nodes is not likely to be used by those that were idle.
+		a.ownHeld += a.idleHeld * max(0, 1-a.ownHeld)
 		a.held += a.ownHeld
 		a.ownSlow.update(a.ownDemand, now)
 		a.slow += a.ownSlow.slow
@@ -369,14 +373,17 @@
 		return false
 	}
 	equal := 1 / float64(max(c.members, 1))
+	lost := !s.coordinator && silence > fresh && slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
 	for k := range s.rows {
 		row, a := &s.rows[k], &c.accounts[k]
 		switch {
+		case lost && row.demand > 0:
+			a.ownHeld += reservedShare(row.share, equal, silence)
+		case lost: // it may use an equal part
+			a.idleHeld += equal
 		case row.at.IsZero():
 		case silence > fresh && s.coordinator && (row.demand > 0 || row.held > 0):
 			a.held += row.share + row.held
-		case silence > fresh && row.demand > 0:
-			a.ownHeld += heldShare(row.share, equal, silence)
 		default:
 			a.held += row.held
 			a.demand += row.demand
--- a/btquota/doc.go
+++ b/btquota/doc.go
@@ -45,6 +45,7 @@
 	floorParts = 0.5
 	startBurst = 0.05 // part of the burst that a bucket holds whose use in the last seconds is not known
 	leastParts = 0.5  // part of the limit that nodes may use that lose all others, in parts of their number
+	ordinary   = 2.0  // largest share that many nodes may have at a time, in equal parts of the limit
 	maxDebt    = 2.0  // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
 )
 
@@ -92,3 +93,11 @@
 		return equal
 	}
 }
+
+// reservedShare returns the part of a limit that a coordinator reserves for a node that it has not heard
+// of for a time. It is more than the node may use alone where the share is an ordinary one: many nodes
+// may be cut off together and have another coordinator, which gives them what they had. A share of
+// several nodes' parts is more likely that of a node that was killed.
+func reservedShare(share, equal float64, age time.Duration) float64 {
+	return max(heldShare(share, equal, age), min(share, ordinary*equal))
+}
