btadmit: split the decision on arrival into named steps

Offer folded the outcomes of a request that would wait into one line. They are a forecast and named conditions now. A waiter that is evicted gets as Retry-After the time at which it would be admitted, in place of 100 ms, and the check whether a request waits for long uses the same condition for a free slot as Offer.

--- a/btadmit/estimate.go
+++ b/btadmit/estimate.go
@@ -88,6 +88,43 @@
 	return max(relative, age/(expected*slowAgeFactor))
 }
 
+// forecast is what is expected of a ticket that would wait.
+type forecast struct {
+	wait    time.Duration
+	runTime time.Duration
+	late    bool // it misses its objective
+}
+
+func (f forecast) untilEnd() time.Duration { return f.wait + f.runTime }
+
+// forecast returns what is expected of a waiter. New work that misses its objective is
+// overtaken by what meets it.
+func (q *Queue) forecast(w *Waiter, runTime time.Duration, now time.Time) forecast {
+	t := &w.ticket
+	f := forecast{wait: q.wait(w, now), runTime: runTime}
+	f.late = now.Add(f.wait + time.Duration(OnTimeMargin*float64(runTime))).After(t.objective())
+	if f.late && !t.Call {
+		f.wait = min(q.lateWait(f.wait, now), t.Deadline.Sub(now))
+	}
+	return f
+}
+
+// missesDeadline reports whether the run ends only after the deadline.
+func (f forecast) missesDeadline(t *Ticket, now time.Time) bool {
+	return now.Add(f.untilEnd()).After(t.Deadline)
+}
+
+// isNotWorthTheWait reports whether a ticket that misses its objective is refused: new work may
+// be late only if no other target is left for it, and only after a short wait. A call that is
+// refused loses the work of the request that makes it.
+func (f forecast) isNotWorthTheWait(t *Ticket, now time.Time) bool {
+	if !f.late || t.Call {
+		return false
+	}
+	tooLong := f.wait > time.Duration(maxLateWaitFraction*float64(t.Deadline.Sub(now)))
+	return !t.Late || tooLong
+}
+
 // wait estimates how long a waiter waits for a slot and for its turn under the rate limit.
 func (q *Queue) wait(w *Waiter, now time.Time) time.Duration {
 	return max(q.slotWait(w, now), q.rateWait(w, now))
@@ -97,7 +134,7 @@
 // before it. A waiter of a lower rank waits for the slots that higher ranks leave,
 // or for the grants reserved for lower priorities, whichever comes first.
 func (q *Queue) slotWait(w *Waiter, now time.Time) time.Duration {
-	if q.hasFreeSlot(now) && len(q.waiting) == 0 {
+	if q.hasFreeSlot(now) && q.goesFirst(&w.ticket, now) {
 		return 0
 	}
 	residual := residualFraction * float64(q.stats.runningTime(q.runs))
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -137,31 +137,34 @@
 		q.accounts.demand(&t, q.stats.RunTime(t.Route), now)
 	}
 	if q.canGrant(now) && q.goesFirst(&t, now) {
-		if q.inFlight > 0 && now.Add(runTime).After(t.Deadline) {
-			return nil, q.refusal(baobabtide.ReasonTooSlow, &t, max(runTime, minRetryAfter), now)
-		}
-		q.recordAccepted(t.rank(), runTime, now)
-		if len(q.waiting) > 0 {
-			q.creditLower(&t)
-		}
-		q.grant(&t, now)
-		return granted, nil
-	}
-	w := &Waiter{ticket: t, onTime: true, share: q.accounts.share(&t, now), ready: make(chan struct{})}
-	wait := q.wait(w, now)
-	end := now.Add(wait + runTime)
-	late := now.Add(wait + time.Duration(OnTimeMargin*float64(runTime))).After(t.objective())
-	if late && !t.Call {
-		wait = min(q.lateWait(wait, now), t.Deadline.Sub(now))
-		end = now.Add(wait + runTime)
-	}
-	tooLong := wait > time.Duration(maxLateWaitFraction*float64(t.Deadline.Sub(now)))
-	switch {
-	case end.After(t.Deadline), late && !t.Call && (!t.Late || tooLong), len(q.waiting) >= q.slots*maxWaitersPerSlot && !q.evict(&t, now):
-		return nil, q.refusal(baobabtide.ReasonOverload, &t, q.retryAfter(&t, end.Sub(now), now), now)
+		return q.grantOnArrival(&t, runTime, now)
+	}
+	return q.enqueue(&t, runTime, now)
+}
+
+// grantOnArrival grants a free slot to a ticket that arrives, unless the run would exceed its
+// deadline. An idle backend server runs it nevertheless, since its run time may be outdated.
+func (q *Queue) grantOnArrival(t *Ticket, runTime time.Duration, now time.Time) (*Waiter, *baobabtide.RequestError) {
+	if q.inFlight > 0 && now.Add(runTime).After(t.Deadline) {
+		return nil, q.refusal(baobabtide.ReasonTooSlow, t, max(runTime, minRetryAfter), now)
 	}
-	w.onTime = !late
-	if w.onTime {
+	q.recordAccepted(t.rank(), runTime, now)
+	if len(q.waiting) > 0 {
+		q.creditLower(t)
+	}
+	q.grant(t, now)
+	return granted, nil
+}
+
+// enqueue adds a ticket to the waiters if it is expected to be answered in time and there is
+// room for it.
+func (q *Queue) enqueue(t *Ticket, runTime time.Duration, now time.Time) (*Waiter, *baobabtide.RequestError) {
+	w := &Waiter{ticket: *t, onTime: true, share: q.accounts.share(t, now), ready: make(chan struct{})}
+	f := q.forecast(w, runTime, now)
+	if f.missesDeadline(t, now) || f.isNotWorthTheWait(t, now) || !q.makeRoom(t, now) {
+		return nil, q.refusal(baobabtide.ReasonOverload, t, q.retryAfter(t, f.untilEnd(), now), now)
+	}
+	if w.onTime = !f.late; w.onTime {
 		q.recordAccepted(t.rank(), runTime, now)
 	}
 	q.waiting = append(q.waiting, w)
@@ -169,6 +172,12 @@
 	return w, nil
 }
 
+// makeRoom reports whether a ticket finds room among the waiters, for which one of a lower
+// priority may be refused.
+func (q *Queue) makeRoom(t *Ticket, now time.Time) bool {
+	return len(q.waiting) < q.slots*maxWaitersPerSlot || q.evict(t, now)
+}
+
 // RefuseBusy returns a refusal if a ticket is expected to wait for longer than maxWait, nil
 // otherwise. The ticket doesn't count as offered, because its request goes to another backend
 // server.
@@ -176,7 +185,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.updateRate(now)
-	if q.closed || (q.canGrant(now) && len(q.waiting) == 0) || q.wait(&Waiter{ticket: t, onTime: true, share: q.accounts.share(&t, now)}, now) <= maxWait {
+	if q.closed || (q.canGrant(now) && q.goesFirst(&t, now)) || q.wait(&Waiter{ticket: t, onTime: true, share: q.accounts.share(&t, now)}, now) <= maxWait {
 		return nil
 	}
 	return q.refusal(baobabtide.ReasonBusy, &t, 0, now)
@@ -222,8 +231,9 @@
 	if lowest < 0 {
 		return false
 	}
-	evicted := &q.waiting[lowest].ticket
-	q.refuse(lowest, q.refusal(baobabtide.ReasonOverload, evicted, minRetryAfter, now))
+	w := q.waiting[lowest]
+	untilEnd := q.forecast(w, q.runTime(w.ticket.Route, now), now).untilEnd()
+	q.refuse(lowest, q.refusal(baobabtide.ReasonOverload, &w.ticket, q.retryAfter(&w.ticket, untilEnd, now), now))
 	return true
 }
 
