btbudget, btcaller: bound the memory that callers make a node hold

Cause: a connection held a read buffer of the largest head from its start, parsed fields of heads without an end and bodies were kept without a bound, and up to 17 requests of a connection ran while no response was read.

Change: a byte budget, reserved before memory is allocated. Heads are parsed once they are complete, read buffers grow with the head and are returned between requests, bodies of requests without a route are not kept. While the budget is short, the connections that hold the most for the longest without progress are refused or closed. The settings get a section Limits.

--- a/btcaller/body.go
+++ b/btcaller/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -17,8 +18,10 @@
 // streamBody reads a request body from the caller's connection. Read returns
 // io.ErrUnexpectedEOF for a body that ends before its announced length. Each read may take
 // readTimeout, so that a body takes as long as the link needs, but no longer than the
-// request's deadline.
+// request's deadline. Under a memory limit all reads together may take readTimeout and the time
+// of the bytes at minBodyRate.
 type streamBody struct {
+	caller      *conn
 	conn        net.Conn
 	readTimeout time.Duration
 	length      int64 // bytes, negative if unknown
@@ -29,19 +32,21 @@
 
 	readMu    sync.Mutex // held during a read
 	reader    io.Reader
-	read      int64  // bytes read from the connection
-	prefix    []byte // start of the body, kept in memory once Prefix was called
-	prefixErr error  // that ended the reading of prefix, io.EOF if it is the whole body
-	position  int    // bytes of prefix that Read has returned
+	read      int64         // bytes read from the connection
+	waited    time.Duration // for the bytes read
+	late      time.Duration // of the caller after the last read
+	prefix    []byte        // start of the body, kept in memory once Prefix was called
+	prefixErr error         // that ended the reading of prefix, io.EOF if it is the whole body
+	position  int           // bytes of prefix that Read has returned
 
 	mu       sync.Mutex // protects the connection's read deadline as well
 	detached bool       // the body is no longer read
 	atEOF    bool       // the body has been read to its end
 }
 
-func newStreamBody(conn net.Conn, reader io.Reader, length int64, limits bounds) *streamBody {
+func newStreamBody(c *conn, reader io.Reader, length int64, limits bounds) *streamBody {
 	return &streamBody{
-		conn: conn, readTimeout: limits.headerTimeout, reader: reader,
+		caller: c, conn: c.socket, readTimeout: limits.headerTimeout, reader: reader,
 		length: length, limit: int64(limits.bodyBytes), consumed: make(chan struct{}),
 	}
 }
@@ -80,11 +85,19 @@
 
 // readConn reads from the connection. The caller holds b.readMu.
 func (b *streamBody) readConn(p []byte) (int, error) {
-	if err := b.beginRead(); err != nil {
+	began := time.Now()
+	if err := b.beginRead(began); err != nil {
 		return 0, err
 	}
+	b.caller.readPace.resume(began, b.late)
 	n, err := b.reader.Read(p)
+	now := time.Now()
+	b.late = b.caller.readPace.pause(now)
+	b.waited += now.Sub(began)
 	b.read += int64(n)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		b.caller.reportRefusal(SlowRequest, max(0, b.late))
+	}
 	if b.read > b.limit {
 		return 0, errBodyTooLarge
 	}
@@ -100,7 +113,7 @@
 }
 
 // beginRead sets the deadline of a read. It returns an error if there is nothing to read.
-func (b *streamBody) beginRead() error {
+func (b *streamBody) beginRead(now time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.atEOF {
@@ -109,7 +122,11 @@
 	if b.detached {
 		return io.ErrClosedPipe
 	}
-	until := time.Now().Add(b.readTimeout)
+	until := now.Add(b.readTimeout)
+	if b.caller.server.limits.Strict {
+		earned := b.readTimeout + time.Duration(b.read)*time.Second/minBodyRate
+		until = now.Add(min(b.readTimeout, earned-b.waited))
+	}
 	if b.deadline.Before(until) {
 		until = b.deadline
 	}
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btbudget"
 	"github.com/baobabtide/baobabtide/btconn"
 	"github.com/baobabtide/baobabtide/btpanic"
 )
@@ -22,17 +23,29 @@
 type conn struct {
 	server  *Server
 	socket  net.Conn
-	reader  *bufio.Reader   // used by readLoop, and by a streamed body while readLoop waits for it
-	writer  *bufio.Writer   // used by writeLoop
+	input   input
+	reader  *bufio.Reader   // used by readLoop, and by a streamed body while readLoop waits for it; nil while no request arrives
+	writer  *bufio.Writer   // used by writeLoop, nil while no response is written
+	output  steadyWriter    // used by writer
 	queue   chan *exchange  // in the order of the requests
 	refused bool            // requests are refused, set before serve
 	ctx     context.Context // canceled when the caller has closed the connection
 	cancel  context.CancelCauseFunc
 
-	mu      sync.Mutex
-	pending int  // requests that were read but not answered
-	reading bool // a request has been read in part
-	closing bool // no further request is read
+	cost      int64         // bytes reserved for the connection itself
+	held      atomic.Int64  // bytes reserved in total
+	readPace  pace          // of the caller in sending, unset while nothing is expected
+	writePace pace          // of the caller in reading responses
+	written   chan struct{} // receives a value after each response, for awaitRoom
+	finished  chan struct{} // closed at the end of writeLoop, nil before it has started
+
+	mu        sync.Mutex
+	pending   int  // requests that were read but not answered
+	reading   bool // a request has been read in part
+	streaming bool // the request that is read has a streamed body
+	used      bool // a request has been read
+	shed      bool // the connection was selected by Server.shed
+	closing   bool // no further request is read
 }
 
 // exchange is a request with its response.
@@ -45,6 +58,11 @@
 	readAt     time.Time     // when the request had been read, without a streamed body
 	done       chan struct{} // closed when the response is set
 	closeAfter atomic.Bool   // close the connection after the response
+	fields     int           // header fields of the request
+
+	// reserved holds the bytes of the budget by kind. It is used by readLoop until the exchange is
+	// queued, then by the request's goroutine until done is closed, then by writeLoop.
+	reserved [btbudget.KindCount]int64
 
 	resp    *fasthttp.Response // set before done is closed
 	release func()             // releases the body of the response
@@ -54,10 +72,10 @@
 	c := &conn{
 		server: s,
 		socket: socket,
-		reader: bufio.NewReaderSize(socket, max(readBuffer, s.bounds().headerBytes)),
-		writer: bufio.NewWriterSize(steadyWriter{socket}, writeBuffer),
 		queue:  make(chan *exchange, pipelineDepth),
 	}
+	c.input.conn, c.output.conn = c, c
+	c.written = make(chan struct{}, 1)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
@@ -68,16 +86,29 @@
 	if c.refused {
 		_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
 	}
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		_ = btpanic.Catch("write responses", c.server.OnPanic, c.writeLoop)
-	}()
 	_ = btpanic.Catch("read requests", c.server.OnPanic, c.readLoop)
 	close(c.queue)
-	<-written
+	if c.finished != nil {
+		<-c.finished
+	}
 	c.cancel(btconn.ErrCallerClosed)
 	_ = c.socket.Close()
+	c.dropReader()
+}
+
+// enqueue queues an exchange for writeLoop. It starts writeLoop for the first one.
+func (c *conn) enqueue(ex *exchange) {
+	if c.finished == nil {
+		c.finished = make(chan struct{})
+		go func() {
+			defer close(c.finished)
+			if btpanic.Catch("write responses", c.server.OnPanic, c.writeLoop) != nil {
+				c.lingeringClose(errConnClosed)
+			}
+			c.dropWriter()
+		}()
+	}
+	c.queue <- ex
 }
 
 // readLoop reads the requests of the connection, queues them for writeLoop and
@@ -88,12 +119,12 @@
 		if !c.awaitRequest() {
 			return
 		}
-		ex := c.readRequest()
+		ex := c.nextRequest()
 		if ex == nil {
 			c.discardInput()
 			return
 		}
-		c.queue <- ex
+		c.enqueue(ex)
 		if ex.admitted {
 			c.startRequest(ex, previous)
 		}
@@ -110,8 +141,9 @@
 // behind the request whose response closes the connection is discarded.
 func (c *conn) awaitRequest() bool {
 	for {
-		_, err := c.reader.Peek(1)
+		err := c.awaitInput()
 		if err == nil {
+			c.awaitRoom()
 			if c.beginReading() {
 				return true
 			}
@@ -128,6 +160,15 @@
 	}
 }
 
+// awaitInput waits for the first bytes of a request. It holds no read buffer meanwhile.
+func (c *conn) awaitInput() error {
+	if c.reader != nil && c.reader.Buffered() > 0 {
+		return nil
+	}
+	c.dropReader()
+	return c.input.await()
+}
+
 // beginReading marks a request as partly read and sets the deadline for the rest. It
 // returns false if no further request is read.
 func (c *conn) beginReading() bool {
@@ -136,7 +177,8 @@
 	if c.closing {
 		return false
 	}
-	c.reading = true
+	c.reading, c.used = true, true
+	c.readPace.expect(time.Now(), paceCredit)
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
 	return true
 }
@@ -195,6 +237,33 @@
 		case <-ex.stream.consumed:
 		case <-ex.done:
 		}
+		c.mu.Lock()
+		c.streaming = false
+		c.mu.Unlock()
+	}
+}
+
+// nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
+func (c *conn) nextRequest() *exchange {
+	if c.reader == nil && !c.getReader() {
+		ex := &exchange{conn: c, done: make(chan struct{})}
+		c.endReading(ex)
+		ex.reject(c.noMemory())
+		return ex
+	}
+	return c.readRequest()
+}
+
+// endReading marks the request of an exchange as pending and ends the deadline for the rest of
+// it, unless its body is streamed.
+func (c *conn) endReading(ex *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.shed, c.streaming = false, false, ex.stream != nil
+	c.pending++
+	c.readPace.pause(time.Now())
+	if ex.stream == nil {
+		_ = c.socket.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -203,53 +272,75 @@
 // connection.
 func (c *conn) readRequest() *exchange {
 	ex := &exchange{conn: c, done: make(chan struct{})}
-	in := fasthttp.AcquireRequest()
-	defer func() {
-		if ex.stream == nil {
-			fasthttp.ReleaseRequest(in)
-		}
-	}()
 	limits := c.server.bounds()
-	err := in.Header.Read(c.reader)
-	if err == nil {
-		err = c.readBody(ex, in, limits)
-	}
-	c.mu.Lock()
-	c.reading = false
-	c.pending++
-	if ex.stream == nil {
-		_ = c.socket.SetReadDeadline(time.Time{})
+	in, err := c.readHead(ex, limits)
+	if in != nil {
+		defer ex.releaseHead(in)
+		err = c.convert(ex, in, limits)
 	}
-	c.mu.Unlock()
+	c.endReading(ex)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-		_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout)) // fasthttp returns io.EOF also for line ends without a request
+		_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout)) // also for line ends without a request
+		ex.free()
 		return nil
 	}
+	if err == nil {
+		err = c.admit(ex)
+	}
 	if err != nil {
 		ex.reject(asRefusal(err))
 		return ex
 	}
-	ex.readAt = time.Now()
+	ex.admitted = true
+	return ex
+}
+
+// convert sets the request of an exchange from its parsed head, and reads the body.
+func (c *conn) convert(ex *exchange, in *fasthttp.Request, limits bounds) error {
 	ex.headOnly = in.Header.IsHead()
 	if in.Header.ConnectionClose() || !in.Header.IsHTTP11() {
 		ex.closeAfter.Store(true)
 	}
 	req, refusal := c.server.request(in)
 	if refusal != nil {
-		ex.reject(refusal)
-		return ex
+		return refusal
 	}
-	if ex.stream != nil {
-		ex.stream.deadline = req.Deadline
+	if err := c.readBody(ex, in, req, limits); err != nil {
+		return err
+	}
+	ex.req, ex.readAt = req, time.Now()
+	return nil
+}
+
+// admit admits the request of an exchange. It fails if the server stops, or if the budget has
+// no memory for a further running request.
+func (c *conn) admit(ex *exchange) error {
+	class := btbudget.Ordinary
+	if c.manyPending() {
+		class = btbudget.General
+	}
+	if !ex.reserve(btbudget.Running, class, runningCost) {
+		return c.noMemory()
 	}
-	req.Body, req.BodyLength = requestBody(ex, in)
-	ex.req = req
 	if refusal := c.server.admit(c); refusal != nil {
-		ex.reject(refusal)
-		return ex
+		return refusal
+	}
+	return nil
+}
+
+// manyPending reports whether requests before the one just read are pending.
+func (c *conn) manyPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 1
+}
+
+// releaseHead returns a parsed request to its pool, unless a streamed body reads its trailers
+// into it or it has become large.
+func (ex *exchange) releaseHead(in *fasthttp.Request) {
+	if ex.stream == nil && ex.fields <= maxPooledFields {
+		fasthttp.ReleaseRequest(in)
 	}
-	ex.admitted = true
-	return ex
 }
 
 // asRefusal returns the refusal for an error in reading a request.
@@ -265,6 +356,7 @@
 // response.
 func (ex *exchange) reject(refusal *baobabtide.RequestError) {
 	ex.closeAfter.Store(true)
+	ex.free()
 	ex.refuse(refusal)
 	close(ex.done)
 }
@@ -272,8 +364,9 @@
 // discardInput reads and discards further input, so that a disconnect is noticed
 // while the last response is being produced.
 func (c *conn) discardInput() {
+	c.dropReader()
 	for {
-		_, err := c.reader.Discard(c.reader.Buffered() + 1)
+		_, err := c.socket.Read(c.input.first[:])
 		if err == nil {
 			continue
 		}
--- a/btcaller/conn_write.go
+++ b/btcaller/conn_write.go
@@ -1,9 +1,9 @@
 package btcaller
 
 import (
+	"bufio"
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,19 +14,7 @@
 // writeLoop writes the responses in the order of the requests.
 func (c *conn) writeLoop() {
 	for ex := range c.queue {
-		c.awaitResponse(ex)
-		last := c.closesAfter(ex)
-		if last {
-			ex.resp.Header.SetConnectionClose()
-		}
-		err := c.write(ex)
-		switch {
-		case err != nil:
-			c.reportUnanswered(ex, failedWriteReason(err), err)
-		case errors.Is(context.Cause(c.ctx), btconn.ErrCallerClosed):
-			c.reportUnanswered(ex, CallerClosed, nil) // nobody reads the response
-		}
-		c.server.finished(ex)
+		last, err := c.answer(ex)
 		if err != nil || last {
 			c.lingeringClose(err)
 			return
@@ -35,13 +23,62 @@
 	}
 }
 
+// answer writes the response of an exchange and reports whether it is the last one.
+func (c *conn) answer(ex *exchange) (bool, error) {
+	defer ex.free()
+	c.awaitResponse(ex)
+	last := c.closesAfter(ex)
+	if last {
+		ex.resp.Header.SetConnectionClose()
+	}
+	err := c.write(ex)
+	switch {
+	case err != nil:
+		c.reportUnanswered(ex, failedWriteReason(err), err)
+	case errors.Is(context.Cause(c.ctx), btconn.ErrCallerClosed):
+		c.reportUnanswered(ex, CallerClosed, nil) // nobody reads the response
+	}
+	c.server.finished(ex)
+	return last, err
+}
+
+// getWriter gives the connection a write buffer, if it has none.
+func (c *conn) getWriter() {
+	if c.writer == nil {
+		c.writer = writers.Get().(*bufio.Writer) //nolint:forcetypeassert // the pool holds nothing else
+		c.writer.Reset(&c.output)
+	}
+}
+
+// dropWriter returns the write buffer, if there is one.
+func (c *conn) dropWriter() {
+	if c.writer != nil {
+		c.writer.Reset(nil)
+		writers.Put(c.writer)
+		c.writer = nil
+	}
+}
+
+// flush writes the buffered responses and returns the write buffer. After an error it is kept,
+// so that the next write returns the error again.
+func (c *conn) flush() error {
+	if c.writer == nil {
+		return nil
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	c.dropWriter()
+	return nil
+}
+
 // awaitResponse waits for a response. It first flushes the earlier responses unless this
 // one is ready: their callers wait for them.
 func (c *conn) awaitResponse(ex *exchange) {
 	select {
 	case <-ex.done:
 	default:
-		_ = c.writer.Flush() // the writer returns an error again on the next write
+		_ = c.flush() // the writer returns an error again on the next write
 		<-ex.done
 	}
 }
@@ -50,17 +87,22 @@
 // accepts less than writePart bytes within writeTimeout, so that a long response may take
 // as long as a slow link needs.
 type steadyWriter struct {
-	socket net.Conn
+	conn *conn
+	late time.Duration // of the caller after the last write
 }
 
 // Write implements io.Writer.
-func (w steadyWriter) Write(p []byte) (int, error) {
+func (w *steadyWriter) Write(p []byte) (int, error) {
+	c := w.conn
+	c.writePace.resume(time.Now(), w.late)
+	defer func() { w.late = c.writePace.pause(time.Now()) }()
 	written := 0
 	for written < len(p) {
-		if err := w.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return written, err
 		}
-		n, err := w.socket.Write(p[written:min(len(p), written+writePart)])
+		n, err := c.socket.Write(p[written:min(len(p), written+writePart)])
+		c.writePace.progress(time.Now(), n)
 		written += n
 		if err != nil {
 			return written, err
@@ -89,6 +131,7 @@
 // write writes a response and releases its body. The output is flushed unless another
 // request is queued: then awaitResponse or the next write flushes it.
 func (c *conn) write(ex *exchange) error {
+	c.getWriter()
 	if ex.resp.IsBodyStream() {
 		if err := c.writer.Flush(); err != nil { // earlier responses don't depend on this body
 			ex.release()
@@ -104,7 +147,7 @@
 	if len(c.queue) > 0 {
 		return nil
 	}
-	return c.writer.Flush()
+	return c.flush()
 }
 
 // responseWritten counts a response and sets the idle deadline of a connection
@@ -114,9 +157,12 @@
 	c.mu.Lock()
 	c.pending--
 	if c.pending == 0 && !c.reading && !c.closing {
-		_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().idleTimeout))
+		now := time.Now()
+		_ = c.socket.SetReadDeadline(now.Add(c.server.bounds().idleTimeout))
+		c.readPace.expect(now, idleGrace)
 	}
 	c.mu.Unlock()
+	c.signalWritten()
 	if c.server.closing.Load() {
 		c.closeIfIdle()
 	}
@@ -128,11 +174,12 @@
 // caller could lose the response. The responses still queued are released unsent.
 func (c *conn) lingeringClose(writeErr error) {
 	if writeErr == nil {
-		writeErr = c.writer.Flush()
+		writeErr = c.flush()
 	}
 	c.mu.Lock()
 	c.closing = true
 	c.mu.Unlock()
+	c.signalWritten()
 	if writeErr != nil {
 		_ = c.socket.Close()
 	} else {
@@ -150,5 +197,6 @@
 		ex.release()
 		c.reportUnanswered(ex, reason, writeErr)
 		c.server.finished(ex)
+		ex.free()
 	}
 }
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -1,7 +1,6 @@
 package btcaller
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btbudget"
 )
 
 const (
@@ -130,9 +130,9 @@
 }
 
 // readBody reads a body of known length up to maxBufferedBody into memory, so
-// that it can be sent again, and sets up ex.stream for any other. It fails if the
+// that it can be sent again, and sets up ex.stream for any other. It sets the body of req. It fails if the
 // body exceeds the limit, or has both a length and a transfer encoding.
-func (c *conn) readBody(ex *exchange, in *fasthttp.Request, limits bounds) error {
+func (c *conn) readBody(ex *exchange, in *fasthttp.Request, req *baobabtide.Request, limits bounds) error {
 	length := in.Header.ContentLength()
 	if length > 0 && len(in.Header.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
 		return errors.New("body has both a content length and a transfer encoding")
@@ -140,27 +140,77 @@
 	if length > limits.bodyBytes {
 		return baobabtide.Refuse(baobabtide.ReasonTooLarge, 0, fmt.Errorf("body of %d bytes exceeds %d", length, limits.bodyBytes))
 	}
+	if length > maxBufferedBody || (length < 0 && length != noBody) {
+		if !ex.reserve(btbudget.Body, btbudget.General, streamCost) {
+			return c.noMemory()
+		}
+	}
 	if in.MayContinue() {
 		if err := c.writeContinue(); err != nil {
 			return err
 		}
 	}
-	if length == noBody {
+	switch {
+	case length == noBody || length == 0:
 		return nil
-	}
-	if length >= 0 && length <= maxBufferedBody {
-		if err := in.ContinueReadBody(c.reader, limits.bodyBytes); err != nil {
+	case length > maxBufferedBody:
+		ex.stream = newStreamBody(c, &lengthReader{reader: c.reader, left: int64(length)}, int64(length), limits)
+	case length > 0:
+		return c.bufferBody(ex, req, length)
+	default:
+		if len(in.Header.PeekTrailerKeys()) > 0 && c.reader.Size() < limits.headerBytes && !c.growReader(limits.headerBytes) {
+			return c.noMemory() // the trailers are parsed in the read buffer
+		}
+		if err := in.ContinueReadBodyStream(c.reader, limits.bodyBytes, false); err != nil {
 			return fmt.Errorf("body: %w", unexpectedEOF(err))
 		}
+		ex.stream = newStreamBody(c, &chunkReader{reader: c.reader, body: in.BodyStream()}, int64(length), limits)
+	}
+	ex.stream.deadline = req.Deadline
+	req.Body, req.BodyLength = ex.stream, ex.stream.length
+	return nil
+}
+
+// bufferBody reads a body of known length into memory. That of a request without a route is
+// discarded. It moves the deadline of the request by the time that the body took.
+func (c *conn) bufferBody(ex *exchange, req *baobabtide.Request, length int) error {
+	began := time.Now()
+	if !c.server.hasRoute(req) {
+		if err := c.discardBody(length); err != nil {
+			return err
+		}
+		req.Body, req.BodyLength = discardedBody{}, int64(length)
 		return nil
 	}
-	if err := in.ContinueReadBodyStream(c.reader, limits.bodyBytes, false); err != nil {
-		return fmt.Errorf("body: %w", unexpectedEOF(err))
+	class := btbudget.General
+	if length <= max(smallBody, c.reader.Buffered()) {
+		class = btbudget.Ordinary
+	}
+	if !ex.reserve(btbudget.Body, class, int64(length)) {
+		return c.noMemory()
+	}
+	data := make([]byte, length)
+	if _, err := io.ReadFull(c.reader, data); err != nil {
+		return c.inputError(fmt.Errorf("body: %w", unexpectedEOF(err)))
+	}
+	req.Body, req.BodyLength = &baobabtide.BytesBody{Data: data}, int64(length)
+	req.Deadline = req.Deadline.Add(time.Since(began))
+	return nil
+}
+
+// discardBody reads a body and keeps nothing of it.
+func (c *conn) discardBody(length int) error {
+	if _, err := c.reader.Discard(length); err != nil {
+		return c.inputError(fmt.Errorf("body: %w", unexpectedEOF(err)))
 	}
-	ex.stream = newStreamBody(c.socket, in.BodyStream(), int64(length), limits)
 	return nil
 }
 
+// hasRoute reports whether a request has a route, true if that is not known.
+func (s *Server) hasRoute(req *baobabtide.Request) bool {
+	return s.HasRoute == nil || s.HasRoute(req)
+}
+
 // writeContinue sends 100 Continue, unless earlier requests are pending: it would
 // then precede their responses.
 func (c *conn) writeContinue() error {
@@ -181,15 +231,3 @@
 	}
 	return err
 }
-
-// requestBody returns the body of a request, nil for none, and its length.
-func requestBody(ex *exchange, in *fasthttp.Request) (baobabtide.Body, int64) {
-	if ex.stream != nil {
-		return ex.stream, ex.stream.length
-	}
-	data := in.Body()
-	if len(data) == 0 {
-		return nil, 0
-	}
-	return &baobabtide.BytesBody{Data: bytes.Clone(data)}, int64(len(data))
-}
--- a/btcaller/response.go
+++ b/btcaller/response.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btbudget"
 	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btconn"
 )
@@ -33,6 +34,10 @@
 	switch err.Reason {
 	case baobabtide.ReasonBadRequest, baobabtide.ReasonNoCustomer:
 		return fasthttp.StatusBadRequest
+	case baobabtide.ReasonManyFields:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case baobabtide.ReasonSlowClient:
+		return fasthttp.StatusRequestTimeout
 	case baobabtide.ReasonUnknownKey:
 		return fasthttp.StatusUnauthorized
 	case baobabtide.ReasonNoRoute:
@@ -128,8 +133,9 @@
 		ex.resp, ex.release = ex.streamedResponse(in, cancel)
 		return
 	}
-	data, err := io.ReadAll(io.LimitReader(in.Body, maxBufferedResponse+1))
-	if err == nil && len(data) > maxBufferedResponse {
+	reserving := &reservingReader{ex: ex, body: in.Body, left: maxBufferedResponse + 1}
+	data, err := io.ReadAll(reserving)
+	if err == nil && (reserving.refused || len(data) > maxBufferedResponse) {
 		in.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(data), in.Body), Closer: in.Body}
 		ex.resp, ex.release = ex.streamedResponse(in, cancel)
 		return
@@ -153,6 +159,40 @@
 	ex.resp, ex.release = resp, func() {}
 }
 
+// reservingReader reads the body of a response that is buffered, up to left bytes. It reserves
+// the bytes of each read before, and ends early if they are not available.
+type reservingReader struct {
+	ex       *exchange
+	body     io.Reader
+	left     int64 // bytes
+	reserved int64 // bytes
+	held     int64 // bytes read
+	refused  bool  // the budget has no room for more
+}
+
+// Read implements io.Reader.
+func (r *reservingReader) Read(p []byte) (int, error) {
+	if r.left <= 0 || r.refused {
+		return 0, io.EOF
+	}
+	p = p[:min(int64(len(p)), r.left)]
+	if missing := r.held + int64(len(p)) - r.reserved; missing > 0 {
+		class := btbudget.Ordinary
+		if r.held+int64(len(p)) > smallResponse {
+			class = btbudget.General
+		}
+		if !r.ex.reserve(btbudget.Response, class, missing) {
+			r.refused = true
+			return 0, io.EOF
+		}
+		r.reserved += missing
+	}
+	n, err := r.body.Read(p)
+	r.held += int64(n)
+	r.left -= int64(n)
+	return n, err
+}
+
 // streamedResponse returns a response whose body is read while it is written to the
 // caller, and a function that releases the body.
 func (ex *exchange) streamedResponse(in *baobabtide.Response, cancel func()) (*fasthttp.Response, func()) {
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -21,6 +21,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btbudget"
 	"github.com/baobabtide/baobabtide/btpanic"
 )
 
@@ -57,6 +58,13 @@
 	Connections     int    // open connections, further ones are refused
 	DefaultCustomer string // for requests without a customer header, empty for none
 
+	// Budget bounds the memory that callers hold, nil for no bound. While it is short, callers
+	// that hold much without progress are refused.
+	Budget *btbudget.Budget
+	// Strict refuses requests with more than maxFields header fields and bodies that arrive at
+	// less than minBodyRate, also while the budget is not short.
+	Strict bool
+
 	// Overrides returns the limits of the configuration in force, or nil. Its
 	// non-zero limits override the others. The function may be nil.
 	Overrides func() *baobabtide.CallerLimits
@@ -67,6 +75,12 @@
 type Server struct {
 	Names  HeaderNames
 	Origin func() string // returns the service beside the node; may be nil
+	// HasRoute reports whether a request has a route. The body of one without a route is not
+	// kept. It may be nil.
+	HasRoute func(*baobabtide.Request) bool
+	// OnRefusal is called for each caller that is refused, or whose connection is closed, because
+	// of its behavior or for lack of memory. Calls may be concurrent. It may be nil.
+	OnRefusal func(ClientRefusal)
 	// OnUnanswered is called for each request that was read and whose caller got no
 	// complete response. Calls may be concurrent. It may be nil.
 	OnUnanswered func(Unanswered)
@@ -88,8 +102,11 @@
 	finishBy  time.Time     // latest end of the stop, zero before it has begun
 	idle      chan struct{} // closed when the stop has begun and no request is running
 	closed    bool
-	draining  atomic.Bool // connections are closed after their last pending response
-	closing   atomic.Bool // connections are closed as soon as they are idle
+	shortage  chan struct{} // receives a value when the budget is short
+	ended     chan struct{} // closed by Close
+	end       func()        // closes ended
+	draining  atomic.Bool   // connections are closed after their last pending response
+	closing   atomic.Bool   // connections are closed as soon as they are idle
 	connGroup sync.WaitGroup
 }
 
@@ -99,7 +116,9 @@
 	s := &Server{
 		Names: DefaultNames(), handler: handler, limits: limits,
 		conns: make(map[*conn]struct{}), idle: make(chan struct{}),
+		shortage: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
+	s.end = sync.OnceFunc(func() { close(s.ended) })
 	s.workers, _ = ants.NewPool(-1, ants.WithExpiryDuration(workerIdleTime)) // fails only for invalid options
 	return s, sync.OnceFunc(func() { s.Stop(drainTimeout) })
 }
@@ -121,6 +140,9 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	if s.limits.Budget.Limited() {
+		go s.shedLoop()
+	}
 	for {
 		socket, err := l.Accept()
 		if err != nil {
@@ -146,20 +168,30 @@
 // many of those.
 func (s *Server) startConn(socket net.Conn) {
 	c := newConn(s, socket)
+	if !c.open() {
+		s.Closed.Add(1)
+		_ = socket.Close()
+		return
+	}
 	s.mu.Lock()
 	c.refused = len(s.conns) >= s.limits.Connections
 	if s.closed || len(s.conns) >= s.limits.Connections+refusedConnections {
 		s.mu.Unlock()
 		s.Closed.Add(1)
 		_ = socket.Close()
+		c.release(btbudget.Connection, c.cost)
 		return
 	}
+	if len(s.conns) >= s.limits.Connections*crowdedNum/crowdedDen && s.limits.Budget.Limited() {
+		s.signalShortage()
+	}
 	s.conns[c] = struct{}{}
 	s.connGroup.Add(1)
 	s.mu.Unlock()
 	go func() {
 		defer s.connGroup.Done()
 		c.serve()
+		c.release(btbudget.Connection, c.cost)
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
@@ -232,6 +264,7 @@
 // Close closes the listener and the connections. Those on which a response is on its way
 // are closed after closeTimeout at the latest.
 func (s *Server) Close() {
+	s.end()
 	s.closing.Store(true) // before the loop over the connections: one that becomes idle after its turn closes itself
 	s.mu.Lock()
 	s.closed = true
--- a/btsettings/settings.go
+++ b/btsettings/settings.go
@@ -23,6 +23,7 @@
 	Metrics  Metrics
 	TLS      TLS
 	Log      Log
+	Limits   Limits
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
@@ -42,6 +43,7 @@
 		{"Metrics", s.Metrics.Check},
 		{"TLS", s.TLS.Check},
 		{"Log", s.Log.Check},
+		{"Limits", s.Limits.Check},
 	} {
 		if err := section.check(); err != nil {
 			return baobabtide.Within(section.name, err)
--- a/verdict.go
+++ b/verdict.go
@@ -32,6 +32,8 @@
 	ReasonNoRoute      Reason = "no-route"
 	ReasonNoTarget     Reason = "no-target"
 	ReasonBadRequest   Reason = "bad-request"
+	ReasonManyFields   Reason = "too-many-fields" // in the header
+	ReasonSlowClient   Reason = "slow-client"     // the request arrived too slowly
 	ReasonTooLarge     Reason = "too-large"
 	ReasonOverload     Reason = "overload"
 	ReasonBusy         Reason = "busy"     // another target is expected to respond earlier
