btnode, btoperator, btcaller: bound crowds at all listeners, streamed bodies and pipelined requests

Cause: a crowd at the readiness listener kept GET /ready from being answered; stalled streamed bodies and pipelined requests took the slots of the backend servers.

Change: each listener beside that for callers keeps a bounded number of connections and replaces the one that was silent for longest. Under a memory limit at most 8 streamed bodies and 8 pipelined requests run at a time, and a streamed body has to start before it takes a slot. Refusals are counted and logged, gauges show the budget.

--- a/baobabtided/cluster_test.go
+++ b/baobabtided/cluster_test.go
@@ -54,6 +54,8 @@
 	operatorPort
 	peerPort
 	serverPort
+	metricsPort
+	readyPort
 )
 
 // nextAddress counts the addresses that were tried, so that no two tests use the same
--- a/baobabtided/run.go
+++ b/baobabtided/run.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/baobabtide/baobabtide/btbudget"
 	"github.com/baobabtide/baobabtide/btflag"
 	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btsettings"
@@ -48,9 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if options.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(options.MemoryLimit) << 20)
-	}
+	limitMemory(options, settings)
 	level, err := zerolog.ParseLevel(settings.Log.Level)
 	if err != nil {
 		return err
@@ -69,6 +68,18 @@
 	return node.Run(ctx)
 }
 
+// limitMemory sets the soft limit of the runtime: that of the flag, or else the one for the memory
+// in the settings unless the environment sets a lower one.
+func limitMemory(options *runOptions, settings *btsettings.Settings) {
+	memory := settings.Limits.Memory()
+	switch {
+	case options.MemoryLimit > 0:
+		debug.SetMemoryLimit(int64(options.MemoryLimit) << 20)
+	case memory > 0:
+		debug.SetMemoryLimit(min(debug.SetMemoryLimit(-1), btbudget.SoftLimit(memory)))
+	}
+}
+
 // loadSettings loads the settings of a node. It returns the context's error if that ends
 // before, because the file may be on storage that does not respond.
 func loadSettings(ctx context.Context, path string) (*btsettings.Settings, error) {
--- a/btcaller/body.go
+++ b/btcaller/body.go
@@ -122,6 +122,9 @@
 	if b.detached {
 		return io.ErrClosedPipe
 	}
+	if b.caller.isShed() {
+		return os.ErrDeadlineExceeded // this read would replace the deadline that ends the request
+	}
 	until := now.Add(b.readTimeout)
 	if b.caller.server.limits.Strict {
 		earned := b.readTimeout + time.Duration(b.read)*time.Second/minBodyRate
@@ -148,6 +151,25 @@
 	return true
 }
 
+// readStart reads the prefix and returns the error with which it has ended, nil at the end of
+// the body.
+func (b *streamBody) readStart() error {
+	b.Prefix()
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	if errors.Is(b.prefixErr, io.EOF) && !errors.Is(b.prefixErr, io.ErrUnexpectedEOF) {
+		return nil
+	}
+	return b.prefixErr
+}
+
+// ended reports whether the body has been read to its end.
+func (b *streamBody) ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.atEOF
+}
+
 // Rewind implements baobabtide.Body. It returns true only if nothing beyond the prefix has been
 // read.
 func (b *streamBody) Rewind() bool {
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -54,6 +54,8 @@
 	req        *baobabtide.Request
 	admitted   bool          // the request runs or has run
 	stream     *streamBody   // nil for a body in memory
+	streaming  bool          // the body holds a place in Server.streams
+	pipelined  bool          // it holds a place in Server.pipelined, until it has its response
 	headOnly   bool          // a HEAD request: the response has no body
 	readAt     time.Time     // when the request had been read, without a streamed body
 	done       chan struct{} // closed when the response is set
@@ -116,10 +118,11 @@
 func (c *conn) readLoop() {
 	var previous *exchange
 	for {
-		if !c.awaitRequest() {
+		pipelined, ok := c.awaitRequest()
+		if !ok {
 			return
 		}
-		ex := c.nextRequest()
+		ex := c.nextRequest(pipelined)
 		if ex == nil {
 			c.discardInput()
 			return
@@ -136,26 +139,31 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request. It returns false when the
+// awaitRequest waits for the first byte of a request and until it may be read. It reports whether
+// the request holds a place in Server.pipelined, and false when the
 // connection has failed, which cancels the running requests, or is to be closed. Input
 // behind the request whose response closes the connection is discarded.
-func (c *conn) awaitRequest() bool {
+func (c *conn) awaitRequest() (bool, bool) {
 	for {
+		buffered := c.reader != nil && c.reader.Buffered() > 0
 		err := c.awaitInput()
 		if err == nil {
-			c.awaitRoom()
+			pipelined := c.awaitTurn(buffered)
 			if c.beginReading() {
-				return true
+				return pipelined, true
+			}
+			if pipelined {
+				<-c.server.pipelined
 			}
 			c.discardInput()
-			return false
+			return false, false
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel(endCause(err))
-			return false
+			return false, false
 		}
 		if c.idleExpired() {
-			return false
+			return false, false
 		}
 	}
 }
@@ -230,6 +238,7 @@
 		if !concurrent {
 			<-previous.done
 		}
+		defer c.server.releasePipelined(ex)
 		c.server.run(c.ctx, ex)
 	})
 	if ex.stream != nil {
@@ -237,6 +246,7 @@
 		case <-ex.stream.consumed:
 		case <-ex.done:
 		}
+		c.server.releaseStream(ex)
 		c.mu.Lock()
 		c.streaming = false
 		c.mu.Unlock()
@@ -244,14 +254,19 @@
 }
 
 // nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
-func (c *conn) nextRequest() *exchange {
+func (c *conn) nextRequest(pipelined bool) *exchange {
+	ex := &exchange{conn: c, done: make(chan struct{}), pipelined: pipelined}
 	if c.reader == nil && !c.getReader() {
-		ex := &exchange{conn: c, done: make(chan struct{})}
 		c.endReading(ex)
 		ex.reject(c.noMemory())
 		return ex
 	}
-	return c.readRequest()
+	if !c.readRequest(ex) {
+		ex.free()
+		c.server.releasePipelined(ex)
+		return nil
+	}
+	return ex
 }
 
 // endReading marks the request of an exchange as pending and ends the deadline for the rest of
@@ -267,11 +282,9 @@
 	}
 }
 
-// readRequest reads one request. For a request that can't be served it returns an
-// exchange that already has its response. It returns nil if the caller closed the
-// connection.
-func (c *conn) readRequest() *exchange {
-	ex := &exchange{conn: c, done: make(chan struct{})}
+// readRequest reads the request of an exchange. For a request that can't be served the exchange
+// already has its response. It returns false if the caller closed the connection.
+func (c *conn) readRequest(ex *exchange) bool {
 	limits := c.server.bounds()
 	in, err := c.readHead(ex, limits)
 	if in != nil {
@@ -281,18 +294,17 @@
 	c.endReading(ex)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout)) // also for line ends without a request
-		ex.free()
-		return nil
+		return false
 	}
 	if err == nil {
 		err = c.admit(ex)
 	}
 	if err != nil {
 		ex.reject(asRefusal(err))
-		return ex
+		return true
 	}
 	ex.admitted = true
-	return ex
+	return true
 }
 
 // convert sets the request of an exchange from its parsed head, and reads the body.
@@ -357,6 +369,8 @@
 func (ex *exchange) reject(refusal *baobabtide.RequestError) {
 	ex.closeAfter.Store(true)
 	ex.free()
+	ex.conn.server.releaseStream(ex)
+	ex.conn.server.releasePipelined(ex)
 	ex.refuse(refusal)
 	close(ex.done)
 }
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -168,6 +168,29 @@
 	}
 	ex.stream.deadline = req.Deadline
 	req.Body, req.BodyLength = ex.stream, ex.stream.length
+	if c.server.limits.Strict && c.server.hasRoute(req) {
+		return c.startStream(ex, limits)
+	}
+	return nil
+}
+
+// startStream reads the start of a streamed body, so that a request whose caller sends little of
+// it takes no slot of a backend server, and waits until fewer than maxStreams bodies are read.
+func (c *conn) startStream(ex *exchange, limits bounds) error {
+	stream := ex.stream
+	if err := stream.readStart(); err != nil {
+		ex.stream = nil
+		return c.inputError(fmt.Errorf("body: %w", unexpectedEOF(err)))
+	}
+	if stream.ended() {
+		return nil
+	}
+	if !c.server.acquireStream(limits.headerTimeout) {
+		ex.stream = nil
+		c.reportRefusal(ManyStreams, 0)
+		return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many bodies arrive at the same time"))
+	}
+	ex.streaming = true
 	return nil
 }
 
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -102,6 +102,9 @@
 	finishBy  time.Time     // latest end of the stop, zero before it has begun
 	idle      chan struct{} // closed when the stop has begun and no request is running
 	closed    bool
+	streams   chan struct{} // holds a value for each streamed body that is read under Limits.Strict
+	pipelined chan struct{} // holds a value for each pipelined request that runs under Limits.Strict
+	waiting   atomic.Int64  // requests that wait for room in streams
 	shortage  chan struct{} // receives a value when the budget is short
 	ended     chan struct{} // closed by Close
 	end       func()        // closes ended
@@ -116,7 +119,7 @@
 	s := &Server{
 		Names: DefaultNames(), handler: handler, limits: limits,
 		conns: make(map[*conn]struct{}), idle: make(chan struct{}),
-		shortage: make(chan struct{}, 1), ended: make(chan struct{}),
+		streams: make(chan struct{}, maxStreams), pipelined: make(chan struct{}, maxPipelined), shortage: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	s.end = sync.OnceFunc(func() { close(s.ended) })
 	s.workers, _ = ants.NewPool(-1, ants.WithExpiryDuration(workerIdleTime)) // fails only for invalid options
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -20,6 +20,14 @@
 	smallResponse     = 16 << 10  // bytes of a response that may use the reserved part of the budget
 	maxPipelinedBytes = 256 << 10 // bytes that a connection holds before no further request is read from it
 
+	// maxStreams is the number of streamed bodies that are read at the same time under a memory
+	// limit. Each takes a slot of a backend server while it arrives.
+	maxStreams = 8
+	// maxPipelined is the number of requests that run at the same time under a memory limit of
+	// those that were sent before the response to an earlier one of the connection. It keeps
+	// clients that don't wait for responses from taking most slots of the backend servers.
+	maxPipelined = 8
+
 	minBodyRate = 1 << 10 // bytes a second of a streamed body under a memory limit, after the first timeout
 
 	shedPeriod    = 100 * time.Millisecond // between two searches for connections to shed
@@ -41,6 +49,7 @@
 	SlowReader  RefusalReason = "slow-reader"  // the caller did not read its responses
 	IdleCaller  RefusalReason = "idle"         // the connection was idle while the budget was short
 	ManyFields  RefusalReason = "many-fields"  // the request had too many header fields
+	ManyStreams RefusalReason = "streams"      // too many large bodies arrived at the same time
 	ManyConns   RefusalReason = "connections"  // too many connections were open
 )
 
@@ -74,13 +83,13 @@
 	return ok
 }
 
-// open reserves the bytes of the connection itself. It returns false if the budget is short.
+// open reserves the bytes of the connection itself. It returns false if the budget is exhausted.
 func (c *conn) open() bool {
 	cost := int64(connectionCost)
 	if _, ok := c.socket.(*tls.Conn); ok {
 		cost += tlsCost
 	}
-	if !c.reserve(btbudget.Connection, btbudget.General, cost) {
+	if !c.reserve(btbudget.Connection, btbudget.Ordinary, cost) {
 		c.reportRefusal(ManyConns, 0)
 		return false
 	}
@@ -164,6 +173,8 @@
 	late    time.Duration
 	held    int64
 	writing bool
+
+	streaming bool // its body takes the place of others in Server.streams
 }
 
 // weight orders victims of a class: what they hold, and for how long without progress.
@@ -177,7 +188,8 @@
 		return false
 	}
 	excess, crowded := s.limits.Budget.Excess(), s.crowded()
-	if excess == 0 && crowded == 0 {
+	streams := s.waiting.Load()
+	if excess == 0 && crowded == 0 && streams == 0 {
 		return false
 	}
 	conns := s.openConns()
@@ -194,8 +206,11 @@
 		return cmp.Compare(b.weight(), a.weight())
 	})
 	for i := range victims[:min(len(victims), maxShedAtOnce)] {
-		if excess <= 0 && crowded <= 0 {
-			break
+		switch {
+		case victims[i].streaming && streams > 0:
+			streams--
+		case excess <= 0 && crowded <= 0:
+			continue
 		}
 		excess -= victims[i].held
 		crowded--
@@ -215,7 +230,7 @@
 	if c.shed {
 		return victim{}, false
 	}
-	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0}
+	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.streaming}
 	switch {
 	case v.writing || c.reading || c.pending > 0:
 	case c.used:
@@ -253,6 +268,69 @@
 	return c.shed
 }
 
+// acquireStream waits for a place in streams. It returns false if there is none within the
+// timeout.
+func (s *Server) acquireStream(timeout time.Duration) bool {
+	select {
+	case s.streams <- struct{}{}:
+		return true
+	default:
+	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	s.signalShortage()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case s.streams <- struct{}{}:
+		return true
+	case <-timer.C:
+		return false
+	case <-s.ended:
+		return false
+	}
+}
+
+// releaseStream releases the place of an exchange in streams, if it has one.
+func (s *Server) releaseStream(ex *exchange) {
+	if ex.streaming {
+		ex.streaming = false
+		<-s.streams
+	}
+}
+
+// awaitTurn waits until a request that has begun to arrive may be read. A pipelined one may have
+// to wait. It reports whether the request holds a place in Server.pipelined.
+func (c *conn) awaitTurn(buffered bool) bool {
+	c.awaitRoom()
+	if !c.server.limits.Strict {
+		return false
+	}
+	for {
+		c.mu.Lock()
+		wait := (c.pending > 0 || buffered) && !c.closing
+		c.mu.Unlock()
+		if !wait {
+			return false
+		}
+		select {
+		case c.server.pipelined <- struct{}{}:
+			return true
+		case <-c.written: // the request may no longer be pipelined, or the connection ends
+		case <-c.server.ended:
+			return false
+		}
+	}
+}
+
+// releasePipelined releases the place of an exchange in Server.pipelined, if it has one.
+func (s *Server) releasePipelined(ex *exchange) {
+	if ex.pipelined {
+		ex.pipelined = false
+		<-s.pipelined
+	}
+}
+
 // awaitRoom waits before a further request is read until earlier ones are answered, if the
 // connection holds much or the budget is short.
 func (c *conn) awaitRoom() {
--- /dev/null
+++ b/btconn/crowd.go
@@ -0,0 +1,100 @@
+package btconn
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// replaceAge is the time that a connection has to be answered before it is replaced, unless
+	// crowdFactor times as many as allowed are open: in a burst of new connections the newest are
+	// not yet served when as many again have arrived.
+	replaceAge  = 250 * time.Millisecond
+	crowdFactor = 4
+)
+
+// CrowdListener accepts connections of which a bounded number is open. Beyond that, each new
+// one replaces the connection on which the server has sent nothing for longest, so that a
+// crowd of silent clients neither exhausts memory nor keeps others out. Its fields must be set
+// before Accept.
+type CrowdListener struct {
+	net.Listener
+	Most int // open connections, crowdFactor times as many for replaceAge
+
+	Replaced atomic.Int64 // connections that were closed for new ones
+
+	mu    sync.Mutex
+	conns list.List // of *crowdConn, the one that was written to least recently first
+}
+
+// Accept implements net.Listener.
+func (l *CrowdListener) Accept() (net.Conn, error) {
+	socket, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	c := &crowdConn{Conn: socket, listener: l, active: now}
+	if replaced := l.add(c, now); replaced != nil {
+		l.Replaced.Add(1)
+		_ = replaced.Conn.Close()
+	}
+	return c, nil
+}
+
+// add adds a connection and returns the one that it replaces, nil if there is room.
+func (l *CrowdListener) add(c *crowdConn, now time.Time) *crowdConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.element = l.conns.PushBack(c)
+	oldest := l.conns.Front()
+	if n := l.conns.Len(); n <= l.Most || (n <= l.Most*crowdFactor && now.Sub(oldest.Value.(*crowdConn).active) < replaceAge) { //nolint:forcetypeassert // the list holds nothing else
+		return nil
+	}
+	return l.remove(oldest)
+}
+
+// remove removes a connection. The caller holds l.mu.
+func (l *CrowdListener) remove(e *list.Element) *crowdConn {
+	c := l.conns.Remove(e).(*crowdConn) //nolint:forcetypeassert // the list holds nothing else
+	c.element = nil
+	return c
+}
+
+// crowdConn is a connection of a CrowdListener.
+type crowdConn struct {
+	net.Conn
+	listener *CrowdListener
+	active   time.Time     // when it was accepted or last written to; protected by listener.mu
+	element  *list.Element // in the listener's list, nil once it is not in it; protected by listener.mu
+}
+
+// Write implements net.Conn.
+func (c *crowdConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		c.listener.mu.Lock()
+		if c.element != nil {
+			c.active = time.Now()
+			c.listener.conns.MoveToBack(c.element)
+		}
+		c.listener.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *crowdConn) Close() error {
+	c.listener.mu.Lock()
+	if c.element != nil {
+		c.listener.remove(c.element)
+	}
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// NetConn returns the wrapped connection.
+func (c *crowdConn) NetConn() net.Conn { return c.Conn }
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -6,8 +6,8 @@
 // Event is the kind of a log line, the value of its field "event".
 type Event string
 
-// Events of a request. Each line holds the request's ID, except that of
-// RequestsServed, which counts requests.
+// Events of a request. Each line holds the request's ID, except those of
+// RequestsServed, which counts requests, and ClientRefused.
 const (
 	RequestRefused    Event = "request.refused"    // the caller got the response that its request did not run
 	RequestFailed     Event = "request.failed"     // the caller got the response that its request may have run, or ran without a complete response
@@ -17,6 +17,7 @@
 	RequestUnanswered Event = "request.unanswered" // the connection of the caller ended before the response was complete
 	AdmitRefused      Event = "admit.refused"      // the node beside a target refused a request
 	AdmitLost         Event = "admit.lost"         // the backend server sent no complete response
+	ClientRefused     Event = "client.refused"     // a caller was refused because of its behavior or for lack of memory; at most one line a second and reason
 	RequestsServed    Event = "requests.served"    // numbers of requests in the last period, instead of a line for each successful request
 )
 
@@ -67,7 +68,7 @@
 // Events returns all events.
 func Events() []Event {
 	return []Event{
-		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, RequestsServed,
+		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, ClientRefused, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogReader,
 		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, LinesDropped,
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -23,9 +23,11 @@
 )
 
 const (
-	metricsStopTimeout = 200 * time.Millisecond // limit for requests in progress when the server stops
-	metricsReadTimeout = 20 * time.Second       // to receive a request, and of the wait for the first on a connection
-	metricsIdleTimeout = 2 * time.Minute        // of a connection without a request; longer than usual scrape intervals
+	metricsStopTimeout  = 200 * time.Millisecond // limit for requests in progress when the server stops
+	metricsWriteTimeout = time.Minute            // to send a response; profiles take up to 30 s by default
+	metricsReadTimeout  = 20 * time.Second       // to receive a request, and of the wait for the first on a connection
+	maxMetricsBody      = 4 << 10                // bytes of a request body; no page expects one
+	metricsIdleTimeout  = 2 * time.Minute        // of a connection without a request; longer than usual scrape intervals
 )
 
 // metricsServer returns a server of metrics, health, readiness and profiles, and a
@@ -51,7 +53,10 @@
 				ctx.Error("no such page", fasthttp.StatusNotFound)
 			}
 		}),
+		MaxRequestBodySize:    maxMetricsBody,
 		NoDefaultServerHeader: true,
+		ReduceMemoryUsage:     true, // idle connections hold no buffers
+		WriteTimeout:          metricsWriteTimeout,
 		ReadTimeout:           metricsReadTimeout,
 		IdleTimeout:           metricsIdleTimeout,
 		CloseOnShutdown:       true,
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -23,6 +23,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbackend"
+	"github.com/baobabtide/baobabtide/btbudget"
 	"github.com/baobabtide/baobabtide/btcaller"
 	"github.com/baobabtide/baobabtide/btclock"
 	"github.com/baobabtide/baobabtide/btconfig"
@@ -66,6 +67,8 @@
 	tls      *bttls.Loader    // nil for plaintext
 	callers  *btcaller.Server // set by Run
 
+	clientBudget *btbudget.Budget // for the memory that callers hold
+	refusals     clientRefusals
 	unanswered   atomic.Int64 // requests whose caller got no complete response, but for callerClosed
 	panics       atomic.Int64 // caught panics
 	callerClosed atomic.Int64 // requests whose caller closed its connection before the response was complete
@@ -161,6 +164,7 @@
 		metrics:            metrics.NewSet(),
 	}
 	n.backend.Store(&settings.Backend)
+	n.clientBudget = n.newClientBudget()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	closePeers := n.createPeerClient()
 	local, closeLocal := btlocal.New(keyPartner{n})
@@ -192,6 +196,7 @@
 		CallFailed:  local.RecordFailedCall,
 	}
 	n.addGauges()
+	n.addClientGauges()
 	free := func() {
 		n.cancel()
 		closePeers()
--- a/btnode/reload.go
+++ b/btnode/reload.go
@@ -15,6 +15,6 @@
 	n.log.Info().Str("event", string(btlog.SettingsReloaded)).
 		Bool("backend-changed", before != next.Backend).
 		Str("service", next.Backend.Service).Str("address", next.Backend.Address).
-		Bool("restart-needed", n.settings.Caller != next.Caller || n.settings.Node != next.Node || n.settings.Metrics != next.Metrics).
+		Bool("restart-needed", n.settings.Caller != next.Caller || n.settings.Node != next.Node || n.settings.Metrics != next.Metrics || n.settings.Limits != next.Limits).
 		Send()
 }
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -129,12 +129,16 @@
 	callers, _ := btcaller.NewServer(n.dispatch, btcaller.Limits{
 		HeaderBytes:     n.settings.Caller.MaxHeaderBytes,
 		BodyBytes:       n.settings.Caller.MaxBodyBytes,
-		Connections:     n.settings.Caller.MaxConnections,
+		Connections:     n.settings.Limits.Connections(n.settings.Caller.MaxConnections),
 		DefaultCustomer: n.settings.Caller.DefaultCustomer,
 		Overrides:       n.callerLimits,
+		Budget:          n.clientBudget,
+		Strict:          n.settings.Limits.MemoryMegabytes > 0,
 	})
 	callers.Names = n.adapters.CallerNames
 	callers.Origin = n.origin
+	callers.HasRoute = n.hasRoute
+	callers.OnRefusal = n.recordClientRefusal
 	callers.OnUnanswered = n.recordUnanswered
 	callers.OnPanic = n.recordPanic
 	n.callers, n.finishCallers = callers, sync.OnceFunc(func() { callers.Finish(time.Until(n.stopBy) - btcaller.RefusalTimeout) })
@@ -145,16 +149,16 @@
 	operators.OnPanic = n.recordPanic
 	listeners := []listener{
 		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, callers.Close},
-		{"backend servers", n.settings.Backend.Listen, announce.Serve, n.stopAnnounce},
-		{"operators", n.settings.Operator.Listen, func(l net.Listener) error { return operators.Serve(l, n.serverTLS()) }, stopOperators},
+		{"backend servers", n.settings.Backend.Listen, n.crowd("backend servers", maxAnnounceConns, announce.Serve), n.stopAnnounce},
+		{"operators", n.settings.Operator.Listen, n.crowd("operators", maxOperatorConns, func(l net.Listener) error { return operators.Serve(l, n.serverTLS()) }), stopOperators},
 	}
 	if n.settings.Metrics.Listen != "" {
 		server, stopMetrics := n.metricsServer()
-		listeners = append(listeners, listener{"metrics", n.settings.Metrics.Listen, server.Serve, stopMetrics})
+		listeners = append(listeners, listener{"metrics", n.settings.Metrics.Listen, n.crowd("metrics", maxMetricsConns, server.Serve), stopMetrics})
 	}
 	if n.settings.Metrics.Ready != "" {
 		ready, stopReady := n.metricsServer()
-		listeners = append(listeners, listener{"readiness", n.settings.Metrics.Ready, ready.Serve, stopReady})
+		listeners = append(listeners, listener{"readiness", n.settings.Metrics.Ready, n.crowd("readiness", maxMetricsConns, ready.Serve), stopReady})
 	}
 	n.server, _ = btpeer.NewServer(n, n.serverTLS(), &n.bytes)
 	n.server.Pacer, n.server.OnPanic = n.peers.Pacer, n.recordPanic
