--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -1,6 +1,7 @@
 package btquota
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 	reporting  int                  // nodes that have reported lately
 	members    int                  // live members of all zones
 	zones      map[string]int       // live members of each other zone
+	started    time.Time            // first report of a node, zero before
 	begun      time.Time            // first report after an idle time, zero while idle
 	lastSeen   time.Time            // last report of a node
 	combined   time.Time            // when the sums of the accounts were computed
@@ -149,7 +151,7 @@
 }
 
 // afterStart is the level of a bucket whose use in the last seconds is not known.
-func (a *account) afterStart() float64 { return startBurst*a.limit.Burst + slack/2 }
+func (a *account) afterStart() float64 { return startBurst*a.limit.Burst + slack }
 
 // Report takes the report of a node or another coordinator and returns the answer.
 func (c *Coordinator) Report(r *Report, now time.Time) *Answer {
@@ -187,6 +189,9 @@
 // begin records the time of a report. A coordinator that takes over from another one does not know
 // the use of the last seconds, so its buckets begin with the reserve only.
 func (c *Coordinator) begin(r *Report, now time.Time) {
+	if c.started.IsZero() {
+		c.started = now
+	}
 	if age(c.lastSeen, now) > freshFor {
 		c.begun = now
 		c.takenAt = time.Time{}
@@ -345,7 +350,7 @@
 			c.reporting++
 		}
 	}
-	unknown := c.unknown(now)
+	unknown, correction := c.unknown(now), c.correction(now)
 	for k := range c.accounts {
 		a := &c.accounts[k]
 		if a.ownDemand > 0 {
@@ -355,6 +360,7 @@
 		a.ownHeld += a.idleHeld * max(0, 1-a.ownHeld)
 		a.held += a.ownHeld
 		a.ownSlow.update(a.ownDemand, now)
+		a.demand *= correction
 		a.slow += a.ownSlow.slow
 		a.least = leastParts * float64(c.reporting) / float64(max(c.members, 1))
 		a.control(elapsed)
@@ -398,6 +404,17 @@
 	return true
 }
 
+// correction returns the factor between the demand and its measured value shortly after the first
+// report. Nothing is known from before, which counts as no demand. A coordinator that takes over gets
+// values that are not measured from zero.
+func (c *Coordinator) correction(now time.Time) float64 {
+	since := now.Sub(c.started)
+	if !c.takenAt.IsZero() || since > 4*rateTime {
+		return 1
+	}
+	return 1 / (1 - math.Exp(-max(since, Period).Seconds()/rateTime.Seconds()))
+}
+
 // control advances the bucket of an account by a time and determines which fraction of the requests
 // the nodes admit: the one at which the level returns to its reserve with the time constant settle.
 func (a *account) control(elapsed time.Duration) {
--- a/btquota/doc.go
+++ b/btquota/doc.go
@@ -30,6 +30,8 @@
 	slowTime      = 3 * time.Second         // time constant at which the share of a node with less demand shrinks
 	readyFor      = 1 * time.Second         // activity after which a coordinator answers although another zone has not answered it
 	settle        = 1 * time.Second         // time constant at which the level of a bucket under overload returns to its reserve
+	watchFor      = 6 * time.Second         // time after its last request for which a node reports on an account that is short, to learn when it no longer is
+	admitFor      = time.Second + Period    // age up to which the admitted fraction in a notice applies; the next one should have come
 	noticeAfter   = time.Second             // between two notices of short accounts to a node that does not report
 	exchangeAfter = Period * 3 / 4          // age of another zone's sums after which a coordinator asks for new ones
 	combine       = 50 * time.Millisecond   // time for which a coordinator's sums are used again
--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -30,7 +30,6 @@
 	mu         sync.Mutex // for the fields below, held before that of an account
 	random     *rand.Rand
 	members    int
-	started    time.Time // when the first limits were set
 	reportedAt time.Time // when the last report was made
 	answered   time.Time // when the last report with an answer was made
 }
@@ -61,8 +60,11 @@
 	measured time.Time // zero before the first report
 	used     int64     // tokens taken less those returned, since the last answered report
 	reported int64     // part of used that is in the report that waits for its answer
+	counted  time.Time // last report after a request
+	watched  bool      // the account is short, and reports on it go on although there is no demand
 	open     bool      // the last report held a row with demand
 	pending  bool      // the report that waits for its answer holds a row
+	withheld float64   // tokens that fail took from level
 	draw     float64   // random number from 0 to 1
 	failed   bool      // the last report got no answer
 
@@ -96,9 +98,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.members = max(members, 1)
-	if m.started.IsZero() {
-		m.started = now
-	}
 	old := m.table.Load()
 	if len(limits) == 0 {
 		m.table.Store(nil)
@@ -190,6 +189,9 @@
 	if since > paused && since != never && a.open && age(a.touched, now) > paused {
 		a.level = min(a.level, 1+share*a.limit.Rate*Period.Seconds())
 	}
+	if a.admit < 1 && !a.open && !a.watched && since > admitFor {
+		a.admit = 1
+	}
 	if a.admit < 1 && since > keepFor {
 		// The fraction describes a demand that has passed, so that the bucket alone decides. The
 		// burst has been used up.
@@ -300,7 +302,7 @@
 	m.reportedAt = now
 	var rows []Row
 	for id, a := range table.byID {
-		if row, ok := a.report(m.started, now); ok {
+		if row, ok := a.report(now); ok {
 			row.Account = id
 			rows = append(rows, row)
 		}
@@ -316,7 +318,7 @@
 	}
 	for _, a := range table.byID {
 		a.mu.Lock()
-		open := a.open || a.used != 0
+		open := a.open || a.watched || a.used != 0
 		a.mu.Unlock()
 		if open {
 			return true
@@ -325,10 +327,14 @@
 	return false
 }
 
-func (a *meterAccount) report(started, now time.Time) (Row, bool) {
+func (a *meterAccount) report(now time.Time) (Row, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.count == 0 && a.used == 0 && !a.open {
+	if a.count > 0 {
+		a.counted = now
+	}
+	watched := a.admit < 1 && now.Sub(a.counted) < watchFor
+	if a.count == 0 && a.used == 0 && !a.open && !watched {
 		return Row{}, false
 	}
 	interval := Period.Seconds()
@@ -341,10 +347,7 @@
 	}
 	if !a.open {
 		a.rate = 0
-		if fresh := now.Sub(started); fresh < 2*rateTime {
-			// Nothing is known from before, which would count as no demand.
-			interval, weight = max(fresh, urgent).Seconds(), 1
-		} else if a.count > surge {
+		if a.count > surge {
 			weight = surgeWeight
 		}
 	}
@@ -353,7 +356,7 @@
 		a.rate = 0
 	}
 	a.measured, a.count = now, 0
-	a.open = a.rate > 0
+	a.open, a.watched = a.rate > 0, watched
 	a.reported, a.pending = a.used, true
 	return Row{Demand: float32(a.rate), Used: a.used}, true
 }
@@ -381,7 +384,13 @@
 		if current && !a.answered.Equal(sent) {
 			a.admit = 1 // the answer lists each account that is short
 		}
-		a.reported, a.pending, a.failed = 0, false, a.failed && !ready
+		if a.failed && ready {
+			a.failed = false
+			if !a.answered.Equal(sent) {
+				a.level = min(a.level+a.withheld, a.capacity(a.share))
+			}
+		}
+		a.reported, a.pending = 0, false
 		a.mu.Unlock()
 	}
 	if !ready { // the next answer may be
@@ -461,7 +470,9 @@
 	}
 	a.failed = true
 	share := max(0, a.level-a.limit.floor(a.equal)) + slack*a.equal
+	before := a.level
 	a.level = min(a.level, math.Floor(share+a.draw))
+	a.withheld = before - a.level
 }
 
 // Status is the state of one account on a node.
