--- a/btpeer/usage_test.go
+++ b/btpeer/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,3 +60,32 @@
 		})
 	}
 }
+
+// The cost of one report with its answer, of the sender and the coordinator together.
+func BenchmarkUsage(b *testing.B) {
+	answer := &btquota.Answer{Node: "b", Process: 7, Zone: "z", Ready: true, Shares: make([]btquota.Share, 30)}
+	node := &fakeNode{usage: func(*btquota.Report) *btquota.Answer { return answer }}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server, stopServer := NewServer(node, nil, &ByteCounter{})
+	go func() { _ = server.Serve(listener) }()
+	defer stopServer()
+	client, closeClient := NewClient(nil, &ByteCounter{}, nil, testSilenceLimit)
+	defer closeClient()
+	report := &btquota.Report{Node: "a", Process: 1 << 40, Zone: "z", Rows: make([]btquota.Row, 30)}
+	var before, after syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	b.ReportAllocs()
+	calls := 0
+	for b.Loop() {
+		calls++
+		if _, err := client.Usage(context.Background(), listener.Addr().String(), report); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+	used := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(used)/float64(calls), "cpu-ns/op")
+}
