btadmit: foreign runs hold all slots that they are reported to hold

After a restart, each request that arrived was tried at the full server, since one slot was always left for a report of the end of the runs. Now their end is estimated and the queue wakes itself. A refusal of the server shows the excess at once. A server that reports such requests for 10 s without a break is not believed, so that wrong reports don't cost its slots.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -77,8 +77,9 @@
 // Queue grants the slots of one backend server to requests. All methods are safe
 // for concurrent use.
 type Queue struct {
-	// Alarm is called when the next waiter waits only for its turn under the rate limit,
-	// with the time after which Wake must be called. It must not block or call the queue.
+	// Alarm is called when the next waiter waits only for its turn under the rate limit, or for
+	// the end of a request that is not the queue's, with the time after which Wake must be
+	// called. It must not block or call the queue.
 	Alarm func(wait time.Duration)
 
 	mu             sync.Mutex
@@ -199,7 +200,7 @@
 }
 
 func (q *Queue) hasFreeSlot(now time.Time) bool {
-	return q.inFlight < max(1, int(q.limit)-q.foreign(now))
+	return q.inFlight < max(1, int(q.limit))-q.foreign(now)
 }
 
 // canGrant reports whether a slot is free and the rate limit allows a request.
--- a/btadmit/report.go
+++ b/btadmit/report.go
@@ -8,12 +8,14 @@
 const (
 	reportHalfLife     = 400 * time.Millisecond // after which half the difference between the reported and the mean service time counts
 	minForeignLifetime = 100 * time.Millisecond // of the requests that a report shows beyond the node's own
+	maxForeignPeriod   = 10 * time.Second       // longer than the deadlines of most requests; a server that reports such requests for longer is not believed
 )
 
 // Report is what a backend server reports about its load.
 type Report struct {
 	Requests    int     // that run or wait at the server
 	ServiceTime float64 // relative to the normal one, 0 if not reported
+	Refused     bool    // the server has not run the request that it responds to
 }
 
 // serverReport is what the reports of a backend server say. The zero value is a server that
@@ -23,15 +25,17 @@
 	mean        float64   // of the service times at the end of each run, 0 if none was reported
 	at          time.Time // of the latest service time
 	excess      int       // requests beyond the node's own in the latest report
-	foreign     int       // the lesser excess of the latest two reports
+	foreign     int       // the lesser excess of the latest two reports, or that of a refusal
 	foreignAt   time.Time // of the latest report
+	excessSince time.Time // of the first report in succession with an excess
 }
 
 // RecordReport records a report that came with a response to a request of this queue, while
 // that request holds its slot. Requests at the server beyond those of the queue were begun by
 // an earlier process of the node, or were canceled while the server goes on with them. They
 // hold slots. A request that ended between the writing and the reading of a report is in the
-// report only, so the excess counts only if the report before showed it too.
+// report only, so the excess counts only if the report before showed it too, or if the server
+// refuses a request.
 func (q *Queue) RecordReport(r Report, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -43,15 +47,35 @@
 			q.stats.scale(1 / r.ServiceTime)
 		}
 	}
-	excess := min(max(0, r.Requests-q.inFlight), q.slots)
-	s.foreign, s.excess, s.foreignAt = min(excess, s.excess), excess, now
+	own := q.inFlight
+	if r.Refused {
+		own--
+	}
+	excess := min(max(0, r.Requests-own), q.slots)
+	foreign := min(excess, s.excess)
+	if r.Refused {
+		foreign = excess
+	}
+	s.setForeign(foreign, excess, now)
+}
+
+func (s *serverReport) setForeign(foreign, excess int, now time.Time) {
+	switch {
+	case excess == 0:
+		s.excessSince = time.Time{}
+	case s.excess == 0:
+		s.excessSince = now
+	case now.Sub(s.excessSince) > maxForeignPeriod:
+		foreign = 0
+	}
+	s.foreign, s.excess, s.foreignAt = foreign, excess, now
 }
 
 // addForeign adds a request of the queue that may go on at the server.
 func (q *Queue) addForeign(now time.Time) {
 	if s := &q.report; !s.foreignAt.IsZero() {
-		s.foreign = min(q.foreign(now)+1, q.slots)
-		s.excess, s.foreignAt = s.foreign, now
+		foreign := min(q.foreign(now)+1, q.slots)
+		s.setForeign(foreign, foreign, now)
 	}
 }
 
@@ -76,12 +100,22 @@
 }
 
 // foreign returns the number of requests at the server that are not the queue's: those of the
-// latest report, which are expected to end within the time of a run.
+// latest report, which are expected to end one after the other within the time of a run.
 func (q *Queue) foreign(now time.Time) int {
 	if q.report.foreign == 0 {
 		return 0
 	}
-	lifetime := max(minForeignLifetime, time.Duration(float64(q.stats.MeanRunTime())*q.report.relativeTime(now)))
-	left := 1 - float64(now.Sub(q.report.foreignAt))/float64(lifetime)
+	left := 1 - float64(now.Sub(q.report.foreignAt))/float64(q.foreignLifetime(now))
 	return int(math.Ceil(max(0, left) * float64(q.report.foreign)))
 }
+
+func (q *Queue) foreignLifetime(now time.Time) time.Duration {
+	return max(minForeignLifetime, time.Duration(float64(q.stats.MeanRunTime())*q.report.relativeTime(now)))
+}
+
+// foreignEnd returns the time until the next one of the foreign requests is expected to end. There must
+// be one.
+func (q *Queue) foreignEnd(now time.Time) time.Duration {
+	ended := 1 - float64(q.foreign(now)-1)/float64(q.report.foreign)
+	return q.report.foreignAt.Add(time.Duration(ended * float64(q.foreignLifetime(now)))).Sub(now)
+}
--- a/btadmit/turn.go
+++ b/btadmit/turn.go
@@ -161,8 +161,13 @@
 	}
 }
 
-// scheduleTurn calls Alarm if a waiter has a slot but no turn yet.
+// scheduleTurn calls Alarm if a waiter has a slot but no turn yet, or if requests that are not
+// the queue's hold slots: their end is not noticed.
 func (q *Queue) scheduleTurn(now time.Time) {
+	if q.Alarm != nil && len(q.waiting) > 0 && q.foreign(now) > 0 && !q.hasFreeSlot(now) {
+		q.Alarm(q.foreignEnd(now) + turnSlack)
+		return
+	}
 	if q.turns != nil && q.Alarm != nil && len(q.waiting) > 0 && q.hasFreeSlot(now) {
 		wait := q.turnWait(0, float64(q.turns.Limit()), now)
 		if cold := q.coldUntil.Sub(now); cold > 0 {
--- a/btlocal/notice.go
+++ b/btlocal/notice.go
@@ -97,7 +97,7 @@
 	case notice.HasLoad && notice.Status != fasthttp.StatusMisdirectedRequest:
 		a.Reports.Add(1)
 		load := &notice.Load
-		s.queue.RecordReport(btadmit.Report{Requests: load.Running + load.Waiting, ServiceTime: load.ServiceTime}, now)
+		s.queue.RecordReport(btadmit.Report{Requests: load.Running + load.Waiting, ServiceTime: load.ServiceTime, Refused: notice.NotRun}, now)
 	}
 }
 
