btadmit: a reset by a server without runs of the queue is a full server

A node that starts beside a full server which resets connections tried every request there, and each may have run and is lost. As long as no request got a response, or if the server reports its load, a reset now counts as the sign that its slots are taken, besides being a failure.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -325,6 +325,25 @@
 	}
 }
 
+// RecordReset records that the backend server reset the connection of a request. If most of
+// the limit is in use by the queue, the server is full and the limit shrinks. Otherwise the
+// request counts as a failed run. If the queue has got no response yet, or the server reports
+// its load, it may be full of requests that are not the queue's, so that their end is waited
+// for: each request that is reset may be lost.
+func (q *Queue) RecordReset(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if float64(q.inFlight) >= busyFraction*q.limit {
+		q.limit = max(1, q.limit*limitDecrease)
+		return
+	}
+	q.stats.RecordFailure()
+	if !q.stats.hasRun() || !q.report.foreignAt.IsZero() {
+		foreign := q.slots - (q.inFlight - 1)
+		q.report.setForeign(foreign, foreign, now)
+	}
+}
+
 // admit grants free slots to waiters, as far as the rate limit allows.
 func (q *Queue) admit(now time.Time) {
 	q.updateRate(now)
--- a/btadmit/replay_test.go
+++ b/btadmit/replay_test.go
@@ -25,6 +25,7 @@
 	window     time.Duration // length of a window, 0 for none
 	longShare  float64       // share of the runs that take seven times as long
 	reports    bool          // the server reports its load with each response
+	resets     bool          // the server resets connections when it is full, and reports nothing then
 	foreign    int           // runs that the server has already begun for another process
 
 	waiting  []waiting
@@ -153,8 +154,12 @@
 	if r.running >= r.slots {
 		r.shed++
 		r.count(l, func(c *outcomeCounts) { c.refused++ })
-		r.report(true, started)
-		r.queue.RecordShed(started)
+		if r.resets {
+			r.queue.RecordReset(started)
+		} else {
+			r.report(true, started)
+			r.queue.RecordShed(started)
+		}
 		r.queue.Release(&t, 0, started)
 		return
 	}
--- a/btadmit/report_test.go
+++ b/btadmit/report_test.go
@@ -159,19 +159,19 @@
 // A node starts beside a server that still has six runs of the process before: with reports,
 // fewer of its requests meet the full server, and the limit recovers no later.
 func TestRestartBesideABusyServer(t *testing.T) {
-	shed := func(reports bool) int {
+	shed := func(reports, resets bool) int {
 		total := 0
 		for seed := range uint64(20) {
 			r := newReplay(6, seed)
-			r.foreign, r.reports = 6, reports
+			r.foreign, r.reports, r.resets = 6, reports, resets
 			r.play(supplyLoads(1), time.Second)
 			total += r.shed
 		}
 		return total
 	}
-	without, with := shed(false), shed(true)
-	t.Logf("requests that the server refused in 20 restarts: %d without reports, %d with reports", without, with)
-	if with > without*2/3 {
-		t.Errorf("the server refused %d requests with reports, %d without", with, without)
+	without, with, reset := shed(false, false), shed(true, false), shed(true, true)
+	t.Logf("requests that the server refused in 20 restarts: %d without reports, %d with reports, reset: %d", without, with, reset)
+	if with > without*2/3 || reset > without*2/3 {
+		t.Errorf("the server refused %d requests with reports and reset %d, %d without reports", with, reset, without)
 	}
 }
--- a/btadmit/runstats.go
+++ b/btadmit/runstats.go
@@ -130,5 +130,8 @@
 	return time.Duration(s.mean)
 }
 
+// hasRun reports whether there is a sample of the run time.
+func (s *RunStats) hasRun() bool { return s.mean != 0 }
+
 // Failing returns the share of runs that fail, in thousandths.
 func (s *RunStats) Failing() int { return int(s.failing * 1000) }
--- a/btlocal/run.go
+++ b/btlocal/run.go
@@ -155,7 +155,7 @@
 }
 
 // recordFailure records a run that the server ended without a response. A server that resets a
-// connection and goes on is full if most of its slots are in use, which RecordShed decides.
+// connection and goes on may be full.
 func (r *run) recordFailure(err *baobabtide.RequestError, now time.Time) {
 	queue := r.server.queue
 	switch {
@@ -165,7 +165,7 @@
 		queue.RecordRun(r.req.Route, now.Sub(r.started), true)
 	case errors.Is(err.Err, btbackend.ErrReset):
 		r.admitter.Resets.Add(1)
-		queue.RecordShed(now)
+		queue.RecordReset(now)
 	default:
 		queue.RecordRun(r.req.Route, now.Sub(r.started), true)
 	}
