--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -77,8 +77,9 @@
 // Queue grants the slots of one backend server to requests. All methods are safe
 // for concurrent use.
 type Queue struct {
-	// Alarm is called when the next waiter waits only for its turn under the rate limit,
-	// with the time after which Wake must be called. It must not block or call the queue.
+	// Alarm is called when the next waiter waits only for its turn under the rate limit, or for
+	// the end of a request that is not the queue's, with the time after which Wake must be
+	// called. It must not block or call the queue.
 	Alarm func(wait time.Duration)
 
 	mu             sync.Mutex
@@ -199,7 +200,7 @@
 }
 
 func (q *Queue) hasFreeSlot(now time.Time) bool {
-	return q.inFlight < max(1, int(q.limit)-q.foreign(now))
+	return q.inFlight < max(1, int(q.limit))-q.foreign(now)
 }
 
 // canGrant reports whether a slot is free and the rate limit allows a request.
@@ -327,6 +328,25 @@
 	}
 }
 
+// RecordReset records that the backend server reset the connection of a request. If most of
+// the limit is in use by the queue, the server is full and the limit shrinks. Otherwise the
+// request counts as a failed run. If the queue has got no response yet, or the server reports
+// its load, it may be full of requests that are not the queue's, so that their end is waited
+// for: each request that is reset may be lost.
+func (q *Queue) RecordReset(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if float64(q.inFlight) >= busyFraction*q.limit {
+		q.limit = max(1, q.limit*limitDecrease)
+		return
+	}
+	q.stats.RecordFailure()
+	if !q.stats.hasRun() || !q.report.foreignAt.IsZero() {
+		foreign := q.slots - (q.inFlight - 1)
+		q.report.setForeign(foreign, foreign, now)
+	}
+}
+
 // admit grants free slots to waiters, as far as the rate limit allows.
 func (q *Queue) admit(now time.Time) {
 	q.updateRate(now)
