btroute, btdispatch, btsettings: balanced placement, switched on by settings

A node hears of a target less than once a second, so a choice by reports that fade within 1 s is mostly one by the mean of all targets. Placement "Balanced" lets reports count for 8 s, penalizes utilization more, fades the last reported slowness of a target within 1 s to its mean run time, and moves a request twice at most between overloaded targets. Other deployments choose as before.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -76,6 +76,7 @@
 	Observer    Observer                       // nil for none
 	Recorder    Recorder                       // nil for none
 	Log         *btlog.DecisionLog
+	Placement   *btroute.Policy     // how targets are chosen, nil for btroute.Fastest
 	CallFailed  func(now time.Time) // called when a request on a call route has failed, nil for none
 
 	sizes      btroute.Sizes
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -28,6 +28,7 @@
 	last          *btroute.Target          // target of the latest attempt, nil before the first
 	reached       int                      // number of attempts that may have reached a backend server
 	moves         int                      // number of attempts refused before they reached a backend server
+	overloads     int                      // moves by overloaded targets
 	mayHaveRunErr *baobabtide.RequestError // error of the latest attempt that ran or may have run, nil for none
 	mayHaveRunAt  *btroute.Target          // target of that attempt
 	held          *baobabtide.Response     // failed response of an earlier attempt, nil for none
@@ -78,6 +79,7 @@
 		Route:     req.Route,
 		Bytes:     d.sizes.Expected(req.Route) + float64(max(0, req.BodyLength)),
 		Objective: route.Terms.Objective,
+		Policy:    d.Placement,
 	}
 	s.chooseVersion()
 	return s, nil
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -172,7 +172,10 @@
 	if overloaded && s.req.Late {
 		return false
 	}
-	if s.moves >= maxMoves || s.triedCount >= len(s.tried) || (overloaded && time.Since(s.began) > s.moveWindow()) {
+	if overloaded {
+		s.overloads++
+	}
+	if s.moves >= maxMoves || s.triedCount >= len(s.tried) || (overloaded && s.endsOverloadMoves()) {
 		if !s.startLateRound() {
 			return false
 		}
@@ -189,6 +192,14 @@
 	return true
 }
 
+// endsOverloadMoves reports whether overloaded targets no longer make the request move.
+func (s *requestState) endsOverloadMoves() bool {
+	if s.info.Policy != nil && s.info.Policy.MaxOverloadMoves > 0 && s.overloads >= s.info.Policy.MaxOverloadMoves {
+		return true
+	}
+	return time.Since(s.began) > s.moveWindow()
+}
+
 // retry reports whether a request that may have reached a backend server is sent to
 // another target. Each retry draws on the retry budget of the service. A call (depth above
 // 0) is retried at most once, counting retries by other layers. The reason and the cause
--- a/btnode/adapters.go
+++ b/btnode/adapters.go
@@ -7,6 +7,7 @@
 	"github.com/baobabtide/baobabtide/btbackend"
 	"github.com/baobabtide/baobabtide/btcaller"
 	"github.com/baobabtide/baobabtide/btplatform"
+	"github.com/baobabtide/baobabtide/btroute"
 	"github.com/baobabtide/baobabtide/btsettings"
 )
 
@@ -27,6 +28,8 @@
 
 	CallerNames  btcaller.HeaderNames
 	BackendNames btbackend.HeaderNames
+
+	Placement btsettings.Placement // if the settings hold none
 }
 
 // defaultAdapters returns the adapters for the product's own platform log, and a
@@ -64,3 +67,16 @@
 	}
 	return table.CallerLimits(n.settings.Caller.DefaultCustomer)
 }
+
+// placement returns the policy for the choice of targets: that of the settings, or else of the
+// adapters.
+func placement(settings *btsettings.Settings, adapters *Adapters) *btroute.Policy {
+	p := settings.Placement
+	if p == btsettings.PlacementDefault {
+		p = adapters.Placement
+	}
+	if p == btsettings.PlacementBalanced {
+		return btroute.Balanced
+	}
+	return btroute.Fastest
+}
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -190,6 +190,7 @@
 		Recorder:    &requestMetrics{set: n.metrics},
 		Log:         n.decisions,
 		CallFailed:  local.RecordFailedCall,
+		Placement:   placement(settings, &adapters),
 	}
 	n.addGauges()
 	free := func() {
--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -15,10 +15,8 @@
 	slowStartWindow      = 3 * time.Second       // period after the first use in which the score of a target is raised
 	slowStartPenalty     = 1.0                   // relative increase of the score at the first use, falling linearly to 0
 	defaultRunTime       = 20 * time.Millisecond // expected run time before the first report
-	utilizationPenalty   = 0.25                  // relative increase of the run time at full utilization, in addition to the wait for a slot
 	failurePenalty       = 1.0                   // seconds, cost of a failed request to its caller
 	crossZonePenalty     = 0.005                 // seconds, round trip between zones plus a small cost for the bytes of the headers
-	crossZoneShare       = 0.25                  // of the latency objective, by which a target of another zone must answer earlier: callers gain little within their objective
 	crossRegionPenalty   = 0.03                  // seconds, the same between regions
 	crossZoneBytePenalty = 2.5e-6                // seconds per byte, cost of traffic between zones
 	avoidPenalty         = 10.0                  // seconds, for a target that did not respond recently
@@ -35,6 +33,7 @@
 	Route     string
 	Bytes     float64       // of the body of the request and the expected body of the response
 	Objective time.Duration // latency objective, 0 for none
+	Policy    *Policy       // nil for Fastest
 }
 
 // expected returns the expected time until the target responds, in seconds, plus the costs of a
@@ -43,7 +42,7 @@
 	expected := e.runTime.Seconds() + e.slotWait() + e.turn.Seconds() + e.failing*failurePenalty
 	switch t.Distance {
 	case SameRegion:
-		expected += crossZonePenalty + crossZoneBytePenalty*info.Bytes + crossZoneShare*info.Objective.Seconds()
+		expected += crossZonePenalty + crossZoneBytePenalty*info.Bytes + info.Policy.CrossZoneShare*info.Objective.Seconds()
 	case OtherRegion:
 		expected += crossRegionPenalty + crossZoneBytePenalty*info.Bytes
 	}
@@ -52,9 +51,9 @@
 
 // penalty returns the seconds that are added to the expected time: for utilization, for a target
 // that is new to the node, and for one that is not fit.
-func (t *Target) penalty(e *estimate, now time.Time) float64 {
+func (t *Target) penalty(e *estimate, policy *Policy, now time.Time) float64 {
 	utilization := e.backlog() / e.slots
-	score := e.runTime.Seconds() * utilizationPenalty * utilization * utilization
+	score := e.runTime.Seconds() * policy.UtilizationPenalty * utilization * utilization
 	s := t.Stats
 	if sinceFirstUse, ok := s.firstUse.Since(now); ok && sinceFirstUse < slowStartWindow {
 		score += (score + e.runTime.Seconds() + e.slotWait() + e.turn.Seconds()) * slowStartPenalty * (1 - float64(sinceFirstUse)/float64(slowStartWindow))
@@ -95,6 +94,9 @@
 	if p.Size() == 0 {
 		return Choice{}
 	}
+	if info.Policy == nil {
+		info.Policy = Fastest
+	}
 	search := search{info: info, now: now, rng: rng, tried: tried}
 	locals := min(localArc, len(p.local.targets))
 	search.compare(&p.local, locals)
@@ -157,7 +159,7 @@
 		}
 		c := &s.compared[s.count]
 		s.count++
-		c.target, c.estimate = t, t.estimate(s.info.Route, s.now)
+		c.target, c.estimate = t, t.estimate(s.info.Route, s.info.Policy, s.now)
 		s.known.add(&c.estimate)
 	}
 }
@@ -195,7 +197,7 @@
 		t, e := s.compared[i].target, &s.compared[i].estimate
 		s.known.complete(e)
 		c := candidate{target: t, expected: t.expected(e, s.info), wait: e.weight * e.slotWait(), unfit: t.unfit(s.now)}
-		c.score = (c.expected + t.penalty(e, s.now)) * (1 + jitter*float64(s.rng.IntN(jitterSteps))/jitterSteps)
+		c.score = (c.expected + t.penalty(e, s.info.Policy, s.now)) * (1 + jitter*float64(s.rng.IntN(jitterSteps))/jitterSteps)
 		switch {
 		case s.best.target == nil || c.score < s.best.score:
 			s.best, s.next = c, s.best
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -23,11 +23,28 @@
 	leaving             atomic.Bool // the backend server has said that it is about to stop
 
 	mu          sync.Mutex
-	load        baobabtide.Load          // last reported load
-	loadAt      time.Time                // time of that report
-	ownAtReport int64                    // inFlight at the time of the report, included in the reported load
-	runTimes    map[string]time.Duration // last reported expected run time by route
-	lastRunTime time.Duration            // last reported expected run time of any route
+	load        baobabtide.Load     // last reported load
+	loadAt      time.Time           // time of that report
+	ownAtReport int64               // inFlight at the time of the report, included in the reported load
+	runTimes    map[string]runTimes // by route
+	lastRunTime runTimes            // of any route
+	slowness    float64             // last reported run time of a route divided by the mean of those reported before, 0 before the first
+}
+
+// runTimes holds expected run times that a target has reported.
+type runTimes struct {
+	last time.Duration
+	mean time.Duration // moving average
+}
+
+// add records a reported run time.
+func (r *runTimes) add(reported time.Duration) {
+	r.last = reported
+	if r.mean == 0 {
+		r.mean = reported
+		return
+	}
+	r.mean += (reported - r.mean) / runTimeSmoothing
 }
 
 const (
@@ -37,8 +54,8 @@
 	avoidBase        = 200 * time.Millisecond // time for which a target is avoided after the first unanswered request
 	maxAvoidShift    = 3                      // the longest avoidance is avoidBase << maxAvoidShift
 	downTime         = 10 * time.Second       // a crashed server comes back as a new incarnation within this time, or its announcement ends
-	reportLifetime   = time.Second            // the weight of a load report falls linearly to 0 in this time
 	limitLifetime    = 10 * time.Second       // the weight of a rate limit that is not reported again falls linearly to 0 in this time
+	runTimeSmoothing = 8                      // the newest reported run time contributes 1/8 to the moving average
 	maxRunTimeRoutes = 1 << 10                // routes with a stored expected run time
 )
 
@@ -102,12 +119,17 @@
 		return
 	}
 	if s.runTimes == nil {
-		s.runTimes = make(map[string]time.Duration)
+		s.runTimes = make(map[string]runTimes)
 	}
-	if _, ok := s.runTimes[route]; ok || len(s.runTimes) < maxRunTimeRoutes {
-		s.runTimes[route] = reported.Work
+	r, ok := s.runTimes[route]
+	s.slowness = 1
+	if r.mean > 0 {
+		s.slowness = float64(reported.Work) / float64(r.mean)
 	}
-	s.lastRunTime = reported.Work
+	if r.add(reported.Work); ok || len(s.runTimes) < maxRunTimeRoutes {
+		s.runTimes[route] = r
+	}
+	s.lastRunTime.add(reported.Work)
 }
 
 // RateLimit returns the requests per second that the target accepts according to its last
@@ -130,18 +152,29 @@
 	if s.load.RateLimit <= 0 || turn <= 0 {
 		return 0
 	}
-	return max(0, turn+time.Duration(btadmit.OnTimeMargin*float64(s.runTime(route)))-left)
+	return max(0, turn+time.Duration(btadmit.OnTimeMargin*float64(s.runTime(route).last))-left)
 }
 
-// runTime returns the last reported expected run time of a route, or of any route if there
-// is none, 0 before the first report. The caller holds s.mu.
-func (s *Stats) runTime(route string) time.Duration {
+// runTime returns the reported expected run times of a route, or of any route if there are
+// none, 0 before the first report. The caller holds s.mu.
+func (s *Stats) runTime(route string) runTimes {
 	if reported, ok := s.runTimes[route]; ok {
 		return reported
 	}
 	return s.lastRunTime
 }
 
+// expectedRunTime returns the expected run time of a route under a policy, 0 before the first
+// report. The caller holds s.mu.
+func (s *Stats) expectedRunTime(route string, policy *Policy, age time.Duration) time.Duration {
+	r := s.runTime(route)
+	if policy.SlownessLifetime == 0 || s.slowness == 0 {
+		return r.last
+	}
+	weight := max(0, 1-float64(age)/float64(policy.SlownessLifetime))
+	return time.Duration(float64(r.mean) * (1 + (s.slowness-1)*weight))
+}
+
 // turnWait estimates the wait of a request for its turn under the target's rate limit: what
 // remains of the reported wait, the turns of this node's requests since the report, and
 // half a turn for those of other nodes. The last part fades, so that a target that has
@@ -174,17 +207,18 @@
 	return e.runTime.Seconds() * max(0, (e.backlog()+1-e.slots)/e.slots)
 }
 
-func (t *Target) estimate(route string, now time.Time) estimate {
+func (t *Target) estimate(route string, policy *Policy, now time.Time) estimate {
 	s := t.Stats
 	own := float64(s.inFlight.Load())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := estimate{own: own, slots: float64(t.Slots), runTime: s.runTime(route)}
+	age := now.Sub(s.loadAt)
+	e := estimate{own: own, slots: float64(t.Slots), runTime: s.expectedRunTime(route, policy, age)}
 	if s.load.Slots == 0 {
 		return e
 	}
 	e.turn = s.turnWait(own, now)
-	e.weight = max(0, 1-float64(now.Sub(s.loadAt))/float64(reportLifetime))
+	e.weight = max(0, 1-float64(age)/float64(policy.ReportLifetime))
 	e.others = max(0, float64(int64(s.load.InFlight+s.load.Queued)-s.ownAtReport))
 	e.slots = float64(s.load.Slots)
 	e.failing = float64(s.load.Failing) / 1000
--- a/btsettings/platform.go
+++ b/btsettings/platform.go
@@ -28,6 +28,10 @@
 	SnapshotEvery int
 
 	Adapter string `json:",omitempty"` // OwnLog or KeyedLog, empty for OwnLog
+
+	// Contracts names the groups of rules that the platform has put in force. Their meaning is up
+	// to the adapter, which ignores unknown ones.
+	Contracts []string `json:",omitempty"`
 }
 
 // Values of Platform.Adapter.
--- a/btsettings/settings.go
+++ b/btsettings/settings.go
@@ -23,6 +23,8 @@
 	Metrics  Metrics
 	TLS      TLS
 	Log      Log
+
+	Placement Placement `json:",omitempty"`
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
@@ -42,6 +44,7 @@
 		{"Metrics", s.Metrics.Check},
 		{"TLS", s.TLS.Check},
 		{"Log", s.Log.Check},
+		{"Placement", s.Placement.Check},
 	} {
 		if err := section.check(); err != nil {
 			return baobabtide.Within(section.name, err)
