btroute: scores of targets in parts of their own

The sum of penalties mixed what rules a target out, what delays a response and what the way costs.

A slow last report was taken twice into the slowness of a target, once in the report and once in the mean that it is compared with.

The run times of the last reported route are found without a look-up in a map, and seconds are converted once.

--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -12,20 +12,10 @@
 }
 
 const (
-	slowStartWindow      = 3 * time.Second       // period after the first use in which the score of a target is raised
-	slowStartPenalty     = 1.0                   // relative increase of the score at the first use, falling linearly to 0
-	defaultRunTime       = 20 * time.Millisecond // expected run time before the first report
-	failurePenalty       = 1.0                   // seconds, cost of a failed request to its caller
-	crossZonePenalty     = 0.005                 // seconds, round trip between zones plus a small cost for the bytes of the headers
-	crossRegionPenalty   = 0.03                  // seconds, the same between regions
-	crossZoneBytePenalty = 2.5e-6                // seconds per byte, cost of traffic between zones
-	avoidPenalty         = 10.0                  // seconds, for a target that did not respond recently
-	suspectPenalty       = 100.0                 // seconds, for a target whose node is suspect
-	downPenalty          = 300.0                 // seconds, for a target whose backend server has crashed
-	ejectedPenalty       = 1000.0                // seconds, for an ejected target
-	jitter               = 0.1                   // maximum relative random increase of a score, so that nodes with the same reports differ in their choice
-	jitterSteps          = 64                    // number of distinct jitter values
-	minMaxWait           = 2 * time.Millisecond  // about what it costs to send a request to another target
+	defaultRunTime = 20 * time.Millisecond // expected run time before the first report
+	jitter         = 0.1                   // maximum relative random increase of a score, so that nodes with the same reports differ in their choice
+	jitterSteps    = 64                    // number of distinct jitter values
+	minMaxWait     = 2 * time.Millisecond  // about what it costs to send a request to another target
 )
 
 // PickInfo describes a request for which a target is picked.
@@ -36,49 +26,6 @@
 	Policy    *Policy       // nil for Fastest
 }
 
-// expected returns the expected time until the target responds, in seconds, plus the costs of a
-// failure and of the way to it.
-func (t *Target) expected(e *estimate, info PickInfo) float64 {
-	expected := e.runTime.Seconds() + e.slotWait() + e.turn.Seconds() + e.failing*failurePenalty
-	switch t.Distance {
-	case SameRegion:
-		expected += crossZonePenalty + crossZoneBytePenalty*info.Bytes + info.Policy.CrossZoneShare*info.Objective.Seconds()
-	case OtherRegion:
-		expected += crossRegionPenalty + crossZoneBytePenalty*info.Bytes
-	}
-	return expected
-}
-
-// penalty returns the seconds that are added to the expected time: for utilization, for a target
-// that is new to the node, and for one that is not fit.
-func (t *Target) penalty(e *estimate, policy *Policy, now time.Time) float64 {
-	utilization := e.backlog() / e.slots
-	score := e.runTime.Seconds() * policy.UtilizationPenalty * utilization * utilization
-	s := t.Stats
-	if sinceFirstUse, ok := s.firstUse.Since(now); ok && sinceFirstUse < slowStartWindow {
-		score += (score + e.runTime.Seconds() + e.slotWait() + e.turn.Seconds()) * slowStartPenalty * (1 - float64(sinceFirstUse)/float64(slowStartWindow))
-	}
-	if t.Suspect {
-		score += suspectPenalty
-	}
-	if s.avoidUntil.After(now) {
-		score += avoidPenalty
-	}
-	if s.downUntil.After(now) {
-		score += downPenalty
-	}
-	if s.ejectUntil.After(now) {
-		score += ejectedPenalty
-	}
-	return score
-}
-
-// unfit reports whether the target gets requests only if no other can.
-func (t *Target) unfit(now time.Time) bool {
-	s := t.Stats
-	return t.Suspect || s.avoidUntil.After(now) || s.downUntil.After(now) || s.ejectUntil.After(now)
-}
-
 // Choice is the target of an attempt.
 type Choice struct {
 	Target *Target // nil if none is left
@@ -102,7 +49,7 @@
 	search.compare(&p.local, locals)
 	search.compare(&p.remote, remoteArc+localArc-locals)
 	search.judge()
-	if search.best.target == nil || search.best.unfit {
+	if search.best.target == nil || !search.best.fit {
 		all := ring{targets: p.targets, start: rng.IntN(len(p.targets))}
 		search.compare(&all, len(p.targets)) // ejection must never leave a version without any
 		search.judge()
@@ -142,9 +89,9 @@
 type candidate struct {
 	target   *Target
 	score    float64
-	expected float64 // see Target.expected
+	expected float64 // see score.expected
 	wait     float64 // seconds, expected wait for a slot as far as it was reported
-	unfit    bool    // suspect, avoided, down or ejected
+	fit      bool
 }
 
 // compare adds up to size targets of a ring.
@@ -167,8 +114,8 @@
 func (k *known) add(e *estimate) {
 	k.weights += e.weight
 	k.utilization += e.weight * e.others / e.slots
-	if e.runTime > 0 {
-		k.speeds += 1 / e.runTime.Seconds()
+	if e.run > 0 {
+		k.speeds += 1 / e.run
 		k.reports++
 	}
 }
@@ -183,11 +130,11 @@
 		e.others = 0
 	}
 	switch {
-	case e.runTime > 0:
+	case e.run > 0:
 	case k.reports > 0:
-		e.runTime = time.Duration(k.reports / k.speeds * float64(time.Second))
+		e.run = time.Duration(k.reports / k.speeds * float64(time.Second)).Seconds()
 	default:
-		e.runTime = defaultRunTime
+		e.run = defaultRunTime.Seconds()
 	}
 }
 
@@ -195,9 +142,9 @@
 func (s *search) judge() {
 	for i := range s.compared[:s.count] {
 		t, e := s.compared[i].target, &s.compared[i].estimate
-		s.known.complete(e)
-		c := candidate{target: t, expected: t.expected(e, s.info), wait: e.weight * e.slotWait(), unfit: t.unfit(s.now)}
-		c.score = (c.expected + t.penalty(e, s.info.Policy, s.now)) * (1 + jitter*float64(s.rng.IntN(jitterSteps))/jitterSteps)
+		sc := s.score(t, e)
+		c := candidate{target: t, expected: sc.expected(), wait: e.weight * sc.response.slot, fit: sc.fitness.fit()}
+		c.score = sc.total() * (1 + jitter*float64(s.rng.IntN(jitterSteps))/jitterSteps)
 		switch {
 		case s.best.target == nil || c.score < s.best.score:
 			s.best, s.next = c, s.best
@@ -208,10 +155,20 @@
 	s.count = 0
 }
 
+// score returns the score of a target with an estimate, which it completes.
+func (s *search) score(t *Target, e *estimate) score {
+	s.known.complete(e)
+	return score{
+		fitness:  t.fitness(s.now),
+		response: newResponse(e, s.info.Policy, t.Stats, s.now),
+		cost:     wayCost(t.Distance, &s.info),
+	}
+}
+
 // choice returns the best target.
 func (s *search) choice() Choice {
 	c := Choice{Target: s.best.target}
-	if s.next.target != nil && !s.next.unfit && !s.best.unfit {
+	if s.next.target != nil && s.next.fit && s.best.fit {
 		gain := max(0, s.next.expected-s.best.expected)
 		c.MaxWait = minMaxWait + time.Duration((gain+s.best.wait)*float64(time.Second))
 	}
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -23,12 +23,14 @@
 	leaving             atomic.Bool // the backend server has said that it is about to stop
 
 	mu          sync.Mutex
-	load        baobabtide.Load     // last reported load
-	loadAt      time.Time           // time of that report
-	ownAtReport int64               // inFlight at the time of the report, included in the reported load
-	runTimes    map[string]runTimes // by route
-	lastRunTime runTimes            // of any route
-	slowness    float64             // last reported run time of a route divided by the mean of those reported before, 0 before the first
+	load        baobabtide.Load      // last reported load
+	loadAt      time.Time            // time of that report
+	ownAtReport int64                // inFlight at the time of the report, included in the reported load
+	runTimes    map[string]*runTimes // by route
+	other       runTimes             // of the routes beyond maxRunTimeRoutes
+	latest      *runTimes            // of the last report with a run time, nil before the first
+	latestRoute string               // route of that report
+	slowness    float64              // that run time divided by the mean of its route, including it
 }
 
 // runTimes holds expected run times that a target has reported.
@@ -118,18 +120,26 @@
 	if reported.Work <= 0 {
 		return
 	}
-	if s.runTimes == nil {
-		s.runTimes = make(map[string]runTimes)
+	r := s.runTimes[route]
+	if r == nil {
+		r = s.newRunTimes(route)
 	}
-	r, ok := s.runTimes[route]
-	s.slowness = 1
-	if r.mean > 0 {
-		s.slowness = float64(reported.Work) / float64(r.mean)
+	r.add(reported.Work)
+	s.latest, s.latestRoute = r, route
+	s.slowness = float64(r.last) / float64(r.mean)
+}
+
+// newRunTimes returns the run times of a route that has none. The caller holds s.mu.
+func (s *Stats) newRunTimes(route string) *runTimes {
+	if len(s.runTimes) >= maxRunTimeRoutes {
+		return &s.other
 	}
-	if r.add(reported.Work); ok || len(s.runTimes) < maxRunTimeRoutes {
-		s.runTimes[route] = r
+	if s.runTimes == nil {
+		s.runTimes = make(map[string]*runTimes)
 	}
-	s.lastRunTime.add(reported.Work)
+	r := &runTimes{}
+	s.runTimes[route] = r
+	return r
 }
 
 // RateLimit returns the requests per second that the target accepts according to its last
@@ -155,24 +165,32 @@
 	return max(0, turn+time.Duration(btadmit.OnTimeMargin*float64(s.runTime(route).last))-left)
 }
 
-// runTime returns the reported expected run times of a route, or of any route if there are
-// none, 0 before the first report. The caller holds s.mu.
+// runTime returns the reported expected run times of a route, or of the route of the last report
+// if there are none, 0 before the first report. The caller holds s.mu.
 func (s *Stats) runTime(route string) runTimes {
-	if reported, ok := s.runTimes[route]; ok {
-		return reported
+	if s.latest == nil {
+		return runTimes{}
+	}
+	if route != s.latestRoute { // most targets serve few routes, so the map is often not needed
+		if r, ok := s.runTimes[route]; ok {
+			return *r
+		}
 	}
-	return s.lastRunTime
+	return *s.latest
 }
 
-// expectedRunTime returns the expected run time of a route under a policy, 0 before the first
-// report. The caller holds s.mu.
-func (s *Stats) expectedRunTime(route string, policy *Policy, age time.Duration) time.Duration {
+// expectedRunTime returns the expected run time of a route in seconds under a policy, 0 before the
+// first report. The caller holds s.mu.
+func (s *Stats) expectedRunTime(route string, policy *Policy, age time.Duration) float64 {
 	r := s.runTime(route)
-	if policy.SlownessLifetime == 0 || s.slowness == 0 {
-		return r.last
+	if policy.SlownessLifetime == 0 {
+		return r.last.Seconds()
 	}
-	weight := max(0, 1-float64(age)/float64(policy.SlownessLifetime))
-	return time.Duration(float64(r.mean) * (1 + (s.slowness-1)*weight))
+	if age >= policy.SlownessLifetime {
+		return r.mean.Seconds()
+	}
+	weight := 1 - float64(age)/float64(policy.SlownessLifetime)
+	return r.mean.Seconds() * (1 + (s.slowness-1)*weight)
 }
 
 // turnWait estimates the wait of a request for its turn under the target's rate limit: what
@@ -194,7 +212,7 @@
 	others  float64 // those of other nodes according to the last report
 	weight  float64 // of that report, 0 to 1
 	slots   float64
-	runTime time.Duration // expected run time, 0 if none was reported
+	run     float64       // expected run time in seconds, 0 if none was reported
 	turn    time.Duration // expected wait for a turn under the rate limit of the backend server, 0 without a limit
 	failing float64       // share of runs that fail, 0 to 1
 }
@@ -204,7 +222,7 @@
 
 // slotWait returns the expected wait for a slot in seconds.
 func (e *estimate) slotWait() float64 {
-	return e.runTime.Seconds() * max(0, (e.backlog()+1-e.slots)/e.slots)
+	return e.run * max(0, (e.backlog()+1-e.slots)/e.slots)
 }
 
 func (t *Target) estimate(route string, policy *Policy, now time.Time) estimate {
@@ -212,15 +230,17 @@
 	own := float64(s.inFlight.Load())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := now.Sub(s.loadAt)
-	e := estimate{own: own, slots: float64(t.Slots), runTime: s.expectedRunTime(route, policy, age)}
 	if s.load.Slots == 0 {
-		return e
-	}
-	e.turn = s.turnWait(own, now)
-	e.weight = max(0, 1-float64(age)/float64(policy.ReportLifetime))
-	e.others = max(0, float64(int64(s.load.InFlight+s.load.Queued)-s.ownAtReport))
-	e.slots = float64(s.load.Slots)
-	e.failing = float64(s.load.Failing) / 1000
-	return e
+		return estimate{own: own, slots: float64(t.Slots)}
+	}
+	age := now.Sub(s.loadAt)
+	return estimate{
+		own:     own,
+		others:  max(0, float64(int64(s.load.InFlight+s.load.Queued)-s.ownAtReport)),
+		weight:  max(0, 1-float64(age)/float64(policy.ReportLifetime)),
+		slots:   float64(s.load.Slots),
+		run:     s.expectedRunTime(route, policy, age),
+		turn:    s.turnWait(own, now),
+		failing: float64(s.load.Failing) / 1000,
+	}
 }
--- a/btroute/uneven_test.go
+++ b/btroute/uneven_test.go
@@ -531,8 +531,13 @@
 		to   *float64
 		from float64
 	}{
-		{&r.full, other.full}, {&r.imbalance, other.imbalance}, {&r.moves, other.moves}, {&r.inTime, other.inTime},
-		{&r.served, other.served}, {&r.crossed, other.crossed}, {&r.bytes, other.bytes},
+		{&r.full, other.full},
+		{&r.imbalance, other.imbalance},
+		{&r.moves, other.moves},
+		{&r.inTime, other.inTime},
+		{&r.served, other.served},
+		{&r.crossed, other.crossed},
+		{&r.bytes, other.bytes},
 	} {
 		*field.to += share * field.from
 	}
