--- a/btsettings/settings.go
+++ b/btsettings/settings.go
@@ -24,6 +24,8 @@
 	TLS      TLS
 	Log      Log
 	Limits   Limits
+
+	Placement Placement `json:",omitempty"`
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
@@ -44,6 +46,7 @@
 		{"TLS", s.TLS.Check},
 		{"Log", s.Log.Check},
 		{"Limits", s.Limits.Check},
+		{"Placement", s.Placement.Check},
 	} {
 		if err := section.check(); err != nil {
 			return baobabtide.Within(section.name, err)
