btcaller: limit streamed bodies and pipelined requests under a memory limit by time as well

Cause: stalled bodies raised the estimate of a route's run time until other requests were refused; connections that waited behind pipelined requests kept their memory after their client had left.

Tests run the crowd in a process of its own.

--- a/baobabtided/crowd_test.go
+++ b/baobabtided/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -12,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,13 +34,14 @@
 var largeCrowd = flag.Bool("large-crowd", false, "run crowds of 4,000 connections against a node with 184 MB")
 
 const (
-	crowdRetry     = time.Second            // before a misbehaving client connects again
+	crowdRetry     = 5 * time.Second        // before a misbehaving client connects again
+	crowdRamp      = time.Millisecond       // between two connections of the crowd
 	crowdReady     = 2 * time.Second        // longest time to an answer of GET /ready
 	crowdObjective = 300 * time.Millisecond // of ordinary requests
 	crowdWithin    = 0.99                   // fraction of ordinary requests within the objective
-	crowdRun       = 80 * time.Millisecond  // of a request at the backend server
+	crowdRun       = 40 * time.Millisecond  // of a request at the backend server
 	crowdSlots     = 80
-	crowdRate      = 500     // ordinary requests per second: half of what the slots can run
+	crowdRate      = 500     // ordinary requests per second; with the first request of each misbehaving client about half of what the slots can run
 	crowdLarge     = 300_000 // bytes of a response that misbehaving clients don't read
 	crowdRecovery  = 10 * time.Second
 	crowdOrdinary  = 50 // ordinary clients
@@ -137,12 +140,56 @@
 	"silent": func(ctx context.Context, c net.Conn, _ string) error { return awaitClose(ctx, c) },
 }
 
+// crowdOrder tells a process that holds the misbehaving clients what they do.
+type crowdOrder struct {
+	Connections int
+	Address     string
+	Path        string
+	Patterns    []string
+	Duration    time.Duration
+}
+
+// runCrowdMain is the variable of the environment that makes the test binary run a crowd.
+const runCrowdMain = "BAOBABTIDED_TEST_CROWD"
+
+// startCrowd runs a crowd in a process of its own, so that it doesn't slow the ordinary clients
+// down other than by the load on the node. It returns at the end of the crowd.
+func startCrowd(ctx context.Context, t *testing.T, order crowdOrder) {
+	data, err := json.Marshal(order)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	cmd := exec.CommandContext(ctx, os.Args[0])
+	cmd.Env = append(os.Environ(), runCrowdMain+"="+string(data))
+	if out, err := cmd.CombinedOutput(); err != nil && ctx.Err() == nil {
+		t.Errorf("crowd: %v\n%s", err, out)
+	}
+}
+
+// crowdMain runs the crowd of an order.
+func crowdMain(text string) error {
+	var order crowdOrder
+	if err := json.Unmarshal([]byte(text), &order); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), order.Duration)
+	defer cancel()
+	patterns := make([]pattern, 0, len(order.Patterns))
+	for _, name := range order.Patterns {
+		patterns = append(patterns, crowdPatterns[name])
+	}
+	runCrowd(ctx, order.Connections, order.Address, order.Path, patterns...)
+	return nil
+}
+
 // runCrowd keeps a number of connections open to an address, on which clients behave by the
 // patterns in turn, until the context ends.
 func runCrowd(ctx context.Context, connections int, address, path string, patterns ...pattern) {
 	var wg sync.WaitGroup
 	for i := range connections {
 		wg.Go(func() {
+			time.Sleep(crowdRamp * time.Duration(i))
 			for ctx.Err() == nil {
 				dialer := net.Dialer{Timeout: crowdRetry}
 				if c, err := dialer.DialContext(ctx, "tcp", address); err == nil {
@@ -293,7 +340,7 @@
 type observer struct {
 	peak, last int64         // bytes
 	ready      time.Duration // longest time to an answer
-	unready    int           // checks without an answer in crowdReady
+	unready    []string      // failures of checks without an answer in crowdReady
 }
 
 // resident returns the resident memory of a process in bytes. The race detector multiplies it,
@@ -336,6 +383,19 @@
 	return sum
 }
 
+// cpuTime returns the CPU time that a process has used.
+func cpuTime(pid int) time.Duration {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	const user, system, tick = 11, 12, 10 * time.Millisecond
+	if len(fields) <= system {
+		return 0
+	}
+	u, _ := strconv.Atoi(fields[user])
+	s, _ := strconv.Atoi(fields[system])
+	return time.Duration(u+s) * tick
+}
+
 // logRefusals logs the refusals of clients that the process has counted.
 func (p *process) logRefusals(t *testing.T) {
 	resp, err := http.Get("http://" + p.settings.Metrics.Listen + "/metrics")
@@ -358,7 +418,7 @@
 		began := time.Now()
 		resp, err := client.Get("http://" + p.settings.Metrics.Ready + "/ready")
 		if err != nil {
-			o.unready++
+			o.unready = append(o.unready, fmt.Sprintf("%s after %s", err, time.Since(began).Round(time.Millisecond)))
 		} else {
 			_ = resp.Body.Close()
 			o.ready = max(o.ready, time.Since(began))
@@ -394,11 +454,11 @@
 	if tt.ready {
 		address = p.settings.Metrics.Ready
 	}
-	patterns := make([]pattern, 0, len(tt.patterns))
-	for _, name := range tt.patterns {
-		patterns = append(patterns, crowdPatterns[name])
-	}
-	wg.Go(func() { runCrowd(ctx, connections, address, tt.path, patterns...) })
+	wg.Go(func() {
+		if connections > 0 {
+			startCrowd(ctx, t, crowdOrder{connections, address, tt.path, tt.patterns, duration})
+		}
+	})
 	wg.Go(func() { seen.observe(ctx, p, memory) })
 	wg.Go(func() { calm.run(ctx, p.settings.Caller.Listen) })
 	wg.Wait()
@@ -413,14 +473,15 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	p.logRefusals(t)
+	t.Logf("CPU time: node %s, test %s", cpuTime(p.cmd.Process.Pid), cpuTime(os.Getpid()))
 	t.Logf("%d connections: memory %.1f MB before, %.1f MB at the peak, budget free after %s; ready within %s, %d without an answer; %d ordinary requests, %.2f%% within %s, others %v",
 		connections, float64(before)/1e6, float64(seen.peak)/1e6, time.Since(left).Round(time.Millisecond), seen.ready.Round(time.Millisecond),
-		seen.unready, calm.sent.Load(), 100*share, crowdObjective, calm.other)
+		len(seen.unready), calm.sent.Load(), 100*share, crowdObjective, calm.other)
 	if seen.peak > limit {
 		t.Errorf("memory of %d bytes exceeds %d", seen.peak, limit)
 	}
-	if seen.unready > 0 {
-		t.Errorf("%d of the readiness checks had no answer within %s", seen.unready, crowdReady)
+	if len(seen.unready) > 0 {
+		t.Errorf("readiness checks without an answer within %s: %q", crowdReady, seen.unready)
 	}
 	if held := p.metric("baobabtide_client_memory_bytes"); held > 1<<20 {
 		t.Errorf("%.0f bytes are reserved %s after the crowd has left", held, crowdRecovery)
@@ -454,6 +515,9 @@
 	}
 	const connections, megabytes = 4000, 184
 	all := slices.Sorted(maps.Keys(crowdPatterns))
+	t.Run("calm", func(t *testing.T) { // for comparison
+		attack(t, startCrowded(t, megabytes), 0, megabytes*1e6, 10*time.Second, func() int64 { return 0 }, crowdCase{patterns: all})
+	})
 	for where, at := range map[string]crowdCase{
 		"route": {path: "/" + service},
 		"none":  {path: "/none"},
--- a/baobabtided/process_test.go
+++ b/baobabtided/process_test.go
@@ -35,6 +35,13 @@
 
 // TestMain runs main in place of the tests in a process that startProcess started.
 func TestMain(m *testing.M) {
+	if order := os.Getenv(runCrowdMain); order != "" {
+		if err := crowdMain(order); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if os.Getenv(runMain) != "" {
 		main()
 		return
--- a/btcaller/body.go
+++ b/btcaller/body.go
@@ -163,13 +163,6 @@
 	return b.prefixErr
 }
 
-// ended reports whether the body has been read to its end.
-func (b *streamBody) ended() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.atEOF
-}
-
 // Rewind implements baobabtide.Body. It returns true only if nothing beyond the prefix has been
 // read.
 func (b *streamBody) Rewind() bool {
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -118,11 +118,11 @@
 func (c *conn) readLoop() {
 	var previous *exchange
 	for {
-		pipelined, ok := c.awaitRequest()
+		turn, ok := c.awaitRequest()
 		if !ok {
 			return
 		}
-		ex := c.nextRequest(pipelined)
+		ex := c.nextRequest(turn)
 		if ex == nil {
 			c.discardInput()
 			return
@@ -139,31 +139,31 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request and until it may be read. It reports whether
-// the request holds a place in Server.pipelined, and false when the
+// awaitRequest waits for the first byte of a request and until it may be read. It returns the
+// result of the wait, and false when the
 // connection has failed, which cancels the running requests, or is to be closed. Input
 // behind the request whose response closes the connection is discarded.
-func (c *conn) awaitRequest() (bool, bool) {
+func (c *conn) awaitRequest() (turn, bool) {
 	for {
 		buffered := c.reader != nil && c.reader.Buffered() > 0
 		err := c.awaitInput()
 		if err == nil {
-			pipelined := c.awaitTurn(buffered)
+			turn := c.awaitTurn(buffered)
 			if c.beginReading() {
-				return pipelined, true
+				return turn, true
 			}
-			if pipelined {
+			if turn == turnHeld {
 				<-c.server.pipelined
 			}
 			c.discardInput()
-			return false, false
+			return turnFree, false
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel(endCause(err))
-			return false, false
+			return turnFree, false
 		}
 		if c.idleExpired() {
-			return false, false
+			return turnFree, false
 		}
 	}
 }
@@ -254,8 +254,14 @@
 }
 
 // nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
-func (c *conn) nextRequest(pipelined bool) *exchange {
-	ex := &exchange{conn: c, done: make(chan struct{}), pipelined: pipelined}
+func (c *conn) nextRequest(t turn) *exchange {
+	ex := &exchange{conn: c, done: make(chan struct{}), pipelined: t == turnHeld}
+	if t == turnMissed {
+		c.endReading(ex)
+		c.reportRefusal(Pipelining, 0)
+		ex.reject(baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many pipelined requests wait")))
+		return ex
+	}
 	if c.reader == nil && !c.getReader() {
 		c.endReading(ex)
 		ex.reject(c.noMemory())
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -140,9 +140,10 @@
 	if length > limits.bodyBytes {
 		return baobabtide.Refuse(baobabtide.ReasonTooLarge, 0, fmt.Errorf("body of %d bytes exceeds %d", length, limits.bodyBytes))
 	}
-	if length > maxBufferedBody || (length < 0 && length != noBody) {
-		if !ex.reserve(btbudget.Body, btbudget.General, streamCost) {
-			return c.noMemory()
+	streamed := length > maxBufferedBody || (length < 0 && length != noBody)
+	if streamed {
+		if err := c.reserveStream(ex, req); err != nil {
+			return err
 		}
 	}
 	if in.MayContinue() {
@@ -168,29 +169,30 @@
 	}
 	ex.stream.deadline = req.Deadline
 	req.Body, req.BodyLength = ex.stream, ex.stream.length
-	if c.server.limits.Strict && c.server.hasRoute(req) {
-		return c.startStream(ex, limits)
+	if ex.streaming { // a request whose caller sends little of the body takes no slot of a backend server
+		if err := ex.stream.readStart(); err != nil {
+			ex.stream = nil
+			return c.inputError(fmt.Errorf("body: %w", unexpectedEOF(err)))
+		}
 	}
 	return nil
 }
 
-// startStream reads the start of a streamed body, so that a request whose caller sends little of
-// it takes no slot of a backend server, and waits until fewer than maxStreams bodies are read.
-func (c *conn) startStream(ex *exchange, limits bounds) error {
-	stream := ex.stream
-	if err := stream.readStart(); err != nil {
-		ex.stream = nil
-		return c.inputError(fmt.Errorf("body: %w", unexpectedEOF(err)))
-	}
-	if stream.ended() {
-		return nil
+// reserveStream reserves the memory of a streamed body. Under a memory limit it first waits until
+// fewer than maxStreams bodies are read.
+func (c *conn) reserveStream(ex *exchange, req *baobabtide.Request) error {
+	if c.server.limits.Strict && c.server.hasRoute(req) {
+		late := c.readPace.pause(time.Now()) // the wait is not the caller's
+		ex.streaming = c.server.acquireStream()
+		c.readPace.resume(time.Now(), late)
+		if !ex.streaming {
+			c.reportRefusal(ManyStreams, 0)
+			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many bodies arrive at the same time"))
+		}
 	}
-	if !c.server.acquireStream(limits.headerTimeout) {
-		ex.stream = nil
-		c.reportRefusal(ManyStreams, 0)
-		return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many bodies arrive at the same time"))
+	if !ex.reserve(btbudget.Body, btbudget.General, streamCost) {
+		return c.noMemory()
 	}
-	ex.streaming = true
 	return nil
 }
 
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -382,7 +382,11 @@
 		ex.closeAfter.Store(true)
 	}
 	if err != nil {
-		ex.refuse(baobabtide.AsRequestError(err))
+		refusal := baobabtide.AsRequestError(err)
+		if ex.pipelined && refusal.Verdict == baobabtide.NotRun && refusal.RetryAfter > 0 {
+			ex.closeAfter.Store(true) // the requests sent behind it would be refused at once as well
+		}
+		ex.refuse(refusal)
 		cancel()
 		return
 	}
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -30,11 +30,18 @@
 
 	minBodyRate = 1 << 10 // bytes a second of a streamed body under a memory limit, after the first timeout
 
+	// streamGrace is how late a streamed body must be before it is shed. Each that is given up costs
+	// a failed run at a backend server. With 1 s the stalled runs raised the estimate of the run time
+	// so far that other requests of the route were refused as too slow.
+	streamGrace = 50 * time.Millisecond
+	streamWait  = time.Second // of a request for its body to be read
+
 	shedPeriod    = 100 * time.Millisecond // between two searches for connections to shed
 	unusedGrace   = time.Second            // for the first request on a connection, while the budget is short
 	idleGrace     = 5 * time.Second        // for a further request on a connection, while the budget is short
 	crowdedNum    = 7                      // late connections are closed when more than 7/8 of the
 	crowdedDen    = 8                      // allowed ones are open
+	idleDivisor   = 2                      // idle connections are closed only while connections hold more than half the budget
 	maxShedAtOnce = 512                    // connections in one search, so that it does not delay others
 )
 
@@ -49,6 +56,7 @@
 	SlowReader  RefusalReason = "slow-reader"  // the caller did not read its responses
 	IdleCaller  RefusalReason = "idle"         // the connection was idle while the budget was short
 	ManyFields  RefusalReason = "many-fields"  // the request had too many header fields
+	Pipelining  RefusalReason = "pipelining"   // too many pipelined requests waited
 	ManyStreams RefusalReason = "streams"      // too many large bodies arrived at the same time
 	ManyConns   RefusalReason = "connections"  // too many connections were open
 )
@@ -205,8 +213,13 @@
 		}
 		return cmp.Compare(b.weight(), a.weight())
 	})
+	manyIdle := crowded > 0 || s.limits.Budget.UsedFor(btbudget.Connection) > s.limits.Budget.Limit()/idleDivisor
 	for i := range victims[:min(len(victims), maxShedAtOnce)] {
 		switch {
+		case victims[i].class != shedLate && !manyIdle:
+			continue // it would free little, and the client may just send its next request
+		case victims[i].streaming && victims[i].late < streamGrace:
+			continue
 		case victims[i].streaming && streams > 0:
 			streams--
 		case excess <= 0 && crowded <= 0:
@@ -268,9 +281,9 @@
 	return c.shed
 }
 
-// acquireStream waits for a place in streams. It returns false if there is none within the
-// timeout.
-func (s *Server) acquireStream(timeout time.Duration) bool {
+// acquireStream waits for a place in streams. It returns false if none becomes free in
+// streamWait.
+func (s *Server) acquireStream() bool {
 	select {
 	case s.streams <- struct{}{}:
 		return true
@@ -279,7 +292,7 @@
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
 	s.signalShortage()
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(streamWait)
 	defer timer.Stop()
 	select {
 	case s.streams <- struct{}{}:
@@ -299,26 +312,47 @@
 	}
 }
 
+// turn is the result of awaitTurn.
+type turn uint8
+
+const (
+	turnFree   turn = iota // the request is not pipelined, or such requests have no limit
+	turnHeld               // the request holds a place in Server.pipelined
+	turnMissed             // no place has become free in time
+)
+
 // awaitTurn waits until a request that has begun to arrive may be read. A pipelined one may have
-// to wait. It reports whether the request holds a place in Server.pipelined.
-func (c *conn) awaitTurn(buffered bool) bool {
+// to wait for the time that a request may take to arrive: the connection's end is not noticed
+// meanwhile.
+func (c *conn) awaitTurn(buffered bool) turn {
 	c.awaitRoom()
 	if !c.server.limits.Strict {
-		return false
+		return turnFree
 	}
+	var timeout <-chan time.Time
 	for {
 		c.mu.Lock()
 		wait := (c.pending > 0 || buffered) && !c.closing
 		c.mu.Unlock()
 		if !wait {
-			return false
+			return turnFree
+		}
+		select {
+		case c.server.pipelined <- struct{}{}:
+			return turnHeld
+		default:
+		}
+		if timeout == nil {
+			timeout = time.After(c.server.bounds().headerTimeout)
 		}
 		select {
 		case c.server.pipelined <- struct{}{}:
-			return true
+			return turnHeld
 		case <-c.written: // the request may no longer be pipelined, or the connection ends
+		case <-timeout:
+			return turnMissed
 		case <-c.server.ended:
-			return false
+			return turnFree
 		}
 	}
 }
--- a/btconn/crowd.go
+++ b/btconn/crowd.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// replaceAge is the time that a connection has to be answered before it is replaced, unless
-	// crowdFactor times as many as allowed are open: in a burst of new connections the newest are
-	// not yet served when as many again have arrived.
-	replaceAge  = 250 * time.Millisecond
-	crowdFactor = 4
+	// replaceAge is the time that a connection has to be answered before it is replaced.
+	replaceAge = 250 * time.Millisecond
+
+	// crowdFactor is how many times as many connections as allowed are accepted in replaceAge.
+	// Beyond that new ones wait: in a burst the newest are not served yet when as many again have
+	// arrived, and would replace each other.
+	crowdFactor = 8
 )
 
 // CrowdListener accepts connections of which a bounded number is open. Beyond that, each new
@@ -36,25 +38,41 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	c := &crowdConn{Conn: socket, listener: l, active: now}
-	if replaced := l.add(c, now); replaced != nil {
-		l.Replaced.Add(1)
-		_ = replaced.Conn.Close()
+	c := &crowdConn{Conn: socket, listener: l, active: time.Now()}
+	for {
+		replaced, wait := l.add(c, time.Now())
+		if replaced != nil {
+			l.Replaced.Add(1)
+			_ = replaced.Conn.Close()
+		}
+		if wait <= 0 {
+			return c, nil
+		}
+		time.Sleep(wait)
 	}
-	return c, nil
 }
 
-// add adds a connection and returns the one that it replaces, nil if there is room.
-func (l *CrowdListener) add(c *crowdConn, now time.Time) *crowdConn {
+// add adds a connection and returns the one that it replaces, nil if there is room. If it has
+// to wait before, it returns for how long.
+func (l *CrowdListener) add(c *crowdConn, now time.Time) (*crowdConn, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var oldest *list.Element
+	if n := l.conns.Len(); n >= l.Most {
+		oldest = l.conns.Front()
+		young := replaceAge - now.Sub(oldest.Value.(*crowdConn).active) //nolint:forcetypeassert // the list holds nothing else
+		switch {
+		case young > 0 && n >= l.Most*crowdFactor:
+			return nil, young
+		case young > 0:
+			oldest = nil
+		}
+	}
 	c.element = l.conns.PushBack(c)
-	oldest := l.conns.Front()
-	if n := l.conns.Len(); n <= l.Most || (n <= l.Most*crowdFactor && now.Sub(oldest.Value.(*crowdConn).active) < replaceAge) { //nolint:forcetypeassert // the list holds nothing else
-		return nil
+	if oldest == nil {
+		return nil, 0
 	}
-	return l.remove(oldest)
+	return l.remove(oldest), 0
 }
 
 // remove removes a connection. The caller holds l.mu.
