--- a/btcaller/input.go
+++ b/btcaller/input.go
@@ -118,12 +118,14 @@
 
 // headScan finds the end of the head of a request in a buffer that grows.
 type headScan struct {
-	scanned int // bytes of the buffer that hold whole lines
-	lines   int // lines that are not empty
+	scanned int  // bytes of the buffer that hold whole lines
+	lines   int  // lines that are not empty
+	ended   bool // the last line that is not empty ends with CR LF, or is the request line
 	end     bool
 }
 
-// scan continues with a longer buffer. It ends at the first empty line after one that is not.
+// scan continues with a longer buffer. Like fasthttp's parser it ends at the first line that holds
+// only CR LF after one that ends with CR LF, or after the request line.
 func (s *headScan) scan(buffer []byte) {
 	for !s.end {
 		i := bytes.IndexByte(buffer[s.scanned:], '\n')
@@ -133,10 +135,13 @@
 		line := buffer[s.scanned : s.scanned+i]
 		s.scanned += i + 1
 		switch {
-		case len(bytes.TrimRight(line, "\r")) > 0:
+		case len(line) > 1 || (len(line) == 1 && line[0] != '\r'):
 			s.lines++
-		case s.lines > 0:
+			s.ended = s.lines == 1 || line[len(line)-1] == '\r'
+		case s.lines > 0 && s.ended && len(line) == 1:
 			s.end = true
+		case s.lines > 0:
+			s.ended = len(line) == 1
 		}
 	}
 }
