--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -43,6 +43,7 @@
 	pending   int  // requests that were read but not answered
 	reading   bool // a request has been read in part
 	streaming bool // the request that is read has a streamed body
+	place     bool // that request holds a place in Server.streams
 	used      bool // a request has been read
 	shed      bool // the connection was selected by Server.shed
 	closing   bool // no further request is read
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -130,15 +130,12 @@
 }
 
 // readBody reads a body of known length up to maxBufferedBody into memory, so
-// that it can be sent again, and sets up ex.stream for any other. It sets the body of req. It fails if the
-// body exceeds the limit, or has both a length and a transfer encoding.
+// that it can be sent again, and sets up ex.stream for any other. It sets the body of req.
+// It fails if the body exceeds the limit, or has both a length and a transfer encoding.
 func (c *conn) readBody(ex *exchange, in *fasthttp.Request, req *baobabtide.Request, limits bounds) error {
 	length := in.Header.ContentLength()
-	if length > 0 && len(in.Header.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
-		return errors.New("body has both a content length and a transfer encoding")
-	}
-	if length > limits.bodyBytes {
-		return baobabtide.Refuse(baobabtide.ReasonTooLarge, 0, fmt.Errorf("body of %d bytes exceeds %d", length, limits.bodyBytes))
+	if err := checkBody(in, length, limits); err != nil {
+		return err
 	}
 	streamed := length > maxBufferedBody || (length < 0 && length != noBody)
 	if streamed {
@@ -152,13 +149,32 @@
 		}
 	}
 	switch {
-	case length == noBody || length == 0:
-		return nil
-	case length > maxBufferedBody:
-		ex.stream = newStreamBody(c, &lengthReader{reader: c.reader, left: int64(length)}, int64(length), limits)
+	case streamed:
+		return c.streamBody(ex, in, req, limits)
 	case length > 0:
 		return c.bufferBody(ex, req, length)
-	default:
+	}
+	return nil
+}
+
+// checkBody returns an error for a body of invalid or too large a length.
+func checkBody(in *fasthttp.Request, length int, limits bounds) error {
+	if length > 0 && len(in.Header.Peek(fasthttp.HeaderTransferEncoding)) > 0 {
+		return errors.New("body has both a content length and a transfer encoding")
+	}
+	if length > limits.bodyBytes {
+		return baobabtide.Refuse(baobabtide.ReasonTooLarge, 0, fmt.Errorf("body of %d bytes exceeds %d", length, limits.bodyBytes))
+	}
+	return nil
+}
+
+// streamBody sets up ex.stream as the body of a request. Under a memory limit it reads the start,
+// so that a request whose caller sends little of the body takes no slot of a backend server.
+func (c *conn) streamBody(ex *exchange, in *fasthttp.Request, req *baobabtide.Request, limits bounds) error {
+	length := in.Header.ContentLength()
+	if length > 0 {
+		ex.stream = newStreamBody(c, &lengthReader{reader: c.reader, left: int64(length)}, int64(length), limits)
+	} else {
 		if len(in.Header.PeekTrailerKeys()) > 0 && c.reader.Size() < limits.headerBytes && !c.growReader(limits.headerBytes) {
 			return c.noMemory() // the trailers are parsed in the read buffer
 		}
@@ -169,7 +185,7 @@
 	}
 	ex.stream.deadline = req.Deadline
 	req.Body, req.BodyLength = ex.stream, ex.stream.length
-	if ex.streaming { // a request whose caller sends little of the body takes no slot of a backend server
+	if ex.streaming {
 		if err := ex.stream.readStart(); err != nil {
 			ex.stream = nil
 			return c.inputError(fmt.Errorf("body: %w", unexpectedEOF(err)))
@@ -185,6 +201,7 @@
 		late := c.readPace.pause(time.Now()) // the wait is not the caller's
 		ex.streaming = c.server.acquireStream()
 		c.readPace.resume(time.Now(), late)
+		c.setPlace(ex.streaming)
 		if !ex.streaming {
 			c.reportRefusal(ManyStreams, 0)
 			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many bodies arrive at the same time"))
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -188,18 +188,44 @@
 // weight orders victims of a class: what they hold, and for how long without progress.
 func (v *victim) weight() float64 { return float64(v.held) * v.late.Seconds() }
 
+// shortage is what shed has to free.
+type shortage struct {
+	excess   int64 // bytes
+	crowded  int   // connections
+	streams  int64 // places in Server.streams
+	manyIdle bool  // idle connections hold so much that they are shed as well
+}
+
+// take reports whether a victim is shed, and deducts what that frees.
+func (f *shortage) take(v *victim) bool {
+	switch {
+	case v.class != shedLate && !f.manyIdle:
+		return false // it would free little, and the client may just send its next request
+	case v.streaming && v.late < streamGrace:
+		return false
+	case v.streaming && f.streams > 0:
+		f.streams--
+	case f.excess <= 0 && f.crowded <= 0:
+		return false
+	}
+	f.excess -= v.held
+	f.crowded--
+	return true
+}
+
 // shed sheds the connections that hold the most for the longest without progress until the
 // budget is no longer short and connections are no longer too many. It reports whether it
 // has to be called again.
 func (s *Server) shed(now time.Time) bool {
-	if !s.limits.Budget.Limited() {
+	budget := s.limits.Budget
+	if !budget.Limited() {
 		return false
 	}
-	excess, crowded := s.limits.Budget.Excess(), s.crowded()
-	streams := s.waiting.Load()
-	if excess == 0 && crowded == 0 && streams == 0 {
+	f := shortage{excess: budget.Excess(), crowded: s.crowded(), streams: s.waiting.Load()}
+	if f.excess == 0 && f.crowded == 0 && f.streams == 0 {
 		return false
 	}
+	f.manyIdle = f.crowded > 0 || budget.UsedFor(btbudget.Connection) > budget.Limit()/idleDivisor
 	conns := s.openConns()
 	victims := make([]victim, 0, len(conns))
 	for _, c := range conns {
@@ -213,37 +239,23 @@
 		}
 		return cmp.Compare(b.weight(), a.weight())
 	})
-	manyIdle := crowded > 0 || s.limits.Budget.UsedFor(btbudget.Connection) > s.limits.Budget.Limit()/idleDivisor
 	for i := range victims[:min(len(victims), maxShedAtOnce)] {
-		switch {
-		case victims[i].class != shedLate && !manyIdle:
-			continue // it would free little, and the client may just send its next request
-		case victims[i].streaming && victims[i].late < streamGrace:
-			continue
-		case victims[i].streaming && streams > 0:
-			streams--
-		case excess <= 0 && crowded <= 0:
-			continue
+		if f.take(&victims[i]) {
+			victims[i].conn.shedAs(&victims[i], now)
 		}
-		excess -= victims[i].held
-		crowded--
-		victims[i].conn.shedAs(&victims[i])
 	}
 	return true
 }
 
 // victim returns the connection as one that may be shed, false if it may not.
 func (c *conn) victim(now time.Time) (victim, bool) {
-	reading, writing := c.readPace.late(now), c.writePace.late(now)
-	if reading == 0 && writing == 0 {
-		return victim{}, false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.shed {
+	reading, writing := c.readPace.late(now), c.writePace.late(now)
+	if c.shed || (reading == 0 && writing == 0) {
 		return victim{}, false
 	}
-	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.streaming}
+	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.place}
 	switch {
 	case v.writing || c.reading || c.pending > 0:
 	case c.used:
@@ -254,10 +266,15 @@
 	return v, true
 }
 
-// shedAs refuses the request that is read from the connection, or closes the connection.
-func (c *conn) shedAs(v *victim) {
+// shedAs refuses the request that is read from the connection, or closes the connection, unless
+// it is no longer late.
+func (c *conn) shedAs(v *victim, now time.Time) {
 	reason := SlowRequest
 	c.mu.Lock()
+	if c.readPace.late(now) == 0 && c.writePace.late(now) == 0 {
+		c.mu.Unlock()
+		return
+	}
 	c.shed = true
 	switch {
 	case v.writing:
@@ -304,10 +321,18 @@
 	}
 }
 
+// setPlace records whether the request that is read holds a place in Server.streams.
+func (c *conn) setPlace(held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.place = held
+}
+
 // releaseStream releases the place of an exchange in streams, if it has one.
 func (s *Server) releaseStream(ex *exchange) {
 	if ex.streaming {
 		ex.streaming = false
+		ex.conn.setPlace(false)
 		<-s.streams
 	}
 }
--- a/btcaller/shed_test.go
+++ b/btcaller/shed_test.go
@@ -32,13 +32,13 @@
 
 // startLimited serves callers with a handler that reads bodies, and returns the server, its
 // address and the number of requests and bytes of bodies that the handler got.
-func startLimited(t *testing.T, limits Limits) (server *Server, address string, requests, bytes *atomic.Int64) {
+func startLimited(t *testing.T, limits Limits) (*Server, string, *atomic.Int64, *atomic.Int64) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	requests, bytes = new(atomic.Int64), new(atomic.Int64)
+	requests, bytes := new(atomic.Int64), new(atomic.Int64)
 	handler := handlerFunc(func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
 		requests.Add(1)
 		if req.Body != nil {
--- a/btconn/crowd_test.go
+++ b/btconn/crowd_test.go
@@ -18,14 +18,15 @@
 	}
 	l := &CrowdListener{Listener: inner, Most: 3}
 	defer l.Close()
-	connect := func() (client, server net.Conn) {
+	connect := func() (net.Conn, net.Conn) {
 		t.Helper()
 		client, err := net.Dial("tcp", inner.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = client.Close() })
-		if server, err = l.Accept(); err != nil {
+		server, err := l.Accept()
+		if err != nil {
 			t.Fatal(err)
 		}
 		return client, server
