--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -30,11 +30,18 @@
 
 	minBodyRate = 1 << 10 // bytes a second of a streamed body under a memory limit, after the first timeout
 
+	// streamGrace is how late a streamed body must be before it is shed. Each that is given up costs
+	// a failed run at a backend server. With 1 s the stalled runs raised the estimate of the run time
+	// so far that other requests of the route were refused as too slow.
+	streamGrace = 50 * time.Millisecond
+	streamWait  = time.Second // of a request for its body to be read
+
 	shedPeriod    = 100 * time.Millisecond // between two searches for connections to shed
 	unusedGrace   = time.Second            // for the first request on a connection, while the budget is short
 	idleGrace     = 5 * time.Second        // for a further request on a connection, while the budget is short
 	crowdedNum    = 7                      // late connections are closed when more than 7/8 of the
 	crowdedDen    = 8                      // allowed ones are open
+	idleDivisor   = 2                      // idle connections are closed only while connections hold more than half the budget
 	maxShedAtOnce = 512                    // connections in one search, so that it does not delay others
 )
 
@@ -49,6 +56,7 @@
 	SlowReader  RefusalReason = "slow-reader"  // the caller did not read its responses
 	IdleCaller  RefusalReason = "idle"         // the connection was idle while the budget was short
 	ManyFields  RefusalReason = "many-fields"  // the request had too many header fields
+	Pipelining  RefusalReason = "pipelining"   // too many pipelined requests waited
 	ManyStreams RefusalReason = "streams"      // too many large bodies arrived at the same time
 	ManyConns   RefusalReason = "connections"  // too many connections were open
 )
@@ -180,18 +188,44 @@
 // weight orders victims of a class: what they hold, and for how long without progress.
 func (v *victim) weight() float64 { return float64(v.held) * v.late.Seconds() }
 
+// shortage is what shed has to free.
+type shortage struct {
+	excess   int64 // bytes
+	crowded  int   // connections
+	streams  int64 // places in Server.streams
+	manyIdle bool  // idle connections hold so much that they are shed as well
+}
+
+// take reports whether a victim is shed, and deducts what that frees.
+func (f *shortage) take(v *victim) bool {
+	switch {
+	case v.class != shedLate && !f.manyIdle:
+		return false // it would free little, and the client may just send its next request
+	case v.streaming && v.late < streamGrace:
+		return false
+	case v.streaming && f.streams > 0:
+		f.streams--
+	case f.excess <= 0 && f.crowded <= 0:
+		return false
+	}
+	f.excess -= v.held
+	f.crowded--
+	return true
+}
+
 // shed sheds the connections that hold the most for the longest without progress until the
 // budget is no longer short and connections are no longer too many. It reports whether it
 // has to be called again.
 func (s *Server) shed(now time.Time) bool {
-	if !s.limits.Budget.Limited() {
+	budget := s.limits.Budget
+	if !budget.Limited() {
 		return false
 	}
-	excess, crowded := s.limits.Budget.Excess(), s.crowded()
-	streams := s.waiting.Load()
-	if excess == 0 && crowded == 0 && streams == 0 {
+	f := shortage{excess: budget.Excess(), crowded: s.crowded(), streams: s.waiting.Load()}
+	if f.excess == 0 && f.crowded == 0 && f.streams == 0 {
 		return false
 	}
+	f.manyIdle = f.crowded > 0 || budget.UsedFor(btbudget.Connection) > budget.Limit()/idleDivisor
 	conns := s.openConns()
 	victims := make([]victim, 0, len(conns))
 	for _, c := range conns {
@@ -206,31 +240,22 @@
 		return cmp.Compare(b.weight(), a.weight())
 	})
 	for i := range victims[:min(len(victims), maxShedAtOnce)] {
-		switch {
-		case victims[i].streaming && streams > 0:
-			streams--
-		case excess <= 0 && crowded <= 0:
-			continue
+		if f.take(&victims[i]) {
+			victims[i].conn.shedAs(&victims[i], now)
 		}
-		excess -= victims[i].held
-		crowded--
-		victims[i].conn.shedAs(&victims[i])
 	}
 	return true
 }
 
 // victim returns the connection as one that may be shed, false if it may not.
 func (c *conn) victim(now time.Time) (victim, bool) {
-	reading, writing := c.readPace.late(now), c.writePace.late(now)
-	if reading == 0 && writing == 0 {
-		return victim{}, false
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.shed {
+	reading, writing := c.readPace.late(now), c.writePace.late(now)
+	if c.shed || (reading == 0 && writing == 0) {
 		return victim{}, false
 	}
-	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.streaming}
+	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.place}
 	switch {
 	case v.writing || c.reading || c.pending > 0:
 	case c.used:
@@ -241,10 +266,15 @@
 	return v, true
 }
 
-// shedAs refuses the request that is read from the connection, or closes the connection.
-func (c *conn) shedAs(v *victim) {
+// shedAs refuses the request that is read from the connection, or closes the connection, unless
+// it is no longer late.
+func (c *conn) shedAs(v *victim, now time.Time) {
 	reason := SlowRequest
 	c.mu.Lock()
+	if c.readPace.late(now) == 0 && c.writePace.late(now) == 0 {
+		c.mu.Unlock()
+		return
+	}
 	c.shed = true
 	switch {
 	case v.writing:
@@ -268,9 +298,9 @@
 	return c.shed
 }
 
-// acquireStream waits for a place in streams. It returns false if there is none within the
-// timeout.
-func (s *Server) acquireStream(timeout time.Duration) bool {
+// acquireStream waits for a place in streams. It returns false if none becomes free in
+// streamWait.
+func (s *Server) acquireStream() bool {
 	select {
 	case s.streams <- struct{}{}:
 		return true
@@ -279,7 +309,7 @@
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
 	s.signalShortage()
-	timer := time.NewTimer(timeout)
+	timer := time.NewTimer(streamWait)
 	defer timer.Stop()
 	select {
 	case s.streams <- struct{}{}:
@@ -291,34 +321,63 @@
 	}
 }
 
+// setPlace records whether the request that is read holds a place in Server.streams.
+func (c *conn) setPlace(held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.place = held
+}
+
 // releaseStream releases the place of an exchange in streams, if it has one.
 func (s *Server) releaseStream(ex *exchange) {
 	if ex.streaming {
 		ex.streaming = false
+		ex.conn.setPlace(false)
 		<-s.streams
 	}
 }
 
+// turn is the result of awaitTurn.
+type turn uint8
+
+const (
+	turnFree   turn = iota // the request is not pipelined, or such requests have no limit
+	turnHeld               // the request holds a place in Server.pipelined
+	turnMissed             // no place has become free in time
+)
+
 // awaitTurn waits until a request that has begun to arrive may be read. A pipelined one may have
-// to wait. It reports whether the request holds a place in Server.pipelined.
-func (c *conn) awaitTurn(buffered bool) bool {
+// to wait for the time that a request may take to arrive: the connection's end is not noticed
+// meanwhile.
+func (c *conn) awaitTurn(buffered bool) turn {
 	c.awaitRoom()
 	if !c.server.limits.Strict {
-		return false
+		return turnFree
 	}
+	var timeout <-chan time.Time
 	for {
 		c.mu.Lock()
 		wait := (c.pending > 0 || buffered) && !c.closing
 		c.mu.Unlock()
 		if !wait {
-			return false
+			return turnFree
+		}
+		select {
+		case c.server.pipelined <- struct{}{}:
+			return turnHeld
+		default:
+		}
+		if timeout == nil {
+			timeout = time.After(c.server.bounds().headerTimeout)
 		}
 		select {
 		case c.server.pipelined <- struct{}{}:
-			return true
+			return turnHeld
 		case <-c.written: // the request may no longer be pipelined, or the connection ends
+		case <-timeout:
+			return turnMissed
 		case <-c.server.ended:
-			return false
+			return turnFree
 		}
 	}
 }
