btadmit: refuse waiters at once that would be late and miss their deadlines

Requests that can no longer meet their objective go last, so with more work offered than the slots can do they waited for their deadline in vain. They are refused when they become late, with the time to come back, and may still go to another target.

--- a/btadmit/mixed_test.go
+++ b/btadmit/mixed_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/baobabtide/baobabtide"
 )
 
 // newLoad returns a load. Times are in milliseconds.
@@ -154,3 +156,30 @@
 		}
 	}
 }
+
+// With more work offered than the slots can do, a request that can no longer meet its objective
+// waited for its deadline in vain, when it could no longer go to another target.
+func TestOvertimeWaiterIsRefusedAtOnce(t *testing.T) {
+	for offered, want := range map[int]baobabtide.Reason{1: "", 20: baobabtide.ReasonOverload} {
+		q := NewQueue(1)
+		for range 20 {
+			q.RecordRun("r", 100*time.Millisecond, false)
+		}
+		request := Ticket{Route: "r", Deadline: now.Add(time.Minute)}
+		running := offer(t, q, request)
+		if !isReady(running) {
+			t.Fatal("no slot")
+		}
+		waiting := offer(t, q, Ticket{Route: "r", Objective: now.Add(400 * time.Millisecond), Deadline: now.Add(2 * time.Second)})
+		for range offered {
+			_, _ = q.Offer(Ticket{Route: "r", Call: true, Deadline: now.Add(time.Minute)}, now)
+		}
+		q.Release(&request, 0, now.Add(350*time.Millisecond))
+		switch {
+		case want == "" && isReady(waiting):
+			t.Errorf("%d offered: refused or granted, want it to wait", offered)
+		case want != "" && (!isReady(waiting) || reason(waiting.Refusal()) != want || waiting.Refusal().RetryAfter <= 0):
+			t.Errorf("%d offered: not refused with %s", offered, want)
+		}
+	}
+}
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -361,21 +361,36 @@
 	q.scheduleTurn(now)
 }
 
-// expire refuses the waiters that can no longer be answered before their deadlines, and marks
-// those that can no longer meet their objectives.
+// expire refuses the waiters that have become hopeless.
 func (q *Queue) expire(now time.Time) {
 	relative := q.report.relativeTime(now)
 	for i := len(q.waiting) - 1; i >= 0; i-- {
-		t := &q.waiting[i].ticket
-		runTime := relative * float64(q.stats.RunTime(t.Route))
-		if now.Add(time.Duration(expireMargin * runTime)).After(t.Deadline) {
-			q.refuse(i, q.refusal(baobabtide.ReasonDeadline, t, 0, now))
-			continue
+		w := q.waiting[i]
+		runTime := time.Duration(relative * float64(q.stats.RunTime(w.ticket.Route)))
+		if refusal := q.refuseHopeless(w, runTime, now); refusal != nil {
+			q.refuse(i, refusal)
 		}
-		q.waiting[i].overtime = !t.Objective.IsZero() && now.Add(time.Duration(runTime)).After(t.Objective)
 	}
 }
 
+// refuseHopeless returns a refusal for a waiter that can no longer be answered before its
+// deadline. Once a waiter can no longer meet its objective, all others that can go before it, so
+// that it is refused if that takes it past the deadline: it may still go to another target.
+func (q *Queue) refuseHopeless(w *Waiter, runTime time.Duration, now time.Time) *baobabtide.RequestError {
+	t := &w.ticket
+	if now.Add(time.Duration(expireMargin * float64(runTime))).After(t.Deadline) {
+		return q.refusal(baobabtide.ReasonDeadline, t, 0, now)
+	}
+	if w.overtime || t.Objective.IsZero() || !now.Add(runTime).After(t.Objective) {
+		return nil
+	}
+	w.overtime = true
+	if f := q.forecast(w, runTime, now); !t.Call && f.missesDeadline(t, now) {
+		return q.refusal(baobabtide.ReasonOverload, t, q.retryAfter(t, f.untilEnd(), now), now)
+	}
+	return nil
+}
+
 // next returns the index of the waiter to admit next, -1 if the free slot is kept for requests
 // that are still to come. The queue must not be empty.
 func (q *Queue) next(now time.Time) int {
