btroute: the replay of uneven servers releases tickets

Cause: btadmit's Release takes the ticket since the runs of a queue are counted by route. Change: the replay passes it. Result: tests of btroute, btdispatch, btadmit, btlocal and btcaller pass.

--- a/btroute/uneven_test.go
+++ b/btroute/uneven_test.go
@@ -265,7 +265,7 @@
 		f.after(took, func(time.Time) {
 			t.running--
 			t.queue.RecordRun("read", took, false)
-			t.queue.Release("c", took, f.now)
+			t.queue.Release(&btadmit.Ticket{Customer: "c", Route: "read"}, took, f.now)
 			load := t.queue.Load("read", f.now)
 			if f.noisy && f.reports {
 				load.Work = time.Duration(float64(f.runTime) / t.speed)
