btquota: late answers are no loss of the coordinator

Totals replace counts since the last report, which were counted twice if an answer came too late, and a coordinator whose predecessor answers sends nodes back to it.

--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -194,10 +194,9 @@
 			}
 			return
 		}
-		a.meter.Doubt()
 		r.first, r.firstSince = (r.first+1)%len(candidates), now
 	}
-	a.meter.Unanswered(time.Now())
+	a.meter.Unanswered()
 	n.recordUsageUnanswered(now)
 	n.sleep(btquota.Period)
 }
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -170,19 +170,23 @@
 	}
 	c.begin(r, now)
 	s := c.source(r.Node, r.Process, r.Zone, false)
+	silent := age(s.at, now) > freshFor
 	s.at = now
 	for i := range r.Rows {
 		row := &r.Rows[i]
 		if k, ok := c.index[row.Account]; ok {
+			used := s.rows[k].usedSince(row, silent, r.Moved)
 			s.rows[k].update(float64(row.Demand), now)
-			c.accounts[k].own += row.Used
-			c.accounts[k].level -= float64(row.Used)
+			c.accounts[k].own += used
+			c.accounts[k].level -= float64(used)
 		}
 	}
 	c.combine(now, false)
-	answer.Ready = c.ready(now)
-	answer.Yield = !c.precededAt.IsZero() && age(c.precededAt, now) <= freshFor
-	answer.Shares = c.shares(r, s)
+	answer.Yield = c.preceded(now)
+	answer.Ready = c.ready(now) && !answer.Yield
+	if answer.Ready {
+		answer.Shares = c.shares(r, s)
+	}
 	return answer
 }
 
@@ -254,6 +258,22 @@
 	return s
 }
 
+// usedSince returns what a node used since its last report on an account. Of one that was silent, the
+// share was reserved. What it used before it moved here, another coordinator has counted.
+func (r *sourceRow) usedSince(row *Row, silent, moved bool) int64 {
+	used := row.Used - r.used
+	switch {
+	case !r.counted && moved:
+		used = 0
+	case !r.counted:
+		used = min(used, int64(math.Ceil(float64(row.Demand)*rateTime.Seconds())))
+	case silent && r.demand > 0:
+		used = 0
+	}
+	r.used, r.counted = row.Used, true
+	return used
+}
+
 // update records the demand of a source.
 func (r *sourceRow) update(demand float64, now time.Time) {
 	if !r.at.IsZero() {
@@ -379,6 +399,9 @@
 		return false
 	}
 	equal := 1 / float64(max(c.members, 1))
+	if !s.coordinator && silence > fresh && c.preceded(now) {
+		return false // the preceding candidate reserves its share
+	}
 	lost := !s.coordinator && silence > fresh && slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
 	for k := range s.rows {
 		row, a := &s.rows[k], &c.accounts[k]
@@ -484,10 +507,16 @@
 	}
 }
 
+// preceded reports whether a candidate of the zone that precedes this one answers, so that the zone's
+// nodes only need to find their way back to it.
+func (c *Coordinator) preceded(now time.Time) bool {
+	return !c.precededAt.IsZero() && age(c.precededAt, now) <= freshFor
+}
+
 // unknown returns the part of each limit that is reserved for the members of the zone that have not
 // reported since this coordinator took over. They may be cut off together with the earlier one.
 func (c *Coordinator) unknown(now time.Time) float64 {
-	if c.takenAt.IsZero() || now.Sub(c.takenAt) > holdFor || c.members == 0 {
+	if c.takenAt.IsZero() || now.Sub(c.takenAt) > holdFor || c.members == 0 || c.preceded(now) {
 		return 0
 	}
 	count := 0
--- a/btquota/message.go
+++ b/btquota/message.go
@@ -31,7 +31,7 @@
 	Account uint64
 	Demand  float32 // requests per second, including refused ones; 0 ends the reports on an account
 	Held    float32 // part of the limit that the sender reserves for nodes that have gone silent
-	Used    int64   // admitted requests less those that did not run: since the last answered report, or of a coordinator in total
+	Used    int64   // admitted requests less those that did not run, in total of the process
 }
 
 // Answer is the response to a Report. That to a coordinator holds only Rows, that to a node only
