btadmit: hold the slot of a canceled request only if the server reports

One reset connection made a queue take its server for one that reports, so that canceled requests held slots which nothing gave back before a run's time had passed.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -338,7 +338,7 @@
 		return
 	}
 	q.stats.RecordFailure()
-	if !q.stats.hasRun() || !q.report.foreignAt.IsZero() {
+	if !q.stats.hasRun() || q.report.received {
 		foreign := q.slots - (q.inFlight - 1)
 		q.report.setForeign(foreign, foreign, now)
 	}
--- a/btadmit/report.go
+++ b/btadmit/report.go
@@ -21,6 +21,7 @@
 // serverReport is what the reports of a backend server say. The zero value is a server that
 // reports nothing.
 type serverReport struct {
+	received    bool      // the server reports its load
 	serviceTime float64   // latest one, 0 for none
 	mean        float64   // of the service times at the end of each run, 0 if none was reported
 	at          time.Time // of the latest service time
@@ -40,6 +41,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := &q.report
+	s.received = true
 	if r.ServiceTime > 0 {
 		s.serviceTime, s.at = r.ServiceTime, now
 		if s.mean == 0 {
@@ -73,7 +75,7 @@
 
 // addForeign adds a request of the queue that may go on at the server.
 func (q *Queue) addForeign(now time.Time) {
-	if s := &q.report; !s.foreignAt.IsZero() {
+	if s := &q.report; s.received {
 		foreign := min(q.foreign(now)+1, q.slots)
 		s.setForeign(foreign, foreign, now)
 	}
--- a/btadmit/report_test.go
+++ b/btadmit/report_test.go
@@ -102,6 +102,39 @@
 	}
 }
 
+// A request that is canceled after it was sent holds its slot until the next report, but only at
+// a server that reports: nothing else would tell that it has ended.
+func TestCanceledRequestHoldsItsSlotUntilTheNextReport(t *testing.T) {
+	for name, tt := range map[string]struct {
+		reports, reset bool
+		want           int
+	}{
+		"reports":        {true, false, 1},
+		"no reports":     {false, false, 0},
+		"only one reset": {false, true, 0},
+	} {
+		q := NewQueue(6)
+		request := ticket("a", 0)
+		if tt.reset {
+			offer(t, q, request)
+			q.RecordReset(now.Add(-time.Second))
+			q.Release(&request, 0, now)
+		}
+		if tt.reports {
+			q.RecordReport(Report{}, now)
+		}
+		offer(t, q, request)
+		q.Abandon(&request, 0, now)
+		if got := q.Load("", now).InFlight; got != tt.want {
+			t.Errorf("%s: %d requests run after the cancellation, want %d", name, got, tt.want)
+		}
+		q.RecordReport(Report{}, now)
+		if got := q.Load("", now).InFlight; got != 0 {
+			t.Errorf("%s: %d requests run after a report of none", name, got)
+		}
+	}
+}
+
 // A server that reports more requests than there are, for as long as it runs, lost most of its
 // slots.
 func TestServerThatAlwaysReportsForeignRuns(t *testing.T) {
