btadmit: the order by slot time applies where requests have accounts

Change: Queue.BySlotTime switches it on, set by the first request of an account. Without it the order is the former one: one grant in six for lower priorities, no kept slots, no overtime, whole run samples. Result: tests pass; those of the order by slot time set it.

--- a/btadmit/mixed_test.go
+++ b/btadmit/mixed_test.go
@@ -40,6 +40,7 @@
 	counts := make(map[string]*outcomeCounts)
 	for seed := range uint64(3) {
 		r := newReplay(slots, seed)
+		r.queue.BySlotTime = true
 		if prepare != nil {
 			prepare(r)
 		}
@@ -109,6 +110,7 @@
 // nor stay free when it is the short runs that arrive.
 func TestKeptSlot(t *testing.T) {
 	q := NewQueue(3)
+	q.BySlotTime = true
 	for range 20 {
 		q.RecordRun("long", time.Second, false)
 		q.RecordRun("short", 20*time.Millisecond, false)
@@ -144,6 +146,7 @@
 func TestOvertimeGoesLast(t *testing.T) {
 	for _, call := range []bool{false, true} {
 		q := NewQueue(1)
+		q.BySlotTime = true
 		for range 20 {
 			q.RecordRun("r", 50*time.Millisecond, false)
 		}
@@ -165,6 +168,7 @@
 func TestOvertimeWaiterIsRefusedAtOnce(t *testing.T) {
 	for offered, want := range map[int]baobabtide.Reason{1: "", 20: baobabtide.ReasonOverload} {
 		q := NewQueue(1)
+		q.BySlotTime = true
 		for range 20 {
 			q.RecordRun("r", 100*time.Millisecond, false)
 		}
--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -82,6 +82,13 @@
 	// called. It must not block or call the queue.
 	Alarm func(wait time.Duration)
 
+	// BySlotTime gives lower priorities a share of the slot time in place of one of so many grants,
+	// keeps slots from long runs, and lets waiters that have become late go last. It earns more
+	// where requests of very different run times share a server and late responses are worth
+	// little, and less where they are worth as much as half. The queue sets it with the first
+	// request of an account. It must be set before the first call of a method.
+	BySlotTime bool
+
 	mu             sync.Mutex
 	turns          *rate.Limiter // of the grants, nil for no limit
 	namedLimit     float64       // requests per second that the backend server accepts, 0 for no limit
@@ -97,6 +104,7 @@
 	runs           routeCounts
 	waiting        []*Waiter      // in order of arrival
 	running        map[string]int // running requests by customer
+	grants         int            // slots granted so far
 	accounts       accountTable
 	lowCredit      time.Duration    // slot time due to waiters of lower priorities
 	offered        demand           // of all offered requests except those marked Late
@@ -131,6 +139,9 @@
 	if !now.Before(t.Deadline) {
 		return nil, q.refusal(baobabtide.ReasonDeadline, &t, 0, now)
 	}
+	if t.Account != "" {
+		q.BySlotTime = true
+	}
 	q.updateRate(now)
 	runTime := q.runTime(t.Route, now)
 	if !t.Late {
@@ -218,6 +229,7 @@
 	q.grantOffsetSum += now.Sub(q.epoch)
 	q.runs.add(t.Route)
 	q.running[t.Customer]++
+	q.grants++
 }
 
 // evict refuses the newest waiter of the lowest priority if that priority is below
@@ -305,7 +317,16 @@
 func (q *Queue) RecordRun(route string, took time.Duration, failed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.stats.RecordRun(route, took, failed)
+	q.stats.RecordRun(route, q.runSample(route, took), failed)
+}
+
+// runSample returns the run time to record for a run. By slot time, a run counts as a few expected
+// ones at most, so that single long runs don't keep short ones of the same route out.
+func (q *Queue) runSample(route string, took time.Duration) time.Duration {
+	if expected := q.stats.routes[route]; q.BySlotTime && expected > 0 {
+		return min(took, time.Duration(maxRunSample*expected))
+	}
+	return took
 }
 
 // RecordShed records that the backend server refused to run an admitted request. If most
@@ -384,7 +405,7 @@
 	if now.Add(time.Duration(expireMargin * float64(runTime))).After(t.Deadline) {
 		return q.refusal(baobabtide.ReasonDeadline, t, 0, now)
 	}
-	if w.overtime || t.Objective.IsZero() || !now.Add(runTime).After(t.Objective) {
+	if !q.BySlotTime || w.overtime || t.Objective.IsZero() || !now.Add(runTime).After(t.Objective) {
 		return nil
 	}
 	w.overtime = true
@@ -398,6 +419,9 @@
 // that are still to come. The queue must not be empty.
 func (q *Queue) next(now time.Time) int {
 	best := q.first(nil)
+	if !q.BySlotTime {
+		return q.nextByGrants(best)
+	}
 	t := &q.waiting[best].ticket
 	if lower := q.first(q.waiting[best]); lower >= 0 {
 		if cost := q.stats.RunTime(q.waiting[lower].ticket.Route); q.lowCredit >= cost {
@@ -417,6 +441,17 @@
 	return best
 }
 
+// nextByGrants returns the index of the best waiter, or in one of lowPriorityInterval grants that
+// of a lower priority.
+func (q *Queue) nextByGrants(best int) int {
+	if q.grants%lowPriorityInterval == lowPriorityInterval-1 {
+		if lower := q.first(q.waiting[best]); lower >= 0 {
+			return lower
+		}
+	}
+	return best
+}
+
 // creditLower adds what waiters of lower priorities are due for the grant of a ticket.
 func (q *Queue) creditLower(t *Ticket) {
 	q.lowCredit += q.stats.RunTime(t.Route) / (lowPriorityInterval - 1)
--- a/btadmit/report.go
+++ b/btadmit/report.go
@@ -107,7 +107,7 @@
 	if q.report.mean > 0 {
 		q.report.mean = smooth(q.report.mean, relative)
 	}
-	q.stats.RecordRun(route, time.Duration(float64(took)/relative), failed)
+	q.stats.RecordRun(route, q.runSample(route, time.Duration(float64(took)/relative)), failed)
 }
 
 // foreign returns the number of requests at the server that are not the queue's: those of the
--- a/btadmit/reserve.go
+++ b/btadmit/reserve.go
@@ -13,6 +13,9 @@
 // goesFirst reports whether a ticket that arrives goes before all waiters and may have the next
 // free slot. Slots are free while requests wait only if they are kept from these.
 func (q *Queue) goesFirst(t *Ticket, now time.Time) bool {
+	if !q.BySlotTime {
+		return len(q.waiting) == 0
+	}
 	for _, w := range q.waiting {
 		if w.ticket.Priority >= t.Priority {
 			return false
@@ -26,6 +29,9 @@
 // requests of the higher priority wait for the end of one of them, which may be longer than
 // their objective.
 func (q *Queue) keepsSlot(t *Ticket, now time.Time) bool {
+	if !q.BySlotTime {
+		return false
+	}
 	limit := int(q.limit) - q.foreign(now)
 	if t.Call || limit-q.inFlight > q.keptSlots(limit, now) {
 		return false
--- a/btadmit/runstats.go
+++ b/btadmit/runstats.go
@@ -30,9 +30,6 @@
 	if failed {
 		return
 	}
-	if expected := s.routes[route]; expected > 0 {
-		took = min(took, time.Duration(maxRunSample*expected))
-	}
 	s.mean = smooth(s.mean, float64(took))
 	if s.routes == nil {
 		s.routes = make(map[string]float64)
