--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -99,7 +99,7 @@
 	n.accounts.mu.Lock()
 	members := n.accounts.members
 	n.accounts.mu.Unlock()
-	n.accounts.coordinator.SetLimits(limits)
+	n.accounts.coordinator.SetLimits(limits, now)
 	n.accounts.meter.SetLimits(limits, members, now)
 	n.accounts.changed.signal()
 }
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -79,9 +79,12 @@
 
 // SetLimits replaces the limits. An account that keeps its name keeps the level of its bucket, up to
 // the new size.
-func (c *Coordinator) SetLimits(limits []Limit) {
+func (c *Coordinator) SetLimits(limits []Limit, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.started.IsZero() {
+		c.started = now
+	}
 	accounts := make([]account, len(limits))
 	index := make(map[uint64]int, len(limits))
 	for i, limit := range limits {
@@ -193,9 +196,6 @@
 // begin records the time of a report. A coordinator that takes over from another one does not know
 // the use of the last seconds, so its buckets begin with the reserve only.
 func (c *Coordinator) begin(r *Report, now time.Time) {
-	if c.started.IsZero() {
-		c.started = now
-	}
 	if age(c.lastSeen, now) > freshFor {
 		c.begun = now
 		c.takenAt = time.Time{}
@@ -427,8 +427,8 @@
 	return true
 }
 
-// correction returns the factor between the demand and its measured value shortly after the first
-// report. Nothing is known from before, which counts as no demand. A coordinator that takes over gets
+// correction returns the factor between the demand and its measured value shortly after the start of
+// all nodes. Nothing is known from before, which counts as no demand. A coordinator that takes over gets
 // values that are not measured from zero.
 func (c *Coordinator) correction(now time.Time) float64 {
 	since := now.Sub(c.started)
