btadmit: only servers that report their service time hold slots for requests that the node doesn't know

Change: reports without a service time no longer count requests beyond the queue's own; they still tell whether a server that refuses has free slots.

--- a/btadmit/queue.go
+++ b/btadmit/queue.go
@@ -362,7 +362,7 @@
 		return
 	}
 	q.stats.RecordFailure()
-	if !q.stats.hasRun() || q.report.received {
+	if !q.stats.hasRun() || q.report.mean > 0 {
 		foreign := q.slots - (q.inFlight - 1)
 		q.report.setForeign(foreign, foreign, now)
 	}
--- a/btadmit/report.go
+++ b/btadmit/report.go
@@ -22,14 +22,14 @@
 // serverReport is what the reports of a backend server say. The zero value is a server that
 // reports nothing.
 type serverReport struct {
-	received    bool      // the server reports its load
 	serviceTime float64   // latest one, 0 for none
 	mean        float64   // of the service times at the end of each run, 0 if none was reported
 	at          time.Time // of the latest service time
 	requests    int       // in the latest report
+	reportedAt  time.Time // of the latest report
 	excess      int       // requests beyond the node's own in the latest report
 	foreign     int       // the lesser excess of the latest two reports, or that of a refusal
-	foreignAt   time.Time // of the latest report
+	foreignAt   time.Time // when foreign was set
 	excessSince time.Time // of the first report in succession with an excess
 }
 
@@ -38,12 +38,12 @@
 // an earlier process of the node, or were canceled while the server goes on with them. They
 // hold slots. A request that ended between the writing and the reading of a report is in the
 // report only, so the excess counts only if the report before showed it too, or if the server
-// refuses a request.
+// refuses a request. Only servers that report their service time share their VM with others and
+// are taken to hold requests that the queue does not know.
 func (q *Queue) RecordReport(r Report, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := &q.report
-	s.received = true
 	if r.ServiceTime > 0 {
 		s.serviceTime, s.at = r.ServiceTime, now
 		if s.mean == 0 {
@@ -51,7 +51,10 @@
 			q.stats.scale(1 / r.ServiceTime)
 		}
 	}
-	s.requests = r.Requests
+	s.requests, s.reportedAt = r.Requests, now
+	if s.mean == 0 {
+		return
+	}
 	own := q.inFlight
 	if r.Refused {
 		own--
@@ -79,12 +82,12 @@
 // hasCapacity reports whether the backend server has just reported fewer requests than slots.
 func (q *Queue) hasCapacity(now time.Time) bool {
 	s := &q.report
-	return !s.foreignAt.IsZero() && now.Sub(s.foreignAt) <= freshReport && s.requests < q.slots
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= freshReport && s.requests < q.slots
 }
 
 // addForeign adds a request of the queue that may go on at the server.
 func (q *Queue) addForeign(now time.Time) {
-	if s := &q.report; s.received {
+	if s := &q.report; s.mean > 0 {
 		foreign := min(q.foreign(now)+1, q.slots)
 		s.setForeign(foreign, foreign, now)
 	}
