--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -44,6 +44,7 @@
 	reading   bool // a request has been read in part
 	streaming bool // the request that is read has a streamed body
 	place     bool // that request holds a place in Server.streams
+	relaying  bool // a response is read from the backend server while it is written
 	used      bool // a request has been read
 	shed      bool // the connection was selected by Server.shed
 	closing   bool // no further request is read
--- a/btcaller/conn_write.go
+++ b/btcaller/conn_write.go
@@ -137,6 +137,8 @@
 			ex.release()
 			return err
 		}
+		c.setRelaying(true)
+		defer c.setRelaying(false)
 	}
 	err := ex.resp.Write(c.writer)
 	ex.release()
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -182,6 +182,7 @@
 	held    int64
 	writing bool
 
+	relaying  bool // its response is read from the backend server while it is written, which holds a slot
 	streaming bool // its body takes the place of others in Server.streams
 }
 
@@ -203,6 +204,7 @@
 		return false // it would free little, and the client may just send its next request
 	case v.streaming && v.late < streamGrace:
 		return false
+	case v.relaying && v.writing:
 	case v.streaming && f.streams > 0:
 		f.streams--
 	case f.excess <= 0 && f.crowded <= 0:
@@ -255,7 +257,7 @@
 	if c.shed || (reading == 0 && writing == 0) {
 		return victim{}, false
 	}
-	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.place}
+	v := victim{conn: c, late: max(reading, writing), held: c.held.Load(), writing: writing > 0, streaming: c.place, relaying: c.relaying}
 	switch {
 	case v.writing || c.reading || c.pending > 0:
 	case c.used:
@@ -321,6 +323,13 @@
 	}
 }
 
+// setRelaying records whether a response is read from the backend server while it is written.
+func (c *conn) setRelaying(relaying bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relaying = relaying
+}
+
 // setPlace records whether the request that is read holds a place in Server.streams.
 func (c *conn) setPlace(held bool) {
 	c.mu.Lock()
--- a/btcaller/shed_test.go
+++ b/btcaller/shed_test.go
@@ -331,3 +331,49 @@
 		})
 	}
 }
+
+// Guards against a client that doesn't read its responses and so holds slots of backend servers
+// while the budget is short: its response is then streamed.
+func TestUnreadResponseWhileShort(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := strictLimits()
+	limits.Budget = btbudget.New(256 << 10)
+	closed := make(chan struct{})
+	handler := handlerFunc(func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		req.Deadline = time.Now().Add(time.Hour)
+		body := struct {
+			io.Reader
+			io.Closer
+		}{strings.NewReader(strings.Repeat("x", 32<<20)), closerFunc(func() { close(closed) })}
+		return &baobabtide.Response{Status: 200, Length: -1, Body: body}, nil
+	})
+	server, stop := NewServer(handler, limits)
+	t.Cleanup(stop)
+	go func() { _ = server.Serve(listener, nil) }()
+	if !limits.Budget.Reserve(btbudget.Body, btbudget.General, 180<<10) { // makes the budget short
+		t.Fatal("the budget has no room")
+	}
+	defer limits.Budget.Release(btbudget.Body, 180<<10)
+	c := dial(t, listener.Addr().String())
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-closed:
+	case <-time.After(shedSoon):
+		t.Error("the response is still being read")
+	}
+}
+
+// closerFunc is a function that implements io.Closer.
+type closerFunc func()
+
+// Close implements io.Closer.
+func (f closerFunc) Close() error {
+	f()
+	return nil
+}
