btroute: balanced placement tries targets again and respects limits

The share of failures and the run time fade within 12 s now.

Only requests with a late round are moved less often, and calls are not: a refused call wastes the run that makes it.

--- a/btdispatch/dispatcher_test.go
+++ b/btdispatch/dispatcher_test.go
@@ -116,6 +116,46 @@
 	}
 }
 
+// At twice the capacity, a request that every target refuses was sent 5 times, and half of the
+// processor time went into refusals. With Balanced it is sent 3 times. Calls, requests without a
+// late round, and other deployments keep their moves.
+func TestOverloadMoves(t *testing.T) {
+	tests := map[string]struct {
+		policy    *btroute.Policy
+		depth     int
+		objective time.Duration
+		want      int
+	}{
+		"default":                        {nil, 0, 10 * time.Second, 5},
+		"fastest":                        {btroute.Fastest, 0, 10 * time.Second, 5},
+		"balanced":                       {btroute.Balanced, 0, 10 * time.Second, 3},
+		"balanced, call":                 {btroute.Balanced, 1, 10 * time.Second, 5},
+		"balanced, without a late round": {btroute.Balanced, 0, 0, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			contract := *btfixture.Contract("c", "service-0")
+			contract.Services[0].Routes[0].Objective = tt.objective
+			state := &btconfig.State{
+				Offset:      1,
+				Contracts:   map[string]btconfig.ContractState{"c": {Contract: contract}},
+				Assignments: map[string]baobabtide.Assignment{"c/service-0": {Customer: "c", Service: "service-0", Current: "v1"}},
+			}
+			routes := btroute.Build(state, btfixture.Members(12, 3, 1, "v1"), btroute.Locality{Node: "self", Zone: "zone-0"}, nil)
+			peers := &fakePeers{errs: []error{baobabtide.Refuse(baobabtide.ReasonOverload, time.Second, nil)}}
+			d := &Dispatcher{Node: "self", Table: func() *btroute.Table { return routes }, Peers: peers, Placement: tt.policy}
+			req := request("GET", "")
+			req.Depth = tt.depth
+			if _, err := d.Serve(context.Background(), req); err == nil {
+				t.Fatal("served")
+			}
+			if diff := cmp.Diff(tt.want, len(peers.calls)); diff != "" {
+				t.Errorf("attempts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Repeated requests with a key must reach the same node, the one that holds the record of
 // the key, whichever node dispatches them.
 func TestKeyedRequestsReachOneNode(t *testing.T) {
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -28,7 +28,7 @@
 	last          *btroute.Target          // target of the latest attempt, nil before the first
 	reached       int                      // number of attempts that may have reached a backend server
 	moves         int                      // number of attempts refused before they reached a backend server
-	overloads     int                      // moves by overloaded targets
+	overloads     int                      // number of them refused by overloaded targets
 	mayHaveRunErr *baobabtide.RequestError // error of the latest attempt that ran or may have run, nil for none
 	mayHaveRunAt  *btroute.Target          // target of that attempt
 	held          *baobabtide.Response     // failed response of an earlier attempt, nil for none
--- a/btdispatch/verdict.go
+++ b/btdispatch/verdict.go
@@ -192,9 +192,11 @@
 	return true
 }
 
-// endsOverloadMoves reports whether overloaded targets no longer make the request move.
+// endsOverloadMoves reports whether overloaded targets no longer make the request move before its
+// late round. Calls are moved for longer, because a refused one wastes the run that makes it.
 func (s *requestState) endsOverloadMoves() bool {
-	if s.info.Policy != nil && s.info.Policy.MaxOverloadMoves > 0 && s.overloads >= s.info.Policy.MaxOverloadMoves {
+	policy := s.info.Policy
+	if policy != nil && policy.MaxOverloadMoves > 0 && s.overloads >= policy.MaxOverloadMoves && s.req.Depth == 0 && !s.req.Objective.IsZero() {
 		return true
 	}
 	return time.Since(s.began) > s.moveWindow()
--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -130,6 +130,8 @@
 		e.others = 0
 	}
 	switch {
+	case e.run > 0 && e.outdated > 0:
+		e.run += e.outdated * (k.reports/k.speeds - e.run)
 	case e.run > 0:
 	case k.reports > 0:
 		e.run = time.Duration(k.reports / k.speeds * float64(time.Second)).Seconds()
--- a/btroute/policy.go
+++ b/btroute/policy.go
@@ -11,9 +11,16 @@
 	// the reported ones loses its weight. 0 takes the last reported run time of a route whatever
 	// its age.
 	SlownessLifetime time.Duration
+	// HistoryLifetime is the time since the last report in which the share of failing runs falls
+	// linearly to 0 and the expected run time turns into the mean of the other targets, so that a
+	// target that was slow or failing is tried again. 0 lets both count until the next report.
+	HistoryLifetime time.Duration
 	// UtilizationPenalty is the relative increase of the run time at full utilization, in addition
 	// to the wait for a slot.
 	UtilizationPenalty float64
+	// LimitTakesSlots counts the slots that the rate limit of a backend server leaves without
+	// requests as used. They look free in all reports.
+	LimitTakesSlots bool
 	// CrossZoneShare is the share of the latency objective by which a target of another zone must
 	// respond earlier: callers gain little within their objective.
 	CrossZoneShare float64
@@ -37,7 +44,9 @@
 var Balanced = &Policy{
 	ReportLifetime:     8 * time.Second,
 	SlownessLifetime:   time.Second,
+	HistoryLifetime:    12 * time.Second,
 	UtilizationPenalty: 1,
+	LimitTakesSlots:    true,
 	CrossZoneShare:     0.35,
 	MaxOverloadMoves:   2,
 }
--- a/btroute/score.go
+++ b/btroute/score.go
@@ -94,6 +94,9 @@
 
 func newResponse(e *estimate, policy *Policy, s *Stats, now time.Time) response {
 	utilization := e.backlog() / e.slots
+	if e.limit > 0 && policy.LimitTakesSlots {
+		utilization += max(0, 1-e.limit*e.run/e.slots)
+	}
 	r := response{
 		run:         e.run,
 		slot:        e.slotWait(),
--- a/btroute/stats.go
+++ b/btroute/stats.go
@@ -208,13 +208,15 @@
 
 // estimate is the estimated state of a target at one time.
 type estimate struct {
-	own     float64 // running and waiting requests of this node
-	others  float64 // those of other nodes according to the last report
-	weight  float64 // of that report, 0 to 1
-	slots   float64
-	run     float64       // expected run time in seconds, 0 if none was reported
-	turn    time.Duration // expected wait for a turn under the rate limit of the backend server, 0 without a limit
-	failing float64       // share of runs that fail, 0 to 1
+	own      float64 // running and waiting requests of this node
+	others   float64 // those of other nodes according to the last report
+	weight   float64 // of that report, 0 to 1
+	slots    float64
+	run      float64       // expected run time in seconds, 0 if none was reported
+	limit    float64       // requests per second that the backend server accepts, 0 for no limit
+	turn     time.Duration // expected wait for a turn under the rate limit of the backend server, 0 without a limit
+	failing  float64       // share of runs that fail, 0 to 1
+	outdated float64       // weight of the mean run time of the compared targets in place of run, 0 to 1
 }
 
 // backlog returns the running and waiting requests.
@@ -234,13 +236,19 @@
 		return estimate{own: own, slots: float64(t.Slots)}
 	}
 	age := now.Sub(s.loadAt)
-	return estimate{
+	e := estimate{
 		own:     own,
 		others:  max(0, float64(int64(s.load.InFlight+s.load.Queued)-s.ownAtReport)),
 		weight:  max(0, 1-float64(age)/float64(policy.ReportLifetime)),
 		slots:   float64(s.load.Slots),
 		run:     s.expectedRunTime(route, policy, age),
+		limit:   s.load.RateLimit,
 		turn:    s.turnWait(own, now),
 		failing: float64(s.load.Failing) / 1000,
 	}
+	if policy.HistoryLifetime > 0 {
+		e.outdated = min(1, float64(age)/float64(policy.HistoryLifetime))
+		e.failing *= 1 - e.outdated
+	}
+	return e
 }
--- a/btroute/uneven_test.go
+++ b/btroute/uneven_test.go
@@ -27,12 +27,12 @@
 	load                  float64 // of the capacity of all targets
 	runTime               time.Duration
 	objective, deadline   time.Duration
-	oneWay                time.Duration // latency between zones
-	silent                bool          // no report arrives
-	reports               bool          // targets report their present slowness, otherwise the mean of their last runs
-	adjust                func(f *unevenRun, now time.Time)
+	oneWay                time.Duration      // latency between zones
+	silent                bool               // no report arrives
+	reports               bool               // targets report their present slowness, otherwise the mean of their last runs
+	adjust                func(f *unevenRun) // schedules faults, nil for none
 	pick                  unevenPicker
-	info                  PickInfo
+	policy                *Policy
 	length                time.Duration
 }
 
@@ -53,6 +53,7 @@
 	unevenHeadBytes  = 300                    // of a request and its refusal
 	unevenRedirects  = 3                      // as btdispatch.maxRedirects
 	unevenMoves      = 4                      // as btdispatch.maxMoves
+	unevenFailure    = 2 * time.Millisecond   // until the response of a run that fails
 	unevenMoveWindow = 8                      // as btdispatch.moveWindowDivisor
 	noisyFactor      = 2.5
 	noisyShare       = 0.15
@@ -64,10 +65,12 @@
 type unevenTarget struct {
 	queue    *btadmit.Queue
 	speed    float64
-	zone     string
 	running  int
 	requests int
 	pending  []unevenWait // in order of arrival
+	started  []time.Time  // begins of all runs
+	slow     float64      // factor of the run time, 0 for none
+	failing  float64      // share of the runs that fail at once
 }
 
 // unevenWait is a request that waits in a queue.
@@ -76,21 +79,40 @@
 	next   func()
 }
 
+// newQueue gives the target an empty queue.
+func (t *unevenTarget) newQueue(f *unevenRun) {
+	queue := btadmit.NewQueue(unevenSlots)
+	t.queue = queue
+	alarms := 0
+	queue.Alarm = func(wait time.Duration) {
+		alarms++
+		alarm := alarms
+		f.after(wait, func(now time.Time) {
+			if alarm == alarms {
+				queue.Wake(now)
+				t.wake()
+			}
+		})
+	}
+}
+
 // unevenRun is the state of a simulation.
 type unevenRun struct {
 	uneven
 	timers  timers
 	now     time.Time
 	rng     *rand.Rand
-	pools   []*Pool // by node
+	heard   []map[*Target]heard // by node, for rivals that keep reports of their own
+	silent  bool                // no report arrives
+	pools   []*Pool             // by node
 	zoneOf  []string
 	targets map[string]*unevenTarget // by node
 	order   []*unevenTarget
 
-	requests, full, inTime, served, moves, crossed, unserved int
-	bytes                                                    int64
-	took                                                     []time.Duration // at the target, including waits
-	total                                                    time.Duration
+	requests, full, inTime, served, moves, crossed, unserved, failures int
+	bytes                                                              int64
+	took                                                               []time.Duration // at the target, including waits
+	total                                                              time.Duration
 }
 
 func (u uneven) run(seed uint64) *unevenRun {
@@ -108,7 +130,8 @@
 		if u.byZone {
 			speed = u.speeds[i%len(u.speeds)]
 		}
-		t := &unevenTarget{queue: btadmit.NewQueue(unevenSlots), speed: speed, zone: members[i].Zone}
+		t := &unevenTarget{speed: speed}
+		t.newQueue(f)
 		f.targets[members[i].Name] = t
 		f.order = append(f.order, t)
 		capacity += speed * unevenSlots / u.runTime.Seconds()
@@ -117,6 +140,7 @@
 		capacity /= 1 + noisyShare*(noisyFactor-1)
 	}
 	for i := range members {
+		f.heard = append(f.heard, make(map[*Target]heard))
 		own := Locality{Node: members[i].Name, Zone: members[i].Zone, Region: members[i].Region}
 		f.pools = append(f.pools, Build(state("v1", "service-0"), members, own, nil).Destination("c", "service-0").Current.Pool)
 	}
@@ -151,7 +175,7 @@
 		}
 	}
 	if f.adjust != nil {
-		f.after(0, func(now time.Time) { f.adjust(f, now) })
+		f.adjust(f)
 	}
 }
 
@@ -257,14 +281,21 @@
 		if f.noisy && isNoisy(target.nodeHash, f.now) {
 			factor *= noisyFactor
 		}
+		if t.slow > 0 {
+			factor *= t.slow
+		}
 		took := time.Duration(float64(f.runTime) / t.speed * factor)
+		failed := f.rng.Float64() < t.failing
+		if failed {
+			took = unevenFailure
+		}
 		t.running++
-		if r.counts {
+		if t.started = append(t.started, f.now); r.counts {
 			t.requests++
 		}
 		f.after(took, func(time.Time) {
 			t.running--
-			t.queue.RecordRun("read", took, false)
+			t.queue.RecordRun("read", took, failed)
 			t.queue.Release("c", took, f.now)
 			load := t.queue.Load("read", f.now)
 			if f.noisy && f.reports {
@@ -275,7 +306,7 @@
 			}
 			t.wake()
 			waited := f.now.Sub(arrived)
-			f.after(oneWay, func(time.Time) { r.end(target, load, waited) })
+			f.after(oneWay, func(time.Time) { r.end(target, load, waited, failed) })
 		})
 	}
 	select {
@@ -313,35 +344,43 @@
 	return float64(mix(hash^mix(spell))%1000) < 1000*noisyShare
 }
 
-func (r *unevenRequest) end(target *Target, load baobabtide.Load, waited time.Duration) {
+func (r *unevenRequest) end(target *Target, load baobabtide.Load, waited time.Duration, failed bool) {
 	f := r.f
 	target.Stats.End(f.now, waited, false)
-	if !f.silent {
-		target.Stats.RecordLoad("read", load, f.now)
-	}
+	r.hear(target, load)
 	if !r.counts {
 		return
 	}
 	f.served++
 	f.took = append(f.took, waited)
 	f.total += f.now.Sub(r.began)
-	if f.now.Sub(r.began) <= f.objective {
+	if f.now.Sub(r.began) <= f.objective && !failed {
 		f.inTime++
 	}
+	if failed {
+		f.failures++
+	}
 	if target.Distance > SameZone {
 		f.crossed++
 		f.bytes += unevenBytes
 	}
 }
 
+// hear records a report.
+func (r *unevenRequest) hear(target *Target, load baobabtide.Load) {
+	if r.f.silent {
+		return
+	}
+	target.Stats.RecordLoad("read", load, r.f.now)
+	r.f.heard[r.node][target] = heard{load, r.f.now}
+}
+
 // refused follows Dispatcher.nextAttempt.
 func (r *unevenRequest) refused(target *Target, refusal *baobabtide.RequestError, oneWay time.Duration) {
 	f := r.f
 	f.after(oneWay, func(time.Time) {
 		target.Stats.End(f.now, 0, false)
-		if !f.silent {
-			target.Stats.RecordLoad("read", refusal.Load, f.now)
-		}
+		r.hear(target, refusal.Load)
 		if target.Distance > SameZone && r.counts {
 			f.bytes += unevenHeadBytes
 		}
@@ -376,8 +415,8 @@
 
 // overloadMoves returns the number of refusals after which a request begins its late round.
 func (f *unevenRun) overloadMoves() int {
-	if f.info.Policy != nil && f.info.Policy.MaxOverloadMoves > 0 {
-		return f.info.Policy.MaxOverloadMoves
+	if f.policy.MaxOverloadMoves > 0 {
+		return f.policy.MaxOverloadMoves
 	}
 	return unevenMoves
 }
@@ -460,10 +499,13 @@
 		r.inTime, r.served, r.full, r.imbalance, r.moves, r.mean.Seconds()*1e3, r.p95.Seconds()*1e3, r.crossed, r.bytes)
 }
 
+// pickUneven is the choice that nodes make.
 func pickUneven(f *unevenRun, node int, tried []*Target) Choice {
-	info := f.info
-	info.Route, info.Bytes, info.Objective = "read", unevenBytes, f.objective
-	return f.pools[node].Choose(f.now, f.rng, info, tried)
+	return f.pools[node].Choose(f.now, f.rng, f.pickInfo(), tried)
+}
+
+func (f *unevenRun) pickInfo() PickInfo {
+	return PickInfo{Route: "read", Bytes: unevenBytes, Objective: f.objective, Policy: f.policy}
 }
 
 // pickKnowing knows the present state of all targets. No node can choose so; it is the bound of the others.
@@ -493,6 +535,98 @@
 	return Choice{Target: best}
 }
 
+// heard is a report at the node that got it.
+type heard struct {
+	load baobabtide.Load
+	at   time.Time
+}
+
+// pickTwo compares two random targets.
+func pickTwo(f *unevenRun, node int, tried []*Target) Choice {
+	pool := f.pools[node]
+	s := search{info: f.pickInfo(), now: f.now, rng: f.rng, tried: tried}
+	for range 2 {
+		sample := ring{targets: pool.targets, start: f.rng.IntN(len(pool.targets))}
+		s.compare(&sample, 1)
+	}
+	s.judge()
+	if s.best.target == nil {
+		return pool.Choose(f.now, f.rng, f.pickInfo(), tried)
+	}
+	return s.choice()
+}
+
+// pickWeighted draws one of the compared targets, with the spare capacity as its weight.
+func pickWeighted(f *unevenRun, node int, tried []*Target) Choice {
+	const (
+		leastSpare = 0.2  // slots of a full target
+		crossZone  = 0.05 // factor of the weight of targets of other zones
+	)
+	pool := f.pools[node]
+	s := search{info: f.pickInfo(), now: f.now, rng: f.rng, tried: tried}
+	locals := min(localArc, len(pool.local.targets))
+	s.compare(&pool.local, locals)
+	s.compare(&pool.remote, remoteArc+localArc-locals)
+	var best *Target
+	sum := 0.0
+	for i := range s.compared[:s.count] {
+		c := &s.compared[i]
+		s.known.complete(&c.estimate)
+		weight := max(leastSpare, c.estimate.slots-c.estimate.backlog()) / c.estimate.run
+		if c.target.Distance > SameZone {
+			weight *= crossZone
+		}
+		if sum += weight; f.rng.Float64()*sum < weight {
+			best = c.target
+		}
+	}
+	return Choice{Target: best, MaxWait: minMaxWait}
+}
+
+// pickOnce uses each report once, at most a second after it, and else a random target of the zone.
+func pickOnce(f *unevenRun, node int, tried []*Target) Choice {
+	return pickHeard(f, node, tried, func(heard) bool { return true }, true)
+}
+
+// pickCredit uses free slots that targets reported within half a second, each once.
+func pickCredit(f *unevenRun, node int, tried []*Target) Choice {
+	const expiry = 500 * time.Millisecond
+	return pickHeard(f, node, tried, func(h heard) bool {
+		return h.load.InFlight < h.load.Slots && h.load.Queued == 0 && f.now.Sub(h.at) <= expiry
+	}, false)
+}
+
+func pickHeard(f *unevenRun, node int, tried []*Target, use func(heard) bool, backlog bool) Choice {
+	var best *Target
+	least := math.Inf(1)
+	pool := f.pools[node]
+	for _, t := range pool.targets {
+		h, ok := f.heard[node][t]
+		if !ok || wasTried(tried, t) || f.now.Sub(h.at) > time.Second || !use(h) {
+			continue
+		}
+		score := h.load.Work.Seconds()
+		if backlog {
+			score *= 1 + float64(h.load.InFlight+h.load.Queued)/float64(h.load.Slots)
+		}
+		info := f.pickInfo()
+		if score += wayCost(t.Distance, &info); score < least {
+			best, least = t, score
+		}
+	}
+	if best != nil {
+		delete(f.heard[node], best)
+		return Choice{Target: best, MaxWait: minMaxWait}
+	}
+	start := f.rng.IntN(len(pool.local.targets))
+	for i := range pool.local.targets {
+		if t := pool.local.targets[(start+i)%len(pool.local.targets)]; !wasTried(tried, t) {
+			return Choice{Target: t, MaxWait: minMaxWait}
+		}
+	}
+	return pool.Choose(f.now, f.rng, f.pickInfo(), tried)
+}
+
 // Rivals of the choice that nodes make, for docs/design/placement.md:
 // go test -run '^$' -bench UnevenRivals -benchtime 1x ./btroute
 func BenchmarkUnevenRivals(b *testing.B) {
@@ -502,6 +636,10 @@
 		policy *Policy
 	}{
 		{"fastest", pickUneven, Fastest},
+		{"two at random", pickTwo, Balanced},
+		{"weighted random", pickWeighted, Balanced},
+		{"reports used once", pickOnce, Balanced},
+		{"credits", pickCredit, Balanced},
 		{"balanced", pickUneven, Balanced},
 		{"present state known", pickKnowing, Balanced},
 	}
@@ -513,7 +651,7 @@
 				for b.Loop() {
 					fleets := unevenFleets()
 					for _, c := range fleets {
-						c.load, c.pick, c.info.Policy, c.reports = load, rival.pick, rival.policy, true
+						c.load, c.pick, c.policy, c.reports = load, rival.pick, rival.policy, true
 						r := c.run(1).result()
 						lines += fmt.Sprintf("%-16s %v\n", c.name, r)
 						sum.add(r, 1/float64(len(fleets)))
