btroute: spill over to another zone when the objective would be missed

A fixed share of the objective kept requests in a zone of slow or overloaded servers. Balanced charges 0.7 of the time that the best target of the own zone leaves before the objective, and 0.7 of the objective if the other target is late as well.

--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -67,6 +67,7 @@
 	compared [localArc + remoteArc]comparison // without a score yet
 	count    int                              // elements of compared in use
 	known    known
+	slack    float64 // seconds that the best fit target of the own zone leaves before the objective, 0 for none
 	best     candidate
 	next     candidate // second best
 }
@@ -147,6 +148,9 @@
 		sc := s.score(t, e)
 		c := candidate{target: t, expected: sc.expected(), wait: e.weight * sc.response.slot, fit: sc.fitness.fit()}
 		c.score = sc.total() * (1 + jitter*float64(s.rng.IntN(jitterSteps))/jitterSteps)
+		if c.fit && t.Distance <= SameZone {
+			s.slack = max(s.slack, s.info.Objective.Seconds()-sc.response.latest())
+		}
 		switch {
 		case s.best.target == nil || c.score < s.best.score:
 			s.best, s.next = c, s.best
@@ -160,11 +164,9 @@
 // score returns the score of a target with an estimate, which it completes.
 func (s *search) score(t *Target, e *estimate) score {
 	s.known.complete(e)
-	return score{
-		fitness:  t.fitness(s.now),
-		response: newResponse(e, s.info.Policy, t.Stats, s.now),
-		cost:     wayCost(t.Distance, &s.info),
-	}
+	sc := score{fitness: t.fitness(s.now), response: newResponse(e, s.info.Policy, t.Stats, s.now)}
+	sc.cost = wayCost(t.Distance, &s.info, &sc.response, s.slack)
+	return sc
 }
 
 // choice returns the best target.
--- a/btroute/policy.go
+++ b/btroute/policy.go
@@ -24,6 +24,10 @@
 	// CrossZoneShare is the share of the latency objective by which a target of another zone must
 	// respond earlier: callers gain little within their objective.
 	CrossZoneShare float64
+	// CrossZoneSlack applies CrossZoneShare to the time that the best target of the own zone leaves
+	// before the objective, not to all of the objective, if the other one is in time. So requests
+	// spill over to other zones when they would be late, and not when they are late there as well.
+	CrossZoneSlack bool
 	// MaxOverloadMoves is the number of refusals by overloaded targets after which a request is not
 	// moved again before its late round, 0 for no limit of its own.
 	MaxOverloadMoves int
@@ -47,6 +51,7 @@
 	HistoryLifetime:    12 * time.Second,
 	UtilizationPenalty: 1,
 	LimitTakesSlots:    true,
-	CrossZoneShare:     0.35,
+	CrossZoneShare:     0.7,
+	CrossZoneSlack:     true,
 	MaxOverloadMoves:   2,
 }
--- a/btroute/score.go
+++ b/btroute/score.go
@@ -1,6 +1,10 @@
 package btroute
 
-import "time"
+import (
+	"time"
+
+	"github.com/baobabtide/baobabtide/btadmit"
+)
 
 const (
 	slowStartWindow      = 3 * time.Second // period after the first use in which the score of a target is raised
@@ -112,11 +116,19 @@
 
 func (r *response) expected() float64 { return r.run + r.slot + r.turn + r.failure }
 
-// wayCost returns the cost of the way to a target, in seconds.
-func wayCost(distance Distance, info *PickInfo) float64 {
+// latest returns the time within which nearly all responses arrive, as the admitting node judges.
+func (r *response) latest() float64 { return btadmit.OnTimeMargin*r.run + r.slot + r.turn }
+
+// wayCost returns the cost of the way to a target, in seconds. The slack is the time that the best
+// target of the own zone leaves before the objective.
+func wayCost(distance Distance, info *PickInfo, r *response, slack float64) float64 {
 	switch distance {
 	case SameRegion:
-		return crossZonePenalty + crossZoneBytePenalty*info.Bytes + info.Policy.CrossZoneShare*info.Objective.Seconds()
+		gain := info.Objective.Seconds()
+		if info.Policy.CrossZoneSlack && r.latest() < gain { // otherwise the request is late there too
+			gain = slack
+		}
+		return crossZonePenalty + crossZoneBytePenalty*info.Bytes + info.Policy.CrossZoneShare*gain
 	case OtherRegion:
 		return crossRegionPenalty + crossZoneBytePenalty*info.Bytes
 	default:
--- a/btroute/score_test.go
+++ b/btroute/score_test.go
@@ -112,19 +112,23 @@
 	tests := map[string]struct {
 		distance Distance
 		info     PickInfo
+		slack    float64 // seconds
+		run      float64 // seconds, expected run time
 		want     float64
 	}{
-		"same node":             {SameNode, PickInfo{Policy: Fastest, Bytes: 1e6, Objective: time.Second}, 0},
-		"same zone":             {SameZone, PickInfo{Policy: Fastest, Bytes: 1e6, Objective: time.Second}, 0},
-		"other zone":            {SameRegion, PickInfo{Policy: Fastest}, 0.005},
-		"other zone, bytes":     {SameRegion, PickInfo{Policy: Fastest, Bytes: 2000}, 0.01},
-		"other zone, objective": {SameRegion, PickInfo{Policy: Fastest, Objective: time.Second}, 0.255},
-		"balanced":              {SameRegion, PickInfo{Policy: Balanced, Objective: time.Second}, 0.355},
-		"other region":          {OtherRegion, PickInfo{Policy: Fastest, Bytes: 2000, Objective: time.Second}, 0.035},
+		"same node":               {SameNode, PickInfo{Policy: Fastest, Bytes: 1e6, Objective: time.Second}, 0, 0.1, 0},
+		"same zone":               {SameZone, PickInfo{Policy: Fastest, Bytes: 1e6, Objective: time.Second}, 0, 0.1, 0},
+		"other zone":              {SameRegion, PickInfo{Policy: Fastest}, 0, 0.1, 0.005},
+		"other zone, bytes":       {SameRegion, PickInfo{Policy: Fastest, Bytes: 2000}, 0, 0.1, 0.01},
+		"other zone, objective":   {SameRegion, PickInfo{Policy: Fastest, Objective: time.Second}, 0.5, 0.1, 0.255},
+		"balanced":                {SameRegion, PickInfo{Policy: Balanced, Objective: time.Second}, 0.5, 0.1, 0.355},
+		"balanced, own zone late": {SameRegion, PickInfo{Policy: Balanced, Objective: time.Second}, 0, 0.1, 0.005},
+		"other region":            {OtherRegion, PickInfo{Policy: Fastest, Bytes: 2000, Objective: time.Second}, 0, 0.1, 0.035},
+		"balanced, late in both":  {SameRegion, PickInfo{Policy: Balanced, Objective: time.Second}, 0, 0.6, 0.705},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(tt.want, wayCost(tt.distance, &tt.info), cmpopts.EquateApprox(1e-9, 0)); diff != "" {
+			if diff := cmp.Diff(tt.want, wayCost(tt.distance, &tt.info, &response{run: tt.run}, tt.slack), cmpopts.EquateApprox(1e-9, 0)); diff != "" {
 				t.Errorf("cost (-want +got):\n%s", diff)
 			}
 		})
--- a/btroute/uneven_test.go
+++ b/btroute/uneven_test.go
@@ -609,8 +609,10 @@
 		if backlog {
 			score *= 1 + float64(h.load.InFlight+h.load.Queued)/float64(h.load.Slots)
 		}
-		info := f.pickInfo()
-		if score += wayCost(t.Distance, &info); score < least {
+		if t.Distance > SameZone {
+			score += 0.25 * f.objective.Seconds()
+		}
+		if score < least {
 			best, least = t, score
 		}
 	}
