--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -399,10 +399,11 @@
 		return false
 	}
 	equal := 1 / float64(max(c.members, 1))
-	if !s.coordinator && silence > fresh && c.preceded(now) {
+	gone := !s.coordinator && silence > fresh
+	if gone && c.preceded(now) {
 		return false // the preceding candidate reserves its share
 	}
-	lost := !s.coordinator && silence > fresh && slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
+	lost := gone && slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
 	for k := range s.rows {
 		row, a := &s.rows[k], &c.accounts[k]
 		switch {
@@ -414,19 +415,24 @@
 		case silence > fresh && s.coordinator && (row.demand > 0 || row.held > 0):
 			a.held += row.share + row.held
 		default:
-			a.held += row.held
-			a.demand += row.demand
-			if s.coordinator {
-				a.slow += row.slowAt(now)
-			} else {
-				a.ownDemand += row.demand
-				a.nodeSlow += row.slowAt(now)
-			}
+			a.addDemand(row, s.coordinator, now)
 		}
 	}
 	return true
 }
 
+// addDemand adds the demand of a source that reports to the sums.
+func (a *account) addDemand(row *sourceRow, coordinator bool, now time.Time) {
+	a.held += row.held
+	a.demand += row.demand
+	if coordinator {
+		a.slow += row.slowAt(now)
+		return
+	}
+	a.ownDemand += row.demand
+	a.nodeSlow += row.slowAt(now)
+}
+
 // correction returns the factor between the demand and its measured value shortly after the start of
 // all nodes. Nothing is known from before, which counts as no demand. A coordinator that takes over gets
 // values that are not measured from zero.
