--- a/btroute/uneven_test.go
+++ b/btroute/uneven_test.go
@@ -295,13 +295,8 @@
 		}
 		f.after(took, func(time.Time) {
 			t.running--
-<<<<<<< HEAD
-			t.queue.RecordRun("read", took, false)
-			t.queue.Release(&btadmit.Ticket{Customer: "c", Route: "read"}, took, f.now)
-=======
 			t.queue.RecordRun("read", took, failed)
-			t.queue.Release("c", took, f.now)
->>>>>>> placement
+			t.queue.Release(&btadmit.Ticket{Customer: "c", Route: "read"}, took, f.now)
 			load := t.queue.Load("read", f.now)
 			if f.noisy && f.reports {
 				load.Work = time.Duration(float64(f.runTime) / t.speed)
