--- a/btroute/score_test.go
+++ b/btroute/score_test.go
@@ -135,11 +135,12 @@
 	}
 }
 
-// formerScore is the score of a target before its parts became types of their own.
-func formerScore(t *Target, e *estimate, info PickInfo, now time.Time) (score, expected float64) {
+// formerScore returns the score of a target and its expected time as they were before their parts
+// became types of their own.
+func formerScore(t *Target, e *estimate, info PickInfo, now time.Time) (float64, float64) {
 	runTime := e.run
 	slotWait := runTime * max(0, (e.own+e.others+1-e.slots)/e.slots)
-	expected = runTime + slotWait + e.turn.Seconds() + e.failing*1.0
+	expected := runTime + slotWait + e.turn.Seconds() + e.failing*1.0
 	switch t.Distance {
 	case SameRegion:
 		expected += 0.005 + 2.5e-6*info.Bytes + 0.25*info.Objective.Seconds()
@@ -147,7 +148,7 @@
 		expected += 0.03 + 2.5e-6*info.Bytes
 	}
 	utilization := (e.own + e.others) / e.slots
-	score = runTime * 0.25 * utilization * utilization
+	score := runTime * 0.25 * utilization * utilization
 	s := t.Stats
 	if sinceFirstUse, ok := s.firstUse.Since(now); ok && sinceFirstUse < 3*time.Second {
 		score += (score + runTime + slotWait + e.turn.Seconds()) * 1.0 * (1 - float64(sinceFirstUse)/float64(3*time.Second))
--- a/btroute/uneven_test.go
+++ b/btroute/uneven_test.go
@@ -28,7 +28,6 @@
 	runTime               time.Duration
 	objective, deadline   time.Duration
 	oneWay                time.Duration      // latency between zones
-	silent                bool               // no report arrives
 	reports               bool               // targets report their present slowness, otherwise the mean of their last runs
 	adjust                func(f *unevenRun) // schedules faults, nil for none
 	pick                  unevenPicker
@@ -340,7 +339,7 @@
 
 // isNoisy reports whether a target is in a slow spell.
 func isNoisy(hash uint64, now time.Time) bool {
-	spell := uint64(now.UnixNano() / int64(noisySpell))
+	spell := uint64(now.Sub(nowAtStart) / noisySpell)
 	return float64(mix(hash^mix(spell))%1000) < 1000*noisyShare
 }
 
