--- a/btroute/pick.go
+++ b/btroute/pick.go
@@ -148,7 +148,7 @@
 		sc := s.score(t, e)
 		c := candidate{target: t, expected: sc.expected(), wait: e.weight * sc.response.slot, fit: sc.fitness.fit()}
 		c.score = sc.total() * (1 + jitter*float64(s.rng.IntN(jitterSteps))/jitterSteps)
-		if c.fit && t.Distance <= SameZone {
+		if s.info.Policy.CrossZoneSlack && c.fit && t.Distance <= SameZone {
 			s.slack = max(s.slack, s.info.Objective.Seconds()-sc.response.latest())
 		}
 		switch {
