btcaller: run nothing behind a response that closes the connection, release on panic

A request of a method that is not concurrent waited for the one before it and ran even if that response, or an earlier one, closed the connection. Its response was then dropped, and the caller sent it again. It is now refused, and no response closes the connection once such a request behind it has started.

A panic in the handler left the body attached to a pooled read buffer, and one while a request was read kept its memory and its place among the pipelined requests.

--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -48,11 +48,15 @@
 	used      bool // a request has been read
 	shed      bool // the connection was selected by Server.shed
 	closing   bool // no further request is read
+	requests  int  // requests that were read, for exchange.number
+	closesAt  int  // number of the first request whose response closes the connection, 0 if none
+	lastAlone int  // number of the last request that was started after the one before it was answered
 }
 
 // exchange is a request with its response.
 type exchange struct {
 	conn       *conn
+	number     int // of the request on its connection, from 1
 	req        *baobabtide.Request
 	admitted   bool          // the request runs or has run
 	stream     *streamBody   // nil for a body in memory
@@ -237,10 +241,16 @@
 func (c *conn) startRequest(ex *exchange, previous *exchange) {
 	concurrent := previous == nil || ex.req.Method == fasthttp.MethodGet || ex.req.Method == fasthttp.MethodHead
 	c.server.start(func() {
+		defer c.server.releasePipelined(ex)
 		if !concurrent {
 			<-previous.done
+			if !c.startAlone(ex) {
+				ex.closeAfter.Store(true)
+				ex.refuse(baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("an earlier response closes the connection")))
+				close(ex.done)
+				return
+			}
 		}
-		defer c.server.releasePipelined(ex)
 		c.server.run(c.ctx, ex)
 	})
 	if ex.stream != nil {
@@ -255,6 +265,33 @@
 	}
 }
 
+// startAlone reports whether a request that must not run twice may start. It may not if the
+// response to an earlier request closes the connection: its own response would be dropped, and
+// the caller would send it again.
+func (c *conn) startAlone(ex *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closesAt > 0 && c.closesAt < ex.number {
+		return false
+	}
+	c.lastAlone = max(c.lastAlone, ex.number)
+	return true
+}
+
+// closeBehind closes the connection after the response of an exchange, unless a request behind
+// it that must not run twice has started.
+func (c *conn) closeBehind(ex *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastAlone > ex.number {
+		return
+	}
+	ex.closeAfter.Store(true)
+	if c.closesAt == 0 || ex.number < c.closesAt {
+		c.closesAt = ex.number
+	}
+}
+
 // nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
 func (c *conn) nextRequest(t turn) *exchange {
 	ex := &exchange{conn: c, done: make(chan struct{}), pipelined: t == turnHeld}
@@ -269,11 +306,18 @@
 		ex.reject(c.noMemory())
 		return ex
 	}
+	read := false
+	defer func() {
+		if !read { // also after a panic
+			ex.free()
+			c.server.releaseStream(ex)
+			c.server.releasePipelined(ex)
+		}
+	}()
 	if !c.readRequest(ex) {
-		ex.free()
-		c.server.releasePipelined(ex)
 		return nil
 	}
+	read = true
 	return ex
 }
 
@@ -284,6 +328,8 @@
 	defer c.mu.Unlock()
 	c.reading, c.shed, c.streaming = false, false, ex.stream != nil
 	c.pending++
+	c.requests++
+	ex.number = c.requests
 	c.readPace.pause(time.Now())
 	if ex.stream == nil {
 		_ = c.socket.SetReadDeadline(time.Time{})
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -369,7 +369,10 @@
 	defer close(ex.done)
 	err := btpanic.Catch("serve request", s.OnPanic, func() { s.serve(ctx, ex) })
 	if err != nil {
-		ex.closeAfter.Store(true)
+		if ex.stream != nil && !ex.stream.detach() { // another goroutine may still read the body
+			ex.closeAfter.Store(true)
+		}
+		ex.conn.closeBehind(ex)
 		ex.refuse(&baobabtide.RequestError{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonInternal})
 	}
 }
@@ -384,7 +387,7 @@
 	if err != nil {
 		refusal := baobabtide.AsRequestError(err)
 		if ex.pipelined && refusal.Verdict == baobabtide.NotRun && refusal.RetryAfter > 0 {
-			ex.closeAfter.Store(true) // the requests sent behind it would be refused at once as well
+			ex.conn.closeBehind(ex) // the requests sent behind it would be refused at once as well
 		}
 		ex.refuse(refusal)
 		cancel()
