btcaller: places in proportion to the budget, taken by whole requests; steady uploads stay

Eight uploads or pipelined requests took all places whatever the budget was, and a connection with one byte of a further request kept a place of others. There are now as many places as an eighth of the budget holds streamed bodies, and a pipelined request takes one when it has been read.

A streamed body was late below 16 KB/s, so uploads at a steady 10 KB/s were shed when another client waited for a place.

A client was late from the begin of a write on and could be closed as a slow reader. It now has paceCredit from there, and writeGrace in addition.

--- a/btcaller/body.go
+++ b/btcaller/body.go
@@ -47,7 +47,7 @@
 func newStreamBody(c *conn, reader io.Reader, length int64, limits bounds) *streamBody {
 	return &streamBody{
 		caller: c, conn: c.socket, readTimeout: limits.headerTimeout, reader: reader,
-		length: length, limit: int64(limits.bodyBytes), consumed: make(chan struct{}),
+		length: length, limit: int64(limits.bodyBytes), consumed: make(chan struct{}), late: -bodyCredit,
 	}
 }
 
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -61,6 +61,7 @@
 	admitted   bool          // the request runs or has run
 	stream     *streamBody   // nil for a body in memory
 	streaming  bool          // the body holds a place in Server.streams
+	buffered   bool          // it began to arrive together with the request before
 	pipelined  bool          // it holds a place in Server.pipelined, until it has its response
 	headOnly   bool          // a HEAD request: the response has no body
 	readAt     time.Time     // when the request had been read, without a streamed body
@@ -83,6 +84,7 @@
 		queue:  make(chan *exchange, pipelineDepth),
 	}
 	c.input.conn, c.output.conn = c, c
+	c.output.late = -paceCredit
 	c.written = make(chan struct{}, 1)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
@@ -124,11 +126,11 @@
 func (c *conn) readLoop() {
 	var previous *exchange
 	for {
-		turn, ok := c.awaitRequest()
+		buffered, ok := c.awaitRequest()
 		if !ok {
 			return
 		}
-		ex := c.nextRequest(turn)
+		ex := c.nextRequest(buffered)
 		if ex == nil {
 			c.discardInput()
 			return
@@ -145,31 +147,28 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request and until it may be read. It returns the
-// result of the wait, and false when the
-// connection has failed, which cancels the running requests, or is to be closed. Input
-// behind the request whose response closes the connection is discarded.
-func (c *conn) awaitRequest() (turn, bool) {
+// awaitRequest waits for the first byte of a request and until it may be read. It reports whether
+// that byte had arrived together with the request before, and returns false when the connection
+// has failed, which cancels the running requests, or is to be closed. Input behind the request
+// whose response closes the connection is discarded.
+func (c *conn) awaitRequest() (buffered, ok bool) {
 	for {
-		buffered := c.reader != nil && c.reader.Buffered() > 0
+		buffered = c.reader != nil && c.reader.Buffered() > 0
 		err := c.awaitInput()
 		if err == nil {
-			turn := c.awaitTurn(buffered)
+			c.awaitRoom()
 			if c.beginReading() {
-				return turn, true
-			}
-			if turn == turnHeld {
-				<-c.server.pipelined
+				return buffered, true
 			}
 			c.discardInput()
-			return turnFree, false
+			return false, false
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel(endCause(err))
-			return turnFree, false
+			return false, false
 		}
 		if c.idleExpired() {
-			return turnFree, false
+			return false, false
 		}
 	}
 }
@@ -192,6 +191,7 @@
 		return false
 	}
 	c.reading, c.used = true, true
+	c.readPace.body = false
 	c.readPace.expect(time.Now(), paceCredit)
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
 	return true
@@ -293,14 +293,8 @@
 }
 
 // nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
-func (c *conn) nextRequest(t turn) *exchange {
-	ex := &exchange{conn: c, done: make(chan struct{}), pipelined: t == turnHeld}
-	if t == turnMissed {
-		c.endReading(ex)
-		c.reportRefusal(Pipelining, 0)
-		ex.reject(baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many pipelined requests wait")))
-		return ex
-	}
+func (c *conn) nextRequest(buffered bool) *exchange {
+	ex := &exchange{conn: c, done: make(chan struct{}), buffered: buffered}
 	if c.reader == nil && !c.getReader() {
 		c.endReading(ex)
 		ex.reject(c.noMemory())
@@ -350,6 +344,9 @@
 		_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout)) // also for line ends without a request
 		return false
 	}
+	if err == nil {
+		err = c.awaitTurn(ex)
+	}
 	if err == nil {
 		err = c.admit(ex)
 	}
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -195,7 +195,7 @@
 }
 
 // reserveStream reserves the memory of a streamed body. Under a memory limit it first waits until
-// fewer than maxStreams bodies are read.
+// a place in Server.streams is free.
 func (c *conn) reserveStream(ex *exchange, req *baobabtide.Request) error {
 	if c.server.limits.Strict && c.server.hasRoute(req) {
 		late := c.readPace.pause(time.Now()) // the wait is not the caller's
@@ -207,6 +207,7 @@
 			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many bodies arrive at the same time"))
 		}
 	}
+	c.readPace.body = true
 	if !ex.reserve(btbudget.Body, btbudget.General, streamCost) {
 		return c.noMemory()
 	}
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"crypto/tls"
+	"errors"
 	"net"
 	"slices"
 	"time"
 
+	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbudget"
 )
 
@@ -20,13 +22,12 @@
 	smallResponse     = 16 << 10  // bytes of a response that may use the reserved part of the budget
 	maxPipelinedBytes = 256 << 10 // bytes that a connection holds before no further request is read from it
 
-	// maxStreams is the number of streamed bodies that are read at the same time under a memory
-	// limit. Each takes a slot of a backend server while it arrives.
-	maxStreams = 8
-	// maxPipelined is the number of requests that run at the same time under a memory limit of
-	// those that were sent before the response to an earlier one of the connection. It keeps
-	// clients that don't wait for responses from taking most slots of the backend servers.
-	maxPipelined = 8
+	// minPlaces and placesDivisor bound the streamed bodies that are read at the same time under a
+	// memory limit: an eighth of the budget at streamCost each. As many requests may run of those
+	// that were sent before the response to an earlier one of the connection. With 8 places for
+	// any budget, 8 steady uploads kept out all others while the budget was nearly unused.
+	minPlaces     = 8
+	placesDivisor = 8
 
 	minBodyRate = 1 << 10 // bytes a second of a streamed body under a memory limit, after the first timeout
 
@@ -34,7 +35,8 @@
 	// a failed run at a backend server. With 1 s the stalled runs raised the estimate of the run time
 	// so far that other requests of the route were refused as too slow.
 	streamGrace = 50 * time.Millisecond
-	streamWait  = time.Second // of a request for its body to be read
+	writeGrace  = 250 * time.Millisecond // in addition to paceCredit, before a client is taken for a slow reader
+	streamWait  = time.Second            // of a request for its body to be read
 
 	shedPeriod    = 100 * time.Millisecond // between two searches for connections to shed
 	unusedGrace   = time.Second            // for the first request on a connection, while the budget is short
@@ -131,6 +133,12 @@
 	}
 }
 
+// places returns the number of streamed bodies that are read, and of pipelined requests that
+// run, at the same time under a memory limit.
+func places(budget *btbudget.Budget) int64 {
+	return max(minPlaces, budget.Limit()/(placesDivisor*streamCost))
+}
+
 // signalShortage makes shedLoop search for connections to shed.
 func (s *Server) signalShortage() {
 	select {
@@ -254,6 +262,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reading, writing := c.readPace.late(now), c.writePace.late(now)
+	if writing < writeGrace {
+		writing = 0
+	}
 	if c.shed || (reading == 0 && writing == 0) {
 		return victim{}, false
 	}
@@ -346,34 +357,29 @@
 	}
 }
 
-// turn is the result of awaitTurn.
-type turn uint8
-
-const (
-	turnFree   turn = iota // the request is not pipelined, or such requests have no limit
-	turnHeld               // the request holds a place in Server.pipelined
-	turnMissed             // no place has become free in time
-)
-
-// awaitTurn waits until a request that has begun to arrive may be read. A pipelined one may have
-// to wait for the time that a request may take to arrive: the connection's end is not noticed
-// meanwhile.
-func (c *conn) awaitTurn(buffered bool) turn {
-	c.awaitRoom()
+// awaitTurn waits until a request that has been read may run. A pipelined one may have to wait
+// for the time that a request may take to arrive: the connection's end is not noticed meanwhile.
+// It waits after it has been read, so that one which never arrives keeps no place from others.
+func (c *conn) awaitTurn(ex *exchange) error {
 	if !c.server.limits.Strict {
-		return turnFree
+		return nil
 	}
 	var timeout <-chan time.Time
 	for {
 		c.mu.Lock()
-		wait := (c.pending > 0 || buffered) && !c.closing
+		wait := c.pending > 1 || ex.buffered
+		closing := c.closing
 		c.mu.Unlock()
+		if closing {
+			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("the connection is being closed"))
+		}
 		if !wait {
-			return turnFree
+			return nil
 		}
 		select {
 		case c.server.pipelined <- struct{}{}:
-			return turnHeld
+			ex.pipelined = true
+			return nil
 		default:
 		}
 		if timeout == nil {
@@ -381,12 +387,14 @@
 		}
 		select {
 		case c.server.pipelined <- struct{}{}:
-			return turnHeld
+			ex.pipelined = true
+			return nil
 		case <-c.written: // the request may no longer be pipelined, or the connection ends
 		case <-timeout:
-			return turnMissed
+			c.reportRefusal(Pipelining, 0)
+			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many pipelined requests wait"))
 		case <-c.server.ended:
-			return turnFree
+			return nil
 		}
 	}
 }
