btconn: a crowd shrinks to its bound after a burst

Each new connection replaced at most one, so a burst of crowdFactor times the bound stayed open for good. All beyond the bound that are older than replaceAge are now closed.

--- a/btconn/crowd.go
+++ b/btconn/crowd.go
@@ -41,9 +41,9 @@
 	c := &crowdConn{Conn: socket, listener: l, active: time.Now()}
 	for {
 		replaced, wait := l.add(c, time.Now())
-		if replaced != nil {
+		for _, old := range replaced {
 			l.Replaced.Add(1)
-			_ = replaced.Conn.Close()
+			_ = old.Conn.Close()
 		}
 		if wait <= 0 {
 			return c, nil
@@ -52,27 +52,27 @@
 	}
 }
 
-// add adds a connection and returns the one that it replaces, nil if there is room. If it has
-// to wait before, it returns for how long.
-func (l *CrowdListener) add(c *crowdConn, now time.Time) (*crowdConn, time.Duration) {
+// add adds a connection and returns those that it replaces: all beyond Most that are older than
+// replaceAge, so that the number shrinks to Most after a burst. If it has to wait before, it
+// returns for how long.
+func (l *CrowdListener) add(c *crowdConn, now time.Time) ([]*crowdConn, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var oldest *list.Element
-	if n := l.conns.Len(); n >= l.Most {
-		oldest = l.conns.Front()
+	var replaced []*crowdConn
+	for l.conns.Len() >= l.Most {
+		oldest := l.conns.Front()
 		young := replaceAge - now.Sub(oldest.Value.(*crowdConn).active) //nolint:forcetypeassert // the list holds nothing else
-		switch {
-		case young > 0 && n >= l.Most*crowdFactor:
-			return nil, young
-		case young > 0:
-			oldest = nil
+		if young <= 0 {
+			replaced = append(replaced, l.remove(oldest))
+			continue
 		}
+		if l.conns.Len() >= l.Most*crowdFactor {
+			return replaced, young
+		}
+		break
 	}
 	c.element = l.conns.PushBack(c)
-	if oldest == nil {
-		return nil, 0
-	}
-	return l.remove(oldest), 0
+	return replaced, 0
 }
 
 // remove removes a connection. The caller holds l.mu.
--- a/btconn/crowd_test.go
+++ b/btconn/crowd_test.go
@@ -64,3 +64,32 @@
 		t.Errorf("%d connections were replaced, want 1", n)
 	}
 }
+
+// Guards against a number of open connections that stays beyond Most after a burst.
+func TestCrowdShrinksAfterBurst(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &CrowdListener{Listener: inner, Most: 4}
+	defer l.Close()
+	connect := func() {
+		t.Helper()
+		client, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = client.Close() })
+		if _, err := l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 20 {
+		connect()
+	}
+	time.Sleep(2 * replaceAge)
+	connect()
+	if n := l.conns.Len(); n > l.Most {
+		t.Errorf("%d connections are open, want %d", n, l.Most)
+	}
+}
