--- a/btcaller/body.go
+++ b/btcaller/body.go
@@ -122,9 +122,6 @@
 	if b.detached {
 		return io.ErrClosedPipe
 	}
-	if b.caller.isShed() {
-		return os.ErrDeadlineExceeded // this read would replace the deadline that ends the request
-	}
 	until := now.Add(b.readTimeout)
 	if b.caller.server.limits.Strict {
 		earned := b.readTimeout + time.Duration(b.read)*time.Second/minBodyRate
@@ -134,6 +131,9 @@
 		until = b.deadline
 	}
 	_ = b.conn.SetReadDeadline(until)
+	if b.caller.isShed() { // the deadline that ends the request may just have been replaced; one set later stays
+		return os.ErrDeadlineExceeded
+	}
 	return nil
 }
 
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -190,7 +190,7 @@
 	if c.closing {
 		return false
 	}
-	c.reading, c.used = true, true
+	c.reading, c.used, c.shed = true, true, false
 	c.readPace.body = false
 	c.readPace.expect(time.Now(), paceCredit)
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
@@ -215,9 +215,11 @@
 	case c.closing:
 	case c.pending > 0:
 		_ = c.socket.SetReadDeadline(time.Time{})
+		c.shed = false
 		return false
 	case btconn.Readable(c.socket):
 		_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
+		c.shed = false
 		return false
 	}
 	c.closing = true
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -222,6 +222,9 @@
 		if err := c.discardBody(length); err != nil {
 			return err
 		}
+		if c.server.hasRoute(req) { // the configuration has arrived meanwhile
+			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("the route is newer than the request"))
+		}
 		req.Body, req.BodyLength = discardedBody{}, int64(length)
 		return nil
 	}
@@ -255,13 +258,18 @@
 }
 
 // writeContinue sends 100 Continue, unless earlier requests are pending: it would
-// then precede their responses.
+// then precede their responses. Only readLoop, which calls it, adds pending requests, so nothing
+// else is written meanwhile.
 func (c *conn) writeContinue() error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending > 0 {
+	skip := c.pending > 0
+	c.mu.Unlock()
+	if skip {
 		return nil
 	}
+	if err := c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil { // that of the last response may have passed
+		return err
+	}
 	_, err := io.WriteString(c.socket, continueResponse)
 	return err
 }
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -185,7 +185,7 @@
 		c.release(btbudget.Connection, c.cost)
 		return
 	}
-	if len(s.conns) >= s.limits.Connections*crowdedNum/crowdedDen && s.limits.Budget.Limited() {
+	if len(s.conns) >= s.limits.Connections*crowdedNum/crowdedDen && s.limits.Strict {
 		s.signalShortage()
 	}
 	s.conns[c] = struct{}{}
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -168,8 +168,11 @@
 }
 
 // crowded returns the number of connections that have to be closed so that new ones don't meet
-// the limit, 0 if none.
+// the limit, 0 if none. Without Limits.Strict idle connections stay until their timeout.
 func (s *Server) crowded() int {
+	if !s.limits.Strict {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return max(0, len(s.conns)-s.limits.Connections*crowdedNum/crowdedDen)
@@ -297,7 +300,7 @@
 		_ = c.socket.SetReadDeadline(time.Unix(1, 0)) // readLoop refuses the request
 	case v.class != shedLate:
 		reason = IdleCaller
-		_ = c.socket.Close()
+		_ = c.socket.SetReadDeadline(time.Unix(1, 0)) // readLoop closes the connection unless a request has arrived
 	default:
 		_ = c.socket.Close()
 	}
