--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -151,9 +151,9 @@
 // that byte had arrived together with the request before, and returns false when the connection
 // has failed, which cancels the running requests, or is to be closed. Input behind the request
 // whose response closes the connection is discarded.
-func (c *conn) awaitRequest() (buffered, ok bool) {
+func (c *conn) awaitRequest() (bool, bool) {
 	for {
-		buffered = c.reader != nil && c.reader.Buffered() > 0
+		buffered := c.reader != nil && c.reader.Buffered() > 0
 		err := c.awaitInput()
 		if err == nil {
 			c.awaitRoom()
