btcaller: close a connection whose TLS handshake was ended by a deadline

Such a handshake is not resumed: each read returned the same error, and readLoop read on without a pause while the socket was readable. The deadline that sheds idle connections made this likely.

--- a/btcaller/closing_test.go
+++ b/btcaller/closing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconn"
 )
 
 // Guards against idle connections that close before their timeout in a deployment without a
@@ -170,3 +173,35 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Guards against a connection that is read again and again after its deadline has ended a TLS
+// handshake: the handshake is not resumed, and every read returns the same error.
+func TestDeadlineEndsHandshake(t *testing.T) {
+	server, _, _, _ := startLimited(t, strictLimits())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client := dial(t, listener.Addr().String())
+	socket, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	c := newConn(server, tls.Server(socket, &tls.Config{}))
+	_ = c.socket.SetReadDeadline(time.Unix(1, 0))
+	if err := c.input.await(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(client, "x")
+	for deadline := time.Now().Add(shedSoon); !btconn.Readable(c.socket) && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	}
+	_ = c.socket.SetReadDeadline(time.Time{})
+	if err := c.input.await(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	if !c.idleExpired() {
+		t.Error("the connection is read again")
+	}
+}
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -217,6 +218,7 @@
 		_ = c.socket.SetReadDeadline(time.Time{})
 		c.shed = false
 		return false
+	case handshaking(c.socket): // a handshake that a deadline has ended is not resumed
 	case btconn.Readable(c.socket):
 		_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
 		c.shed = false
@@ -226,6 +228,13 @@
 	return true
 }
 
+// handshaking reports whether the TLS handshake of a connection is incomplete. It is called by the
+// goroutine that reads from the connection.
+func handshaking(socket net.Conn) bool {
+	conn, ok := socket.(*tls.Conn)
+	return ok && !conn.ConnectionState().HandshakeComplete
+}
+
 // closeIfIdle makes readLoop close the connection unless a request has arrived or is
 // being answered. Only readLoop knows whether it has received a part of a request.
 func (c *conn) closeIfIdle() {
