--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -48,15 +49,20 @@
 	used      bool // a request has been read
 	shed      bool // the connection was selected by Server.shed
 	closing   bool // no further request is read
+	requests  int  // requests that were read, for exchange.number
+	closesAt  int  // number of the first request whose response closes the connection, 0 if none
+	lastAlone int  // number of the last request that was started after the one before it was answered
 }
 
 // exchange is a request with its response.
 type exchange struct {
 	conn       *conn
+	number     int // of the request on its connection, from 1
 	req        *baobabtide.Request
 	admitted   bool          // the request runs or has run
 	stream     *streamBody   // nil for a body in memory
 	streaming  bool          // the body holds a place in Server.streams
+	buffered   bool          // it began to arrive together with the request before
 	pipelined  bool          // it holds a place in Server.pipelined, until it has its response
 	headOnly   bool          // a HEAD request: the response has no body
 	readAt     time.Time     // when the request had been read, without a streamed body
@@ -79,6 +85,7 @@
 		queue:  make(chan *exchange, pipelineDepth),
 	}
 	c.input.conn, c.output.conn = c, c
+	c.output.late = -paceCredit
 	c.written = make(chan struct{}, 1)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
@@ -120,11 +127,11 @@
 func (c *conn) readLoop() {
 	var previous *exchange
 	for {
-		turn, ok := c.awaitRequest()
+		buffered, ok := c.awaitRequest()
 		if !ok {
 			return
 		}
-		ex := c.nextRequest(turn)
+		ex := c.nextRequest(buffered)
 		if ex == nil {
 			c.discardInput()
 			return
@@ -141,31 +148,28 @@
 	}
 }
 
-// awaitRequest waits for the first byte of a request and until it may be read. It returns the
-// result of the wait, and false when the
-// connection has failed, which cancels the running requests, or is to be closed. Input
-// behind the request whose response closes the connection is discarded.
-func (c *conn) awaitRequest() (turn, bool) {
+// awaitRequest waits for the first byte of a request and until it may be read. It reports whether
+// that byte had arrived together with the request before, and returns false when the connection
+// has failed, which cancels the running requests, or is to be closed. Input behind the request
+// whose response closes the connection is discarded.
+func (c *conn) awaitRequest() (bool, bool) {
 	for {
 		buffered := c.reader != nil && c.reader.Buffered() > 0
 		err := c.awaitInput()
 		if err == nil {
-			turn := c.awaitTurn(buffered)
+			c.awaitRoom()
 			if c.beginReading() {
-				return turn, true
-			}
-			if turn == turnHeld {
-				<-c.server.pipelined
+				return buffered, true
 			}
 			c.discardInput()
-			return turnFree, false
+			return false, false
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cancel(endCause(err))
-			return turnFree, false
+			return false, false
 		}
 		if c.idleExpired() {
-			return turnFree, false
+			return false, false
 		}
 	}
 }
@@ -187,7 +191,8 @@
 	if c.closing {
 		return false
 	}
-	c.reading, c.used = true, true
+	c.reading, c.used, c.shed = true, true, false
+	c.readPace.body = false
 	c.readPace.expect(time.Now(), paceCredit)
 	_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
 	return true
@@ -211,15 +216,25 @@
 	case c.closing:
 	case c.pending > 0:
 		_ = c.socket.SetReadDeadline(time.Time{})
+		c.shed = false
 		return false
+	case handshaking(c.socket): // a handshake that a deadline has ended is not resumed
 	case btconn.Readable(c.socket):
 		_ = c.socket.SetReadDeadline(time.Now().Add(c.server.bounds().headerTimeout))
+		c.shed = false
 		return false
 	}
 	c.closing = true
 	return true
 }
 
+// handshaking reports whether the TLS handshake of a connection is incomplete. It is called by the
+// goroutine that reads from the connection.
+func handshaking(socket net.Conn) bool {
+	conn, ok := socket.(*tls.Conn)
+	return ok && !conn.ConnectionState().HandshakeComplete
+}
+
 // closeIfIdle makes readLoop close the connection unless a request has arrived or is
 // being answered. Only readLoop knows whether it has received a part of a request.
 func (c *conn) closeIfIdle() {
@@ -237,10 +252,16 @@
 func (c *conn) startRequest(ex *exchange, previous *exchange) {
 	concurrent := previous == nil || ex.req.Method == fasthttp.MethodGet || ex.req.Method == fasthttp.MethodHead
 	c.server.start(func() {
+		defer c.server.releasePipelined(ex)
 		if !concurrent {
 			<-previous.done
+			if !c.startAlone(ex) {
+				ex.closeAfter.Store(true)
+				ex.refuse(baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("an earlier response closes the connection")))
+				close(ex.done)
+				return
+			}
 		}
-		defer c.server.releasePipelined(ex)
 		c.server.run(c.ctx, ex)
 	})
 	if ex.stream != nil {
@@ -255,25 +276,53 @@
 	}
 }
 
-// nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
-func (c *conn) nextRequest(t turn) *exchange {
-	ex := &exchange{conn: c, done: make(chan struct{}), pipelined: t == turnHeld}
-	if t == turnMissed {
-		c.endReading(ex)
-		c.reportRefusal(Pipelining, 0)
-		ex.reject(baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many pipelined requests wait")))
-		return ex
+// startAlone reports whether a request that must not run twice may start. It may not if the
+// response to an earlier request closes the connection: its own response would be dropped, and
+// the caller would send it again.
+func (c *conn) startAlone(ex *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closesAt > 0 && c.closesAt < ex.number {
+		return false
 	}
+	c.lastAlone = max(c.lastAlone, ex.number)
+	return true
+}
+
+// closeBehind closes the connection after the response of an exchange, unless a request behind
+// it that must not run twice has started.
+func (c *conn) closeBehind(ex *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastAlone > ex.number {
+		return
+	}
+	ex.closeAfter.Store(true)
+	if c.closesAt == 0 || ex.number < c.closesAt {
+		c.closesAt = ex.number
+	}
+}
+
+// nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
+func (c *conn) nextRequest(buffered bool) *exchange {
+	ex := &exchange{conn: c, done: make(chan struct{}), buffered: buffered}
 	if c.reader == nil && !c.getReader() {
 		c.endReading(ex)
 		ex.reject(c.noMemory())
 		return ex
 	}
+	read := false
+	defer func() {
+		if !read { // also after a panic
+			ex.free()
+			c.server.releaseStream(ex)
+			c.server.releasePipelined(ex)
+		}
+	}()
 	if !c.readRequest(ex) {
-		ex.free()
-		c.server.releasePipelined(ex)
 		return nil
 	}
+	read = true
 	return ex
 }
 
@@ -284,6 +333,8 @@
 	defer c.mu.Unlock()
 	c.reading, c.shed, c.streaming = false, false, ex.stream != nil
 	c.pending++
+	c.requests++
+	ex.number = c.requests
 	c.readPace.pause(time.Now())
 	if ex.stream == nil {
 		_ = c.socket.SetReadDeadline(time.Time{})
@@ -304,6 +355,9 @@
 		_ = c.socket.SetReadDeadline(time.Now().Add(lingerTimeout)) // also for line ends without a request
 		return false
 	}
+	if err == nil {
+		err = c.awaitTurn(ex)
+	}
 	if err == nil {
 		err = c.admit(ex)
 	}
--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -194,7 +194,7 @@
 }
 
 // reserveStream reserves the memory of a streamed body. Under a memory limit it first waits until
-// fewer than maxStreams bodies are read.
+// a place in Server.streams is free.
 func (c *conn) reserveStream(ex *exchange, req *baobabtide.Request) error {
 	if c.server.limits.Strict && c.server.hasRoute(req) {
 		late := c.readPace.pause(time.Now()) // the wait is not the caller's
@@ -206,6 +206,7 @@
 			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many bodies arrive at the same time"))
 		}
 	}
+	c.readPace.body = true
 	if !ex.reserve(btbudget.Body, btbudget.General, streamCost) {
 		return c.noMemory()
 	}
@@ -220,6 +221,9 @@
 		if err := c.discardBody(length); err != nil {
 			return err
 		}
+		if c.server.hasRoute(req) { // the configuration has arrived meanwhile
+			return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("the route is newer than the request"))
+		}
 		req.Body, req.BodyLength = discardedBody{}, int64(length)
 		return nil
 	}
@@ -253,13 +257,18 @@
 }
 
 // writeContinue sends 100 Continue, unless earlier requests are pending: it would
-// then precede their responses.
+// then precede their responses. Only readLoop, which calls it, adds pending requests, so nothing
+// else is written meanwhile.
 func (c *conn) writeContinue() error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending > 0 {
+	skip := c.pending > 0
+	c.mu.Unlock()
+	if skip {
 		return nil
 	}
+	if err := c.socket.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil { // that of the last response may have passed
+		return err
+	}
 	_, err := io.WriteString(c.socket, continueResponse)
 	return err
 }
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -119,7 +119,7 @@
 	s := &Server{
 		Names: DefaultNames(), handler: handler, limits: limits,
 		conns: make(map[*conn]struct{}), idle: make(chan struct{}),
-		streams: make(chan struct{}, maxStreams), pipelined: make(chan struct{}, maxPipelined), shortage: make(chan struct{}, 1), ended: make(chan struct{}),
+		streams: make(chan struct{}, places(limits.Budget)), pipelined: make(chan struct{}, places(limits.Budget)), shortage: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	s.end = sync.OnceFunc(func() { close(s.ended) })
 	s.workers, _ = ants.NewPool(-1, ants.WithExpiryDuration(workerIdleTime)) // fails only for invalid options
@@ -185,7 +185,7 @@
 		c.release(btbudget.Connection, c.cost)
 		return
 	}
-	if len(s.conns) >= s.limits.Connections*crowdedNum/crowdedDen && s.limits.Budget.Limited() {
+	if len(s.conns) >= s.limits.Connections*crowdedNum/crowdedDen && s.limits.Strict {
 		s.signalShortage()
 	}
 	s.conns[c] = struct{}{}
@@ -369,7 +369,10 @@
 	defer close(ex.done)
 	err := btpanic.Catch("serve request", s.OnPanic, func() { s.serve(ctx, ex) })
 	if err != nil {
-		ex.closeAfter.Store(true)
+		if ex.stream != nil && !ex.stream.detach() { // another goroutine may still read the body
+			ex.closeAfter.Store(true)
+		}
+		ex.conn.closeBehind(ex)
 		ex.refuse(&baobabtide.RequestError{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonInternal})
 	}
 }
@@ -384,7 +387,7 @@
 	if err != nil {
 		refusal := baobabtide.AsRequestError(err)
 		if ex.pipelined && refusal.Verdict == baobabtide.NotRun && refusal.RetryAfter > 0 {
-			ex.closeAfter.Store(true) // the requests sent behind it would be refused at once as well
+			ex.conn.closeBehind(ex) // the requests sent behind it would be refused at once as well
 		}
 		ex.refuse(refusal)
 		cancel()
