btnode: a zone that is cut off delays no exchange with the others

One round waited for all candidates of all zones, 600 ms and the notices while a zone was cut off, against a Period of 200 ms and zoneFresh of 350 ms: healthy zones took each other for silent. Each exchange now runs on its own, and a zone's use after a silence is deducted except for what was reserved.

--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -37,7 +38,10 @@
 	generation uint64     // of the membership table that the fields below come from
 	members    int
 	candidates map[string][]baobabtide.Member // of each zone, see btmember.Table.Coordinators
+	exchanges  map[string]*zoneExchange       // of each zone
+	exchanging map[string]bool                // members that an exchange waits for
 
+	noticing atomic.Bool // notices wait for their answers
 	reporter reporter
 }
 
@@ -56,6 +60,8 @@
 		meter:       btquota.NewMeter(rand.New(rand.NewPCG(rand.Uint64(), process))),
 		coordinator: btquota.NewCoordinator(locality.Node, process, locality.Zone),
 		reported:    make(chan struct{}, 1),
+		exchanges:   make(map[string]*zoneExchange),
+		exchanging:  make(map[string]bool),
 	}
 }
 
@@ -205,7 +211,7 @@
 // node no longer reports to it.
 func (n *Node) leaveCoordinator(candidates []baobabtide.Member, next string) {
 	former := n.accounts.reporter.coordinate
-	i := slices.IndexFunc(candidates, func(m baobabtide.Member) bool { return m.Name == former })
+	i := position(candidates, former)
 	if former == next || i < 0 {
 		return
 	}
@@ -273,44 +279,110 @@
 			began := time.Now()
 			n.refreshCoordinators()
 			n.exchangeUsage()
-			n.sendUsageNotices()
+			n.wg.Go(n.sendUsageNotices)
 			n.sleep(btquota.Period - time.Since(began))
 		}
 	}
 }
 
-// exchangeUsage exchanges sums with one coordinator of each other zone whose sums are not recent, and
-// with those of this zone that precede this node.
+// zoneExchange selects the candidates of a zone that this node exchanges sums with.
+type zoneExchange struct {
+	current string // candidate that answered last, or that is tried after those that did not
+	probe   int    // counts the probes of the candidates before current
+}
+
+// targets returns the candidates that get sums in this round: the current one, and in turn one of
+// those before it. A zone's nodes report to the first candidate that answers them, which need not be
+// the one that answered here after a lost message.
+func (e *zoneExchange) targets(candidates []baobabtide.Member) []baobabtide.Member {
+	if len(candidates) == 0 {
+		return nil
+	}
+	i := max(position(candidates, e.current), 0)
+	e.current = candidates[i].Name
+	targets := candidates[i : i+1 : i+1]
+	if i > 0 {
+		e.probe++
+		targets = append(targets, candidates[e.probe%i])
+	}
+	return targets
+}
+
+// answered records that a candidate has answered.
+func (e *zoneExchange) answered(candidates []baobabtide.Member, name string) {
+	if position(candidates, name) < position(candidates, e.current) {
+		e.current = name
+	}
+}
+
+// unanswered records that a candidate has not answered.
+func (e *zoneExchange) unanswered(candidates []baobabtide.Member, name string) {
+	if i := position(candidates, name); name == e.current && i >= 0 {
+		e.current = candidates[(i+1)%len(candidates)].Name
+	}
+}
+
+// position returns the index of a member, -1 if it is not in the list.
+func position(members []baobabtide.Member, name string) int {
+	return slices.IndexFunc(members, func(m baobabtide.Member) bool { return m.Name == name })
+}
+
+// exchangeUsage starts an exchange of sums with the coordinator of each other zone whose sums are not
+// recent, and with those of this zone that precede this node. It does not wait for the answers: the
+// timeouts of a zone that is cut off would make the sums of all others older than a coordinator
+// regards as recent.
 func (n *Node) exchangeUsage() {
 	a := n.accounts
 	a.mu.Lock()
-	zones := a.candidates
-	a.mu.Unlock()
-	var wg sync.WaitGroup
-	for zone, candidates := range zones {
+	defer a.mu.Unlock()
+	for zone, candidates := range a.candidates {
 		if zone == n.locality.Zone {
-			self := slices.IndexFunc(candidates, func(m baobabtide.Member) bool { return m.Name == n.locality.Node })
-			candidates = candidates[:max(self, 0)]
+			candidates = candidates[:max(position(candidates, n.locality.Node), 0)]
 		}
-		wg.Go(func() {
-			for i := range candidates {
-				if !a.coordinator.Due(candidates[i].Name, time.Now()) {
-					return
-				}
-				answer, err := n.sendUsage(&candidates[i], a.coordinator.Exchange(time.Now()))
-				if err == nil {
-					a.coordinator.AddAnswer(answer, time.Now())
-					return
-				}
+		e := a.exchanges[zone]
+		if e == nil {
+			e = &zoneExchange{}
+			a.exchanges[zone] = e
+		}
+		for _, to := range e.targets(candidates) {
+			if a.exchanging[to.Name] {
+				continue
 			}
-		})
+			if !a.coordinator.Due(to.Name, time.Now()) {
+				e.answered(candidates, to.Name)
+				continue
+			}
+			a.exchanging[to.Name] = true
+			n.wg.Go(func() { n.exchangeWith(e, candidates, &to) })
+		}
 	}
-	wg.Wait()
 }
 
-// sendUsageNotices tells the nodes of the zone that do not report which accounts are short.
+// exchangeWith exchanges sums with one candidate of a zone.
+func (n *Node) exchangeWith(e *zoneExchange, candidates []baobabtide.Member, to *baobabtide.Member) {
+	a := n.accounts
+	answer, err := n.sendUsage(to, a.coordinator.Exchange(time.Now()))
+	if err == nil {
+		a.coordinator.AddAnswer(answer, time.Now())
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.exchanging, to.Name)
+	if err == nil {
+		e.answered(candidates, to.Name)
+	} else {
+		e.unanswered(candidates, to.Name)
+	}
+}
+
+// sendUsageNotices tells the nodes of the zone that do not report which accounts are short. It does
+// nothing while earlier notices wait for their answers.
 func (n *Node) sendUsageNotices() {
 	a := n.accounts
+	if !a.noticing.CompareAndSwap(false, true) {
+		return
+	}
+	defer a.noticing.Store(false)
 	silent, notice := a.coordinator.Notice(time.Now())
 	if len(silent) == 0 {
 		return
--- a/btnode/accounts_test.go
+++ b/btnode/accounts_test.go
@@ -90,6 +90,70 @@
 	}
 }
 
+// A zone that is cut off must not delay the exchange with the others: each of its candidates cost a
+// timeout in every round, so that the sums of healthy zones became too old to count.
+func TestCutOffZoneDelaysNoExchange(t *testing.T) {
+	nodes := accountNodes(t, 2, zerolog.Nop())
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	var cut btmember.Delta
+	for i := range usageCandidates {
+		m := nodes[1].self()
+		m.Name, m.Zone, m.PeerAddress = fmt.Sprintf("cut%d", i), "cut", silent.Addr().String()
+		cut.Members = append(cut.Members, m)
+	}
+	n := nodes[0]
+	n.members.mu.Lock()
+	n.members.table.Merge(cut, time.Now())
+	n.members.mu.Unlock()
+	n.setAccountLimits(accountLimits(accountState(1, 10)), time.Now())
+	for range 3 {
+		began := time.Now()
+		n.exchangeUsage()
+		if took := time.Since(began); took >= usageTimeout {
+			t.Errorf("a round took %s", took)
+		}
+		for n.accounts.coordinator.Due(nodes[1].locality.Node, time.Now()) && time.Since(began) < 5*time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		if time.Since(began) >= 5*time.Second {
+			t.Fatal("no sums of the healthy zone")
+		}
+		time.Sleep(btquota.Period)
+	}
+}
+
+// The candidate that answered last gets the sums, and one before it as soon as it answers again:
+// nodes report to the first one that answers, and a later one knows no demand.
+func TestExchangeTargets(t *testing.T) {
+	candidates := []baobabtide.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	up := map[string]bool{"a": true, "b": true, "c": true}
+	e := &zoneExchange{}
+	rounds := func(count int) string {
+		for range count {
+			for _, m := range e.targets(candidates) {
+				if up[m.Name] {
+					e.answered(candidates, m.Name)
+				} else {
+					e.unanswered(candidates, m.Name)
+				}
+			}
+		}
+		return e.current
+	}
+	for _, step := range []struct{ up, want string }{{"abc", "a"}, {"bc", "b"}, {"c", "c"}, {"bc", "b"}, {"abc", "a"}} {
+		for name := range up {
+			up[name] = strings.Contains(step.up, name)
+		}
+		if got := rounds(4); got != step.want {
+			t.Errorf("with %s up, %q gets the sums", step.up, got)
+		}
+	}
+}
+
 // Without limits, no message must be sent and no loop must wake up for requests.
 func TestNoAccountLimits(t *testing.T) {
 	nodes := accountNodes(t, 2, zerolog.Nop())
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -312,8 +312,12 @@
 		}
 		reported[k] = true
 		row := &s.rows[k]
-		if row.counted && !silent { // of a silent zone, the share was reserved
-			c.accounts[k].level -= float64(rows[i].Used - row.used)
+		if row.counted {
+			used := float64(rows[i].Used - row.used)
+			if silent { // less what the bucket did not get while the share was reserved
+				used = max(0, used-(row.share+row.held)*c.accounts[k].limit.Rate*(since-zoneFresh).Seconds())
+			}
+			c.accounts[k].level -= used
 		}
 		row.used, row.counted, row.held = rows[i].Used, true, float64(rows[i].Held)
 		row.update(float64(rows[i].Demand), now)
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -304,3 +304,24 @@
 		}
 	})
 }
+
+// What a zone reports after a silence must be deducted, less what was reserved for it: of zones that
+// heard each other every 400 ms, no use counted.
+func TestUseOfSilentZoneCounts(t *testing.T) {
+	limit := limitOf("a", 100)
+	level := func(used int64) float64 {
+		now := time.Unix(1_700_000_000, 0)
+		c := NewCoordinator("n0", 1, "z0")
+		c.SetLimits([]Limit{limit}, now)
+		c.SetMembers([]Member{{Name: "n0", Zone: "z0"}, {Name: "n1", Zone: "z1"}})
+		answer := &Answer{Node: "n1", Process: 1, Zone: "z1", Rows: Rows{{Account: limit.id(), Demand: 100}}}
+		c.AddAnswer(answer, now)
+		answer.Rows[0].Used = used
+		c.AddAnswer(answer, now.Add(400*time.Millisecond))
+		return c.accounts[0].level
+	}
+	// At most the whole limit was reserved, for 50 ms.
+	if deducted := level(0) - level(40); deducted < 34.9 || deducted > 40 {
+		t.Errorf("%.1f of 40 requests were deducted", deducted)
+	}
+}
