--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -334,6 +334,7 @@
 		a.counted = now
 	}
 	watched := a.admit < 1 && now.Sub(a.counted) < watchFor
+	a.watched = watched
 	if a.count == 0 && a.used == a.acknowledged && !a.open && !watched {
 		return Row{}, false
 	}
@@ -356,7 +357,7 @@
 		a.rate = 0
 	}
 	a.measured, a.count = now, 0
-	a.open, a.watched = a.rate > 0, watched
+	a.open = a.rate > 0
 	a.reported, a.pending = a.used, true
 	return Row{Demand: float32(a.rate), Used: a.used}, true
 }
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -325,3 +326,32 @@
 		t.Errorf("%.1f of 40 requests were deducted", deducted)
 	}
 }
+
+// An account that is no longer short must not keep reports due: they would be sent without rows every
+// Period for as long as the process runs.
+func TestNoReportsAfterShortage(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	limit := limitOf("a", 10)
+	m := NewMeter(rand.New(rand.NewPCG(1, 1)))
+	m.SetLimits([]Limit{limit}, 1, now)
+	m.Take(limit.Key, now)
+	empty := 0
+	for range 100 {
+		sent := now.Add(Period)
+		now = sent
+		if _, due := m.Next(); !due {
+			break
+		}
+		if rows := m.Report(now); len(rows) == 0 {
+			empty++
+		}
+		admit := float32(0.5)
+		if now.Unix() >= 1_700_000_005 {
+			admit = 1
+		}
+		m.Apply([]Share{{Account: limit.id(), Fraction: 1, Admit: admit}}, true, sent, now)
+	}
+	if _, due := m.Next(); due || empty > 1 {
+		t.Errorf("%d reports without rows, another is due: %t", empty, due)
+	}
+}
