btquota: a returned token is usable at once and given back only where one was taken

While a fraction of the requests was admitted, a return restored the level but not the credit. The return of a request that began before its account had a limit added a token and made the use negative.

--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btquarantine"
+	"github.com/baobabtide/baobabtide/btquota"
 	"github.com/baobabtide/baobabtide/btretry"
 	"github.com/baobabtide/baobabtide/btroute"
 )
@@ -64,10 +65,9 @@
 
 // Accounts enforces the limits of client accounts. It must be safe for concurrent use.
 type Accounts interface {
-	// Take admits a request of an account and sets its AccountUse. For a request over the limit it
-	// returns false and the time after which a request is admitted.
-	Take(req *baobabtide.Request, now time.Time) (time.Duration, bool)
-	// Return takes back that a request was admitted, which did not run.
+	// Take admits a request of an account, or refuses one over the limit, and sets its AccountUse.
+	Take(req *baobabtide.Request, now time.Time) btquota.Admission
+	// Return takes back that a request was counted, which did not run.
 	Return(req *baobabtide.Request)
 }
 
@@ -198,7 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := d.takeAccount(req); err != nil {
+	if err := d.takeAccount(s); err != nil {
 		return nil, err
 	}
 	d.Budgets.Earn(s.destination.Service)
@@ -219,7 +219,7 @@
 			}
 			final := s.finalError(attemptErr)
 			if final.Verdict == baobabtide.NotRun {
-				d.returnAccount(req)
+				d.returnAccount(s)
 			}
 			d.logFinal(s, attemptErr, final)
 			return nil, final
@@ -228,23 +228,25 @@
 }
 
 // takeAccount returns the refusal of a request over the limit of its account, nil for any other.
-func (d *Dispatcher) takeAccount(req *baobabtide.Request) *baobabtide.RequestError {
-	if d.Accounts == nil || req.Account == "" {
+func (d *Dispatcher) takeAccount(s *requestState) *baobabtide.RequestError {
+	if d.Accounts == nil || s.req.Account == "" {
 		return nil
 	}
-	wait, ok := d.Accounts.Take(req, time.Now())
-	if ok {
+	admission := d.Accounts.Take(s.req, time.Now())
+	s.counted = admission.Counted
+	if admission.OK {
 		return nil
 	}
+	wait := admission.Wait
 	// Callers that retry at the same moment would use up the limit at once and be refused again.
 	wait += time.Duration(rand.Float64() * retryJitter * float64(max(wait, minAccountJitter)))
 	return baobabtide.Refuse(baobabtide.ReasonAccountLimit, wait, nil)
 }
 
 // returnAccount gives back what takeAccount took for a request that did not run.
-func (d *Dispatcher) returnAccount(req *baobabtide.Request) {
-	if d.Accounts != nil && req.Account != "" {
-		d.Accounts.Return(req)
+func (d *Dispatcher) returnAccount(s *requestState) {
+	if s.counted {
+		d.Accounts.Return(s.req)
 	}
 }
 
--- a/btdispatch/state.go
+++ b/btdispatch/state.go
@@ -21,7 +21,8 @@
 	version     *btroute.Version
 	home        *btroute.Target // home target of the key and the only one allowed, nil if any target is
 	began       time.Time
-	maxReached  int // number of attempts that may reach a backend server
+	maxReached  int  // number of attempts that may reach a backend server
+	counted     bool // against the limit of the account
 
 	tried         [maxTargets]*btroute.Target
 	triedCount    int                      // number of targets tried in the present round
--- a/btnode/accounts.go
+++ b/btnode/accounts.go
@@ -68,13 +68,13 @@
 var _ btdispatch.Accounts = (*accounts)(nil)
 
 // Take implements btdispatch.Accounts.
-func (a *accounts) Take(req *baobabtide.Request, now time.Time) (time.Duration, bool) {
+func (a *accounts) Take(req *baobabtide.Request, now time.Time) btquota.Admission {
 	if !a.meter.Active() {
-		return 0, true
+		return btquota.Admission{OK: true}
 	}
-	wait, use, ok := a.meter.Take(btquota.Key{Customer: req.Customer, Account: req.Account}, now)
-	req.AccountUse = use
-	return wait, ok
+	admission := a.meter.Take(btquota.Key{Customer: req.Customer, Account: req.Account}, now)
+	req.AccountUse = admission.Use
+	return admission
 }
 
 // Return implements btdispatch.Accounts.
--- a/btnode/accounts_test.go
+++ b/btnode/accounts_test.go
@@ -75,7 +75,7 @@
 	req := &baobabtide.Request{Customer: "c", Account: "a"}
 	admitted := 0
 	for i := 0; time.Since(now) < duration; i++ {
-		if _, ok := nodes[i%len(nodes)].accounts.Take(req, time.Now()); ok {
+		if nodes[i%len(nodes)].accounts.Take(req, time.Now()).OK {
 			admitted++
 		}
 		time.Sleep(time.Second / (5 * rate))
@@ -159,7 +159,7 @@
 	nodes := accountNodes(t, 2, zerolog.Nop())
 	req := &baobabtide.Request{Customer: "c", Account: "a"}
 	for range 1000 {
-		if _, ok := nodes[0].accounts.Take(req, time.Now()); !ok {
+		if !nodes[0].accounts.Take(req, time.Now()).OK {
 			t.Fatal("a request of an account without a limit was refused")
 		}
 	}
--- a/btquota/bench_test.go
+++ b/btquota/bench_test.go
@@ -27,7 +27,7 @@
 	for i := 0; b.Loop(); i++ {
 		now = now.Add(100 * time.Microsecond)
 		key := limits[i%84].Key
-		if _, _, ok := m.Take(key, now); ok {
+		if m.Take(key, now).Counted {
 			m.Return(key)
 		}
 	}
--- a/btquota/meter.go
+++ b/btquota/meter.go
@@ -200,16 +200,23 @@
 	a.touched = now
 }
 
-// Take admits a request of an account, or returns the time after which one would be admitted. It also
-// returns the demand of the account over all nodes divided by its limit, 0 if unknown.
-func (m *Meter) Take(key Key, now time.Time) (time.Duration, float64, bool) {
+// Admission is the result of Take.
+type Admission struct {
+	OK      bool          // the request is admitted
+	Counted bool          // it took a token, which Return gives back; false for an account without a limit
+	Wait    time.Duration // time after which a request that is not admitted would be
+	Use     float64       // demand of the account over all nodes divided by its limit, 0 if unknown
+}
+
+// Take admits a request of an account or refuses it.
+func (m *Meter) Take(key Key, now time.Time) Admission {
 	table := m.table.Load()
 	if table == nil {
-		return 0, 0, true
+		return Admission{OK: true}
 	}
 	a := table.byKey[key]
 	if a == nil {
-		return 0, 0, true
+		return Admission{OK: true}
 	}
 	a.mu.Lock()
 	wait, ok := a.take(now)
@@ -223,7 +230,7 @@
 	if short && !m.short.Load() && !m.short.Swap(true) || first {
 		m.signal()
 	}
-	return wait, use, ok
+	return Admission{OK: ok, Counted: ok, Wait: wait, Use: use}
 }
 
 func (a *meterAccount) take(now time.Time) (time.Duration, bool) {
@@ -257,7 +264,8 @@
 	return max(time.Duration(seconds*float64(time.Second)), minWait)
 }
 
-// Return gives back the token of a request that was admitted and did not run.
+// Return gives back the token of a request that was admitted and did not run. It must be called only for
+// one that Take has counted.
 func (m *Meter) Return(key Key) {
 	table := m.table.Load()
 	if table == nil {
@@ -270,6 +278,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.level = min(a.level+1, a.capacity(a.share))
+	if a.admit < 1 {
+		a.credit = min(a.credit+1, maxCredit)
+	}
 	a.used--
 	a.admitted--
 }
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -355,3 +355,26 @@
 		t.Errorf("%d reports without rows, another is due: %t", empty, due)
 	}
 }
+
+// A token that is given back must be usable at once, also while only a fraction of the requests is
+// admitted: at a node with few requests the fraction alone admits none for a long time.
+func TestReturnedTokenIsUsable(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	limit := limitOf("a", 10)
+	m := NewMeter(rand.New(rand.NewPCG(1, 1)))
+	if m.Take(limit.Key, now).Counted {
+		t.Error("a request without a limit counts")
+	}
+	m.SetLimits([]Limit{limit}, 1, now)
+	m.Apply([]Share{{Account: limit.id(), Fraction: 1, Tokens: 10, Admit: 0.1}}, true, now, now)
+	for range 11 {
+		if m.Take(limit.Key, now).Counted {
+			m.Return(limit.Key)
+			if !m.Take(limit.Key, now).OK {
+				t.Error("the returned token admits no request")
+			}
+			return
+		}
+	}
+	t.Error("no request was admitted")
+}
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -126,7 +126,7 @@
 		s.offered[account]++
 	}
 	key := s.limits[account].Key
-	if _, _, ok := n.meter.Take(key, s.now); !ok {
+	if !n.meter.Take(key, s.now).OK {
 		return
 	}
 	if s.returned > 0 && s.random.Float64() < s.returned {
