--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -507,7 +507,7 @@
 		Fraction: float32(fraction),
 		Tokens:   float32(fraction*max(0, a.level) + a.limit.floor(equal)),
 		Admit:    float32(a.admit),
-		Use:      float32(a.demand / a.limit.Rate),
+		Use:      float32(min(a.demand/a.limit.Rate, maxUse)),
 	}
 }
 
--- a/btquota/doc.go
+++ b/btquota/doc.go
@@ -48,6 +48,7 @@
 	startBurst = 0.05 // part of the burst that a bucket holds whose use in the last seconds is not known
 	leastParts = 0.5  // part of the limit that nodes may use that lose all others, in parts of their number
 	ordinary   = 2.0  // largest share that many nodes may have at a time, in equal parts of the limit
+	maxUse     = 1e6  // largest use in an answer: a limit of 1e-39 gave an infinite one, for which nodes reject the whole answer
 	maxDebt    = 2.0  // largest debt of a bucket, in seconds of its rate: a wrong report must not close an account for long
 )
 
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -378,3 +379,22 @@
 	}
 	t.Error("no request was admitted")
 }
+
+// Nodes must accept the answer on an account with a tiny limit: they reject the whole answer for one
+// invalid value, and all their accounts would go without shares.
+func TestAnswerOnTinyLimitIsValid(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, rate := range []float64{1e-39, math.SmallestNonzeroFloat64} {
+		limit := limitOf("a", rate)
+		c := NewCoordinator("n0", 1, "z0")
+		c.SetLimits([]Limit{limit}, now)
+		c.SetMembers([]Member{{Name: "n0", Zone: "z0"}})
+		for i := range 10 {
+			now = now.Add(Period)
+			answer := c.Report(&Report{Node: "n0", Process: 1, Zone: "z0", Rows: Rows{{Account: limit.id(), Demand: 100, Used: int64(i)}}}, now)
+			if err := answer.Check(); err != nil || len(answer.Shares) != 1 {
+				t.Fatalf("%d shares, %v", len(answer.Shares), err)
+			}
+		}
+	}
+}
