--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -1,6 +1,7 @@
 package btquota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -57,12 +58,31 @@
 	process     uint64
 	zone        string
 	coordinator bool
-	at          time.Time // of the last report
-	rows        []sourceRow
+	at          time.Time   // of the last report
+	rows        []sourceRow // of the accounts that the source has reported
+	position    []int32     // 1 + index in rows, by index in Coordinator.accounts, 0 for no row
 }
 
-// sourceRow is the demand of a source for one account, in the order of Coordinator.accounts.
+// find returns the row of an account, nil if there is none.
+func (s *source) find(k int) *sourceRow {
+	if s.position[k] == 0 {
+		return nil
+	}
+	return &s.rows[s.position[k]-1]
+}
+
+// row returns the row of an account, and creates it if there is none. It is valid until the next call.
+func (s *source) row(k int) *sourceRow {
+	if s.position[k] == 0 {
+		s.rows = append(s.rows, sourceRow{account: k})
+		s.position[k] = int32(len(s.rows))
+	}
+	return s.find(k)
+}
+
+// sourceRow is the demand of a source for one account.
 type sourceRow struct {
+	account int     // index in Coordinator.accounts
 	demand  float64 // requests per second at time at
 	slow    float64 // follows demand up at once and down with slowTime
 	share   float64 // that the source was told to use, or that another zone claims
@@ -99,13 +119,14 @@
 		accounts[i], index[a.id] = a, i
 	}
 	for _, s := range c.sources {
-		rows := make([]sourceRow, len(limits))
-		for i := range accounts {
-			if old, ok := c.index[accounts[i].id]; ok {
-				rows[i] = s.rows[old]
+		rows := s.rows
+		s.rows, s.position = nil, make([]int32, len(limits))
+		for i := range rows {
+			if k, ok := index[c.accounts[rows[i].account].id]; ok {
+				rows[i].account = k
+				*s.row(k) = rows[i]
 			}
 		}
-		s.rows = rows
 	}
 	c.accounts, c.index, c.combined = accounts, index, time.Time{}
 }
@@ -124,15 +145,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.members, c.zones, c.own = 0, make(map[string]int), nil
+	live := make(map[string]bool, len(members))
 	for _, m := range members {
 		if s := c.sources[m.Name]; s != nil && (m.Left || m.Process > s.process) {
 			delete(c.sources, m.Name)
 		}
 		if m.Left {
-			delete(c.noticed, m.Name)
-			delete(c.reached, m.Name)
 			continue
 		}
+		live[m.Name] = true
 		c.members++
 		if m.Zone == c.zone {
 			c.own = append(c.own, m.Name)
@@ -140,6 +161,9 @@
 			c.zones[m.Zone]++
 		}
 	}
+	for _, names := range []map[string]time.Time{c.noticed, c.reached} {
+		maps.DeleteFunc(names, func(name string, _ time.Time) bool { return !live[name] })
+	}
 }
 
 // size returns the number of tokens that the bucket of an account holds at most. The part of those
@@ -178,8 +202,9 @@
 	for i := range r.Rows {
 		row := &r.Rows[i]
 		if k, ok := c.index[row.Account]; ok {
-			used := s.rows[k].usedSince(row, silent, r.Moved)
-			s.rows[k].update(float64(row.Demand), now)
+			known := s.row(k)
+			used := known.usedSince(row, silent, r.Moved)
+			known.update(float64(row.Demand), now)
 			c.accounts[k].own += used
 			c.accounts[k].level -= float64(used)
 		}
@@ -252,7 +277,7 @@
 	}
 	s := c.sources[name]
 	if s == nil || s.process != process {
-		s = &source{process: process, zone: zone, coordinator: coordinator, rows: make([]sourceRow, len(c.accounts))}
+		s = &source{process: process, zone: zone, coordinator: coordinator, position: make([]int32, len(c.accounts))}
 		c.sources[name] = s
 	}
 	return s
@@ -311,7 +336,7 @@
 			continue
 		}
 		reported[k] = true
-		row := &s.rows[k]
+		row := s.row(k)
 		if row.counted {
 			used := float64(rows[i].Used - row.used)
 			if silent { // less what the bucket did not get while the share was reserved
@@ -322,18 +347,18 @@
 		row.used, row.counted, row.held = rows[i].Used, true, float64(rows[i].Held)
 		row.update(float64(rows[i].Demand), now)
 	}
-	for k := range s.rows {
-		if !reported[k] && !s.rows[k].at.IsZero() {
-			s.rows[k].held = 0
-			s.rows[k].update(0, now)
+	for i := range s.rows {
+		if row := &s.rows[i]; !reported[row.account] && !row.at.IsZero() {
+			row.held = 0
+			row.update(0, now)
 		}
 	}
 	c.combine(now, true)
-	for k := range s.rows {
+	for i := range s.rows {
 		// The largest of the last seconds: as a flood begins, this coordinator sees it in its own zone
 		// first, and would claim the shares of the others if it lost them just then.
-		row := &s.rows[k]
-		row.share = max(c.accounts[k].part(row.slow), row.share/(1+since.Seconds()/shareTime.Seconds()))
+		row := &s.rows[i]
+		row.share = max(c.accounts[row.account].part(row.slow), row.share/(1+since.Seconds()/shareTime.Seconds()))
 	}
 }
 
@@ -402,18 +427,18 @@
 	if silence > limit {
 		return false
 	}
-	equal := 1 / float64(max(c.members, 1))
-	if !s.coordinator && silence > fresh && c.preceded(now) {
+	lost := !s.coordinator && silence > fresh
+	if lost && c.preceded(now) {
 		return false // the preceding candidate reserves its share
 	}
-	lost := !s.coordinator && silence > fresh && slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
-	for k := range s.rows {
-		row, a := &s.rows[k], &c.accounts[k]
+	if lost && s.hasDemand() {
+		c.reserveLost(s, silence)
+		return true
+	}
+	for i := range s.rows {
+		row := &s.rows[i]
+		a := &c.accounts[row.account]
 		switch {
-		case lost && row.demand > 0:
-			a.ownHeld += reservedShare(row.share, equal, silence)
-		case lost: // it may use an equal part
-			a.idleHeld += equal
 		case row.at.IsZero():
 		case silence > fresh && s.coordinator && (row.demand > 0 || row.held > 0):
 			a.held += row.share + row.held
@@ -431,6 +456,24 @@
 	return true
 }
 
+// reserveLost reserves the shares of a node that has gone silent while it had demand.
+func (c *Coordinator) reserveLost(s *source, silence time.Duration) {
+	equal := 1 / float64(max(c.members, 1))
+	for k := range c.accounts {
+		a := &c.accounts[k]
+		if row := s.find(k); row != nil && row.demand > 0 {
+			a.ownHeld += reservedShare(row.share, equal, silence)
+		} else { // it may use an equal part
+			a.idleHeld += equal
+		}
+	}
+}
+
+// hasDemand reports whether the last report on any account held demand.
+func (s *source) hasDemand() bool {
+	return slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
+}
+
 // correction returns the factor between the demand and its measured value shortly after the start of
 // all nodes. Nothing is known from before, which counts as no demand. A coordinator that takes over gets
 // values that are not measured from zero.
@@ -488,7 +531,7 @@
 			continue
 		}
 		listed[k] = true
-		a, row := &c.accounts[k], &s.rows[k]
+		a, row := &c.accounts[k], s.row(k)
 		row.share = a.nodePart(row)
 		shares = append(shares, a.share(row.share, equal))
 	}
@@ -601,7 +644,7 @@
 func (c *Coordinator) reserve(zone string, members int, now time.Time) {
 	s := c.source("?"+zone, 0, zone, true)
 	s.at = now.Add(-2 * freshFor)
-	for k := range s.rows {
-		s.rows[k] = sourceRow{demand: 1, share: float64(members) / float64(max(c.members, members)), at: s.at}
+	for k := range c.accounts {
+		*s.row(k) = sourceRow{account: k, demand: 1, share: float64(members) / float64(max(c.members, members)), at: s.at}
 	}
 }
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -398,3 +398,37 @@
 		}
 	}
 }
+
+// A source must cost memory only for the accounts that it reports, and a member that vanished none:
+// 30 nodes with rows for 65,536 accounts took 141 MB.
+func TestCoordinatorKeepsOnlyWhatIsReported(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	limits := make([]Limit, 1000)
+	for i := range limits {
+		limits[i] = limitOf(fmt.Sprint(i), 10)
+	}
+	c := NewCoordinator("n0", 1, "z0")
+	c.SetLimits(limits, now)
+	c.SetMembers([]Member{{Name: "n0", Zone: "z0"}, {Name: "n1", Zone: "z0"}})
+	row := Row{Account: limits[500].id(), Demand: 100}
+	for range 10 {
+		now = now.Add(Period)
+		row.Used += 20
+		c.Report(&Report{Node: "n0", Process: 1, Zone: "z0", Rows: Rows{row}}, now)
+	}
+	if rows := len(c.sources["n0"].rows); rows != 1 {
+		t.Errorf("%d rows of a node that reported on one account", rows)
+	}
+	if silent, _ := c.Notice(now); len(silent) != 1 {
+		t.Errorf("notices to %q", silent)
+	}
+	c.Reached("n1", now)
+	c.SetLimits(limits[500:], now)
+	c.SetMembers([]Member{{Name: "n0", Zone: "z0"}})
+	if len(c.noticed)+len(c.reached) > 0 {
+		t.Errorf("times are kept of notices to %v, %v", c.noticed, c.reached)
+	}
+	if known := c.sources["n0"].find(0); known == nil || known.used != row.Used {
+		t.Errorf("the row after a change of the limits is %+v", known)
+	}
+}
