--- a/btquota/message.go
+++ b/btquota/message.go
@@ -55,12 +55,12 @@
 	Use      float32 // demand over all nodes, divided by the limit
 }
 
-// Rows and Shares are byte strings in a message. Encoding each value for itself took most of the
-// processor time that a coordinator needs.
-type (
-	Rows   []Row
-	Shares []Share
-)
+// Rows is a byte string in a message. Encoding each value for itself took most of the processor time
+// that a coordinator needs.
+type Rows []Row
+
+// Shares is a byte string in a message, like Rows.
+type Shares []Share
 
 const (
 	rowBytes   = 8 + 4 + 4 + 8
--- a/btquota/sim_test.go
+++ b/btquota/sim_test.go
@@ -50,7 +50,6 @@
 
 	lastAnswer  time.Time
 	answeredBy  string
-	lastSent    int // tick of the last report
 	candidate   int
 	candidateAt int  // tick at which the candidate was chosen
 	rows        Rows // of the report that waits for its answer, nil for none
@@ -307,10 +306,3 @@
 func (s *sim) lost(account int) float64 {
 	return max(0, float64(s.offered[account]-s.taken[account])) / math.Max(1, float64(s.offered[account]))
 }
-
-// resetCounts starts the counts of lost and taken anew.
-func (s *sim) resetCounts() {
-	clear(s.offered)
-	clear(s.taken)
-	clear(s.total)
-}
