--- a/baobabtided/run.go
+++ b/baobabtided/run.go
@@ -68,6 +68,10 @@
 	return node.Run(ctx)
 }
 
+// gcPercent is the garbage collector's target with a memory limit: it collects half as often as by
+// default, and more often only as the heap comes near the limit.
+const gcPercent = 200
+
 // limitMemory sets the soft limit of the runtime: that of the flag, or else the one for the memory
 // in the settings unless the environment sets a lower one.
 func limitMemory(options *runOptions, settings *btsettings.Settings) {
@@ -77,6 +81,7 @@
 		debug.SetMemoryLimit(int64(options.MemoryLimit) << 20)
 	case memory > 0:
 		debug.SetMemoryLimit(min(debug.SetMemoryLimit(-1), btbudget.SoftLimit(memory)))
+		debug.SetGCPercent(gcPercent)
 	}
 }
 
