--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -427,16 +427,6 @@
 	if silence > limit {
 		return false
 	}
-<<<<<<< HEAD
-	equal := 1 / float64(max(c.members, 1))
-	gone := !s.coordinator && silence > fresh
-	if gone && c.preceded(now) {
-		return false // the preceding candidate reserves its share
-	}
-	lost := gone && slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
-	for k := range s.rows {
-		row, a := &s.rows[k], &c.accounts[k]
-=======
 	lost := !s.coordinator && silence > fresh
 	if lost && c.preceded(now) {
 		return false // the preceding candidate reserves its share
@@ -448,7 +438,6 @@
 	for i := range s.rows {
 		row := &s.rows[i]
 		a := &c.accounts[row.account]
->>>>>>> fixquota
 		switch {
 		case row.at.IsZero():
 		case silence > fresh && s.coordinator && (row.demand > 0 || row.held > 0):
@@ -460,7 +449,6 @@
 	return true
 }
 
-<<<<<<< HEAD
 // addDemand adds the demand of a source that reports to the sums.
 func (a *account) addDemand(row *sourceRow, coordinator bool, now time.Time) {
 	a.held += row.held
@@ -471,7 +459,8 @@
 	}
 	a.ownDemand += row.demand
 	a.nodeSlow += row.slowAt(now)
-=======
+}
+
 // reserveLost reserves the shares of a node that has gone silent while it had demand.
 func (c *Coordinator) reserveLost(s *source, silence time.Duration) {
 	equal := 1 / float64(max(c.members, 1))
@@ -488,7 +477,6 @@
 // hasDemand reports whether the last report on any account held demand.
 func (s *source) hasDemand() bool {
 	return slices.ContainsFunc(s.rows, func(r sourceRow) bool { return r.demand > 0 })
->>>>>>> fixquota
 }
 
 // correction returns the factor between the demand and its measured value shortly after the start of
--- a/btquota/message.go
+++ b/btquota/message.go
@@ -55,19 +55,11 @@
 	Use      float32 // demand over all nodes, divided by the limit
 }
 
-<<<<<<< HEAD
-// Rows is a byte string in a message. Encoding each value for itself took most of the processor
-// time that a coordinator needs.
-type Rows []Row
-
-// Shares is a byte string in a message, as Rows is.
-=======
 // Rows is a byte string in a message. Encoding each value for itself took most of the processor time
 // that a coordinator needs.
 type Rows []Row
 
 // Shares is a byte string in a message, like Rows.
->>>>>>> fixquota
 type Shares []Share
 
 const (
