btcaller: fewer places for streamed bodies, 8 for pipelined requests

With an eighth of the budget (234 places at 184 MB) the large-body, pipelined and unread cases of TestLargeCrowds/route failed, which pass with 8 places. With 14 places for both, large-body and pipelined passed and unread failed (87.99%). Bodies now have 14 and pipelined requests 8 at 184 MB; this combination has not run in TestLargeCrowds.

--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -119,7 +119,7 @@
 	s := &Server{
 		Names: DefaultNames(), handler: handler, limits: limits,
 		conns: make(map[*conn]struct{}), idle: make(chan struct{}),
-		streams: make(chan struct{}, places(limits.Budget)), pipelined: make(chan struct{}, places(limits.Budget)), shortage: make(chan struct{}, 1), ended: make(chan struct{}),
+		streams: make(chan struct{}, places(limits.Budget)), pipelined: make(chan struct{}, minPlaces), shortage: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	s.end = sync.OnceFunc(func() { close(s.ended) })
 	s.workers, _ = ants.NewPool(-1, ants.WithExpiryDuration(workerIdleTime)) // fails only for invalid options
--- a/btcaller/shed.go
+++ b/btcaller/shed.go
@@ -23,11 +23,11 @@
 	maxPipelinedBytes = 256 << 10 // bytes that a connection holds before no further request is read from it
 
 	// minPlaces and placesDivisor bound the streamed bodies that are read at the same time under a
-	// memory limit: an eighth of the budget at streamCost each. As many requests may run of those
-	// that were sent before the response to an earlier one of the connection. With 8 places for
-	// any budget, 8 steady uploads kept out all others while the budget was nearly unused.
+	// memory limit: a 128th of the budget at streamCost each. minPlaces requests may run of those
+	// that were sent before the response to an earlier one of the connection. Each takes a slot of
+	// a backend server: with an eighth, TestLargeCrowds left ordinary requests unserved.
 	minPlaces     = 8
-	placesDivisor = 8
+	placesDivisor = 128
 
 	minBodyRate = 1 << 10 // bytes a second of a streamed body under a memory limit, after the first timeout
 
@@ -133,8 +133,8 @@
 	}
 }
 
-// places returns the number of streamed bodies that are read, and of pipelined requests that
-// run, at the same time under a memory limit.
+// places returns the number of streamed bodies that are read at the same time under a memory
+// limit.
 func places(budget *btbudget.Budget) int64 {
 	return max(minPlaces, budget.Limit()/(placesDivisor*streamCost))
 }
