btquota, btnode: candidates that no longer coordinate reserve nothing

A node that starts coordinates itself until it knows the others. It did not leave itself, as it was no candidate any more, reserved the whole limit for its own silence, and told that to the candidate before it, which kept it for 60 s. Change: a node leaves the member that answered before, whichever that is; sums of candidates behind this one are dropped when they are no longer recent.

--- a/btnode/accountlimits.go
+++ b/btnode/accountlimits.go
@@ -193,7 +193,7 @@
 		answer, err := n.sendUsage(to, report)
 		if err == nil {
 			a.meter.Apply(answer.Shares, answer.Ready, now, time.Now())
-			n.leaveCoordinator(candidates, to.Name)
+			n.leaveCoordinator(to.Name)
 			n.recordUsageAnswer(to.Name, now)
 			if answer.Yield {
 				r.first = 0
@@ -207,16 +207,22 @@
 	n.sleep(btquota.Period)
 }
 
-// leaveCoordinator tells the candidate that answered until now, if that was another one, that this
-// node no longer reports to it.
-func (n *Node) leaveCoordinator(candidates []baobabtide.Member, next string) {
+// leaveCoordinator tells the member that answered until now, if that was another one, that this
+// node no longer reports to it. It need not be a candidate any more: a node that starts knows only
+// itself at first, and would reserve the whole limit for itself as a node that has gone silent.
+func (n *Node) leaveCoordinator(next string) {
 	former := n.accounts.reporter.coordinate
-	i := position(candidates, former)
-	if former == next || i < 0 {
+	if former == "" || former == next {
+		return
+	}
+	n.members.mu.Lock()
+	m, known := n.members.table.Get(former)
+	n.members.mu.Unlock()
+	if !known || m.Status >= baobabtide.Failed {
 		return
 	}
 	// If it can't be reached, it reserves the share for as long as this node might use it.
-	_, _ = n.sendUsage(&candidates[i], &btquota.Report{Node: n.locality.Node, Process: n.incarnation, Zone: n.locality.Zone, Leave: true})
+	_, _ = n.sendUsage(&m, &btquota.Report{Node: n.locality.Node, Process: n.incarnation, Zone: n.locality.Zone, Leave: true})
 }
 
 // sendUsage sends a report to a member, which may be this node, and returns the answer.
--- a/btquota/combine.go
+++ b/btquota/combine.go
@@ -56,6 +56,9 @@
 	if s.coordinator {
 		fresh, limit = zoneFresh, zoneFor
 	}
+	if s.follows {
+		limit = freshFor
+	}
 	if silence > limit {
 		return false
 	}
--- a/btquota/coordinator.go
+++ b/btquota/coordinator.go
@@ -57,6 +57,7 @@
 	process     uint64
 	zone        string
 	coordinator bool
+	follows     bool        // a candidate of the same zone behind this one; its nodes report here once they can
 	at          time.Time   // of the last report
 	rows        []sourceRow // of the accounts that the source has reported
 	position    []int32     // 1 + index in rows, by index in Coordinator.accounts, 0 for no row
@@ -188,6 +189,9 @@
 		c.combine(now, false)
 		answer.Rows = c.rows()
 		c.addZone(r.Node, r.Process, r.Zone, r.Rows, now)
+		if s := c.sources["zone "+r.Node]; s != nil && r.Zone == c.zone {
+			s.follows = true // Exchange is sent to none of the zone but those that precede
+		}
 		return answer
 	}
 	if r.Leave {
--- a/btquota/quota_test.go
+++ b/btquota/quota_test.go
@@ -456,3 +456,22 @@
 		t.Errorf("the row after a change of the limits is %+v", known)
 	}
 }
+
+// A candidate that coordinated only until it knew the one before it must not keep shares reserved: its
+// nodes report to the other one from then on. After all nodes had been killed at once, one zone refused
+// 70% of its requests for the rest of a minute.
+func TestFollowingCandidateReservesNothing(t *testing.T) {
+	now := time.Now()
+	limit := limitOf("a", 100)
+	first := NewCoordinator("first", 1, "z")
+	first.SetMembers([]Member{{Name: "first", Zone: "z", Process: 1}, {Name: "second", Zone: "z", Process: 1}})
+	first.SetLimits([]Limit{limit}, now)
+	row := Row{Account: limit.id(), Demand: 10, Held: 1, Used: 5}
+	first.Report(&Report{Node: "second", Process: 1, Zone: "z", Coordinator: true, Rows: []Row{row}}, now)
+	now = now.Add(2 * time.Second)
+	first.Report(&Report{Node: "first", Process: 1, Zone: "z", Rows: []Row{{Account: limit.id(), Demand: 10}}}, now)
+	first.Exchange(now)
+	if held := first.accounts[0].held; held > 0 {
+		t.Errorf("%.2f of the limit is reserved for a candidate that no longer coordinates", held)
+	}
+}
