--- a/btnode/node.go
+++ b/btnode/node.go
@@ -183,10 +183,7 @@
 	n.rollouts.node = n
 	n.rollouts.failing = make(chan struct{}, 1)
 	n.seeds = btmember.NewSeeds(settings.Peer.Seeds, now, n.jitterFraction())
-	n.members.table = btmember.New(n.self(), n.timing(), rand.New(rand.NewPCG(n.incarnation, uint64(now.Nanosecond()))))
-	if settings.Peer.HasNarrowLink() {
-		n.members.table.PreferZone()
-	}
+	n.members.table = n.newTable(now)
 	n.dispatch = &btdispatch.Dispatcher{
 		Node:        n.locality.Node,
 		Incarnation: n.incarnation,
@@ -231,6 +228,15 @@
 // time of the process in Unix milliseconds.
 func (n *Node) Process() uint64 { return n.incarnation }
 
+// newTable returns the membership table with only this node in it.
+func (n *Node) newTable(now time.Time) *btmember.Table {
+	table := btmember.New(n.self(), n.timing(), rand.New(rand.NewPCG(n.incarnation, uint64(now.Nanosecond()))))
+	if n.settings.Peer.HasNarrowLink() {
+		table.PreferZone()
+	}
+	return table
+}
+
 // self returns the first membership record of this process.
 func (n *Node) self() baobabtide.Member {
 	return baobabtide.Member{
