btconn: BoundedListener is the name of the listener with a bounded number of connections

Cause: CrowdListener named the clients that it defends against, not what it does. Change: the type, its file and its tests are renamed; no behavior changed.

--- a/btconn/crowd.go
+++ b/btconn/bounded.go
@@ -12,33 +12,33 @@
 	// replaceAge is the time that a connection has to be answered before it is replaced.
 	replaceAge = 250 * time.Millisecond
 
-	// crowdFactor is how many times as many connections as allowed are accepted in replaceAge.
+	// burstFactor is how many times as many connections as allowed are accepted in replaceAge.
 	// Beyond that new ones wait: in a burst the newest are not served yet when as many again have
 	// arrived, and would replace each other.
-	crowdFactor = 8
+	burstFactor = 8
 )
 
-// CrowdListener accepts connections of which a bounded number is open. Beyond that, each new
+// BoundedListener accepts connections of which a bounded number is open. Beyond that, each new
 // one replaces the connection on which the server has sent nothing for longest, so that a
-// crowd of silent clients neither exhausts memory nor keeps others out. Its fields must be set
+// large number of silent clients neither exhausts memory nor keeps others out. Its fields must be set
 // before Accept.
-type CrowdListener struct {
+type BoundedListener struct {
 	net.Listener
-	Most int // open connections, crowdFactor times as many for replaceAge
+	Most int // open connections, burstFactor times as many for replaceAge
 
 	Replaced atomic.Int64 // connections that were closed for new ones
 
 	mu    sync.Mutex
-	conns list.List // of *crowdConn, the one that was written to least recently first
+	conns list.List // of *boundedConn, the one that was written to least recently first
 }
 
 // Accept implements net.Listener.
-func (l *CrowdListener) Accept() (net.Conn, error) {
+func (l *BoundedListener) Accept() (net.Conn, error) {
 	socket, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	c := &crowdConn{Conn: socket, listener: l, active: time.Now()}
+	c := &boundedConn{Conn: socket, listener: l, active: time.Now()}
 	for {
 		replaced, wait := l.add(c, time.Now())
 		for _, old := range replaced {
@@ -55,18 +55,18 @@
 // add adds a connection and returns those that it replaces: all beyond Most that are older than
 // replaceAge, so that the number shrinks to Most after a burst. If it has to wait before, it
 // returns for how long.
-func (l *CrowdListener) add(c *crowdConn, now time.Time) ([]*crowdConn, time.Duration) {
+func (l *BoundedListener) add(c *boundedConn, now time.Time) ([]*boundedConn, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var replaced []*crowdConn
+	var replaced []*boundedConn
 	for l.conns.Len() >= l.Most {
 		oldest := l.conns.Front()
-		young := replaceAge - now.Sub(oldest.Value.(*crowdConn).active) //nolint:forcetypeassert // the list holds nothing else
+		young := replaceAge - now.Sub(oldest.Value.(*boundedConn).active) //nolint:forcetypeassert // the list holds nothing else
 		if young <= 0 {
 			replaced = append(replaced, l.remove(oldest))
 			continue
 		}
-		if l.conns.Len() >= l.Most*crowdFactor {
+		if l.conns.Len() >= l.Most*burstFactor {
 			return replaced, young
 		}
 		break
@@ -76,22 +76,22 @@
 }
 
 // remove removes a connection. The caller holds l.mu.
-func (l *CrowdListener) remove(e *list.Element) *crowdConn {
-	c := l.conns.Remove(e).(*crowdConn) //nolint:forcetypeassert // the list holds nothing else
+func (l *BoundedListener) remove(e *list.Element) *boundedConn {
+	c := l.conns.Remove(e).(*boundedConn) //nolint:forcetypeassert // the list holds nothing else
 	c.element = nil
 	return c
 }
 
-// crowdConn is a connection of a CrowdListener.
-type crowdConn struct {
+// boundedConn is a connection of a BoundedListener.
+type boundedConn struct {
 	net.Conn
-	listener *CrowdListener
+	listener *BoundedListener
 	active   time.Time     // when it was accepted or last written to; protected by listener.mu
 	element  *list.Element // in the listener's list, nil once it is not in it; protected by listener.mu
 }
 
 // Write implements net.Conn.
-func (c *crowdConn) Write(p []byte) (int, error) {
+func (c *boundedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err == nil {
 		c.listener.mu.Lock()
@@ -105,7 +105,7 @@
 }
 
 // Close implements net.Conn.
-func (c *crowdConn) Close() error {
+func (c *boundedConn) Close() error {
 	c.listener.mu.Lock()
 	if c.element != nil {
 		c.listener.remove(c.element)
@@ -115,4 +115,4 @@
 }
 
 // NetConn returns the wrapped connection.
-func (c *crowdConn) NetConn() net.Conn { return c.Conn }
+func (c *boundedConn) NetConn() net.Conn { return c.Conn }
--- a/btconn/crowd_test.go
+++ b/btconn/bounded_test.go
@@ -11,12 +11,12 @@
 
 // Guards against silent connections that keep new ones out, and against one that is answered
 // being replaced before silent ones.
-func TestCrowdListener(t *testing.T) {
+func TestBoundedListener(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &CrowdListener{Listener: inner, Most: 3}
+	l := &BoundedListener{Listener: inner, Most: 3}
 	defer l.Close()
 	connect := func() (net.Conn, net.Conn) {
 		t.Helper()
@@ -66,12 +66,12 @@
 }
 
 // Guards against a number of open connections that stays beyond Most after a burst.
-func TestCrowdShrinksAfterBurst(t *testing.T) {
+func TestBoundedListenerShrinksAfterBurst(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &CrowdListener{Listener: inner, Most: 4}
+	l := &BoundedListener{Listener: inner, Most: 4}
 	defer l.Close()
 	connect := func() {
 		t.Helper()
--- a/btnode/clients.go
+++ b/btnode/clients.go
@@ -78,13 +78,13 @@
 	}
 }
 
-// crowd returns a function that serves a listener with a bounded number of open connections.
-func (n *Node) crowd(name string, most int, serve func(net.Listener) error) func(net.Listener) error {
+// bounded returns a function that serves a listener with a bounded number of open connections.
+func (n *Node) bounded(name string, most int, serve func(net.Listener) error) func(net.Listener) error {
 	return func(l net.Listener) error {
-		crowd := &btconn.CrowdListener{Listener: l, Most: most}
+		listener := &btconn.BoundedListener{Listener: l, Most: most}
 		n.metrics.NewGauge(fmt.Sprintf(`baobabtide_connections_replaced_total{listener=%q}`, name), func() float64 {
-			return float64(crowd.Replaced.Load())
+			return float64(listener.Replaced.Load())
 		})
-		return serve(crowd)
+		return serve(listener)
 	}
 }
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -149,16 +149,16 @@
 	operators.OnPanic = n.recordPanic
 	listeners := []listener{
 		{"callers", n.settings.Caller.Listen, func(l net.Listener) error { return callers.Serve(l, n.callerTLS()) }, callers.Close},
-		{"backend servers", n.settings.Backend.Listen, n.crowd("backend servers", maxAnnounceConns, announce.Serve), n.stopAnnounce},
-		{"operators", n.settings.Operator.Listen, n.crowd("operators", maxOperatorConns, func(l net.Listener) error { return operators.Serve(l, n.serverTLS()) }), stopOperators},
+		{"backend servers", n.settings.Backend.Listen, n.bounded("backend servers", maxAnnounceConns, announce.Serve), n.stopAnnounce},
+		{"operators", n.settings.Operator.Listen, n.bounded("operators", maxOperatorConns, func(l net.Listener) error { return operators.Serve(l, n.serverTLS()) }), stopOperators},
 	}
 	if n.settings.Metrics.Listen != "" {
 		server, stopMetrics := n.metricsServer()
-		listeners = append(listeners, listener{"metrics", n.settings.Metrics.Listen, n.crowd("metrics", maxMetricsConns, server.Serve), stopMetrics})
+		listeners = append(listeners, listener{"metrics", n.settings.Metrics.Listen, n.bounded("metrics", maxMetricsConns, server.Serve), stopMetrics})
 	}
 	if n.settings.Metrics.Ready != "" {
 		ready, stopReady := n.metricsServer()
-		listeners = append(listeners, listener{"readiness", n.settings.Metrics.Ready, n.crowd("readiness", maxMetricsConns, ready.Serve), stopReady})
+		listeners = append(listeners, listener{"readiness", n.settings.Metrics.Ready, n.bounded("readiness", maxMetricsConns, ready.Serve), stopReady})
 	}
 	n.server, _ = btpeer.NewServer(n, n.serverTLS(), &n.bytes)
 	n.server.Pacer, n.server.OnPanic = n.peers.Pacer, n.recordPanic
