review: scripts of five cases

Cause: five orders of events break a rule on a small deployment. Change: review/1 to review/5 start nodes, stand-ins and clients, and check the rule; the claims follow.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -46,6 +46,8 @@
 	store    *store
 	machines []*machine
 	targets  []*target
+	traffic  context.Context // ends with the clients
+	statuses int             // records of statuses before the latest order
 
 	mu      sync.Mutex
 	answers []answer
@@ -57,6 +59,7 @@
 	cluster              *cluster
 	name, zone, ip       string
 	service              string
+	target               *target
 	settings             string // path
 	mu                   sync.Mutex
 	process              *exec.Cmd
@@ -240,7 +243,7 @@
 	if configure != nil {
 		configure(t)
 	}
-	c.targets = append(c.targets, t)
+	c.targets, m.target = append(c.targets, t), t
 	return t, t.start(c.ctx)
 }
 
@@ -296,7 +299,7 @@
 	c.clients.Go(func() {
 		for ctx.Err() == nil {
 			time.Sleep(time.Duration(rand.ExpFloat64() / k.perSecond * float64(time.Second)))
-			if m.isReady() && ctx.Err() == nil {
+			if m.isReady() && !m.isRemoved() && ctx.Err() == nil {
 				c.clients.Go(func() { c.request(transport, m, k) })
 			}
 		}
@@ -348,3 +351,89 @@
 	}
 	return runs
 }
+
+func (m *machine) isRemoved() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.removed
+}
+
+// ofService returns the machines of a service that are there.
+func (c *cluster) ofService(service string) []*machine {
+	var found []*machine
+	for _, m := range c.present() {
+		if m.service == service {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// leave makes targets drain and stop, and then removes their machines.
+func (c *cluster) leave(machines []*machine) {
+	for _, m := range machines {
+		m.target.drain()
+	}
+	time.Sleep(drainTime + 500*time.Millisecond)
+	for _, m := range machines {
+		m.target.deregister()
+		m.target.stop()
+	}
+	for _, m := range machines {
+		m.mu.Lock()
+		m.removed, m.ready = true, false
+		m.mu.Unlock()
+		go m.term()
+	}
+}
+
+// awaitStatus waits until the status of the rollout of berthboard is as given.
+func (c *cluster) awaitStatus(state, version string) error {
+	got, err := c.awaitEnd(version)
+	if err == nil && got != state {
+		err = fmt.Errorf("the rollout of %s has ended as %s, not %s", version, got, state)
+	}
+	return err
+}
+
+// awaitEnd waits until the latest rollout of berthboard to a version has ended, and returns its state.
+func (c *cluster) awaitEnd(version string) (string, error) {
+	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		c.store.mu.Lock()
+		records := c.store.topics["keyed.status"]
+		c.store.mu.Unlock()
+		if len(records) <= c.statuses {
+			continue
+		}
+		var status struct{ State, NewVersion string }
+		last := records[len(records)-1].value
+		if json.Unmarshal(last, &status) == nil && status.NewVersion == version && status.State != "in_progress" {
+			return status.State, nil
+		}
+	}
+	return "", fmt.Errorf("the rollout of %s has not ended", version)
+}
+
+// answersBetween returns the answers to the requests that were sent in a time.
+func (c *cluster) answersBetween(from, to time.Time) []answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found []answer
+	for _, a := range c.answers {
+		if a.sent.After(from) && a.sent.Before(to) {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// present returns the machines that are there.
+func (c *cluster) present() []*machine {
+	var found []*machine
+	for _, m := range c.machines {
+		if !m.isRemoved() {
+			found = append(found, m)
+		}
+	}
+	return found
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (string, error){
 	"superseded": superseded,
 	"rerelease":  rerelease,
+	"vanished":   vanished,
 	"latebeat":   lateBeat,
 	"config":     refusedConfig,
 }
@@ -59,6 +60,18 @@
 		return exitError
 	}
 	defer c.close()
+	finished := make(chan struct{})
+	defer close(finished)
+	go func() { // ends a case that was interrupted or takes too long
+		<-ctx.Done()
+		select {
+		case <-finished:
+		default:
+			c.close()
+			rec.close()
+			os.Exit(exitError)
+		}
+	}()
 	broken, err := cases[os.Args[1]](c, os.Getenv("TROUBLE") != "0")
 	if err == nil && ctx.Err() != nil {
 		err = ctx.Err()
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -207,7 +207,7 @@
 	now := time.Now()
 	done := run{
 		at: now, id: id, target: t.id, service: t.service, version: t.version,
-		caller: r.Header.Get("X-Baobabtide-Caller-Service"), method: r.Method, path: r.URL.RequestURI(),
+		caller: r.Header.Get("X-Baobabtide-Caller-Service"), method: r.Method, path: r.RequestURI,
 	}
 	done.bad = t.badShare != nil && rand.Float64() < t.badShare(now.Sub(t.born))
 	t.mu.Lock()
