review: an order for the old version as the first case

Cause: an operator who orders the old version before a rollout has ended sends nearly all traffic to the new one. Change: it takes the place of the case with a third version, whose result varied with the load; the cases are numbered anew by gravity.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -16,16 +16,17 @@
 
 // Bounds of the settings.
 const (
-	drainTime   = 2 * time.Second
-	configApply = 2 * time.Second
-	exposeShare = 0.1
-	exposeSlack = 50
-	rollback    = 5 * time.Second
-	rollbackBad = 50 // bad answers after which rollback begins
-	stable      = 3 * time.Second
-	leastAdded  = 20 // requests on routes that were added later
-	rollGap     = 1300 * time.Millisecond
-	startTime   = 300 * time.Millisecond // of the machines that are lost as they start
+	drainTime      = 2 * time.Second
+	configApply    = 2 * time.Second
+	exposeShare    = 0.1
+	exposeSlack    = 50
+	rollback       = 5 * time.Second
+	rollbackBad    = 50 // bad answers after which rollback begins
+	stable         = 3 * time.Second
+	versionTargets = 4  // of a new version, as many as of the old one
+	leastAdded     = 20 // requests on routes that were added later
+	rollGap        = 1300 * time.Millisecond
+	startTime      = 300 * time.Millisecond // of the machines that are lost as they start
 )
 
 // Classes of requests.
@@ -80,7 +81,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := c.addTarget(m, fmt.Sprintf("i-%04x", i+1), "v1", nil); err != nil {
+		if err := c.addTarget(m, fmt.Sprintf("i-%04x", i+1), "v1", nil); err != nil {
 			return err
 		}
 		go c.watchReady(m)
@@ -114,15 +115,15 @@
 }
 
 // addVersion adds machines with targets of a new version of berthboard.
-func addVersion(c *cluster, version, name string, count int, bad func(since time.Duration) float64) ([]*machine, error) {
+func addVersion(c *cluster, version, name string, bad func(since time.Duration) float64) ([]*machine, error) {
 	var added []*machine
-	for i := range count {
+	for i := range versionTargets {
 		m, err := c.addMachine(i%3, board)
 		if err != nil {
 			return nil, err
 		}
 		id := fmt.Sprintf("i-%s-%s-%d", version, name, i)
-		if _, err := c.addTarget(m, id, version, func(t *target) { t.badShare = bad }); err != nil {
+		if err := c.addTarget(m, id, version, func(t *target) { t.badShare = bad }); err != nil {
 			return nil, err
 		}
 		go c.watchReady(m)
@@ -163,46 +164,66 @@
 	return ""
 }
 
-// superseded orders a bad version and, with trouble, another version before the first rollout has
-// ended.
-func superseded(c *cluster, trouble bool) (string, error) {
+// orderBack orders a version that turns bad later. With trouble, the operator orders the old version
+// before the rollout has ended.
+func orderBack(c *cluster, trouble bool) (string, error) {
 	if err := begin(c, 2); err != nil {
 		return "", err
 	}
 	clients := look
-	clients.perSecond = 42 // there are more machines than in other cases
+	clients.perSecond /= 2 // there are more machines than in other cases
 	stop := traffic(c, clients)
 	time.Sleep(2 * time.Second)
-	const length = 30 * time.Second
+	const length, turnsBad = 16 * time.Second, 6 * time.Second
 	ordered := order(c, "v2", length)
-	bad := func(since time.Duration) float64 { // turns bad 20 s after its start
-		if since < 20*time.Second {
+	bad := func(since time.Duration) float64 {
+		if since < turnsBad {
 			return 0
 		}
 		return 0.5
 	}
-	added, err := addVersion(c, "v2", "first", 4, bad)
+	added, err := addVersion(c, "v2", "first", bad)
 	if err != nil {
 		return "", err
 	}
-	time.Sleep(4 * time.Second)
-	if trouble {
-		order(c, "v3", length)
-		more, err := addVersion(c, "v3", "first", 4, nil)
-		if err != nil {
-			return "", err
-		}
-		added = append(added, more...)
-	}
 	for _, m := range added {
 		c.runClients(c.traffic, m, clients)
 	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		order(c, "v1", length)
+	}
 	deadline := ordered.Add(length)
 	time.Sleep(time.Until(deadline))
 	stop()
 	return exposure(c, "v2", ordered, deadline), nil
 }
 
+// orderCurrent orders a bad version, which is taken back. With trouble, the operator then orders the
+// version that carries the traffic.
+func orderCurrent(c *cluster, trouble bool) (string, error) {
+	if err := begin(c, 1); err != nil {
+		return "", err
+	}
+	c.store.put("config", config(8, routes())) // adds the route of look
+	time.Sleep(configApply)
+	stop := traffic(c, look, book)
+	time.Sleep(time.Second)
+	if err := takenBack(c, "v2"); err != nil {
+		return "", err
+	}
+	time.Sleep(grace + stable)
+	if trouble {
+		order(c, "v1", 20*time.Second)
+	}
+	time.Sleep(time.Second)
+	from := time.Now()
+	time.Sleep(10 * time.Second)
+	to := time.Now()
+	stop()
+	return addedRoutes(c, from, to), nil
+}
+
 // rerelease orders v2 twice: the first rollout is taken back, the second is completed. Then a bad v3
 // is ordered and taken back. With trouble, all nodes are stopped and started in turn after that.
 func rerelease(c *cluster, trouble bool) (string, error) {
@@ -218,7 +239,7 @@
 		return "", err
 	}
 	order(c, "v2", 8*time.Second)
-	added, err := addVersion(c, "v2", "second", 4, nil)
+	added, err := addVersion(c, "v2", "second", nil)
 	if err != nil {
 		return "", err
 	}
@@ -264,7 +285,7 @@
 	time.Sleep(time.Second)
 	const length = 30 * time.Second
 	order(c, "v2", length)
-	added, err := addVersion(c, "v2", "first", 4, nil)
+	added, err := addVersion(c, "v2", "first", nil)
 	if err != nil {
 		return "", err
 	}
@@ -302,7 +323,7 @@
 // takenBack orders a bad version, waits until it is rolled back and removes its targets.
 func takenBack(c *cluster, version string) error {
 	order(c, version, 12*time.Second)
-	added, err := addVersion(c, version, "first", 4, func(time.Duration) float64 { return 0.5 })
+	added, err := addVersion(c, version, "first", func(time.Duration) float64 { return 0.5 })
 	if err != nil {
 		return err
 	}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -235,7 +235,7 @@
 }
 
 // addTarget starts a target beside a machine.
-func (c *cluster) addTarget(m *machine, id, version string, configure func(*target)) (*target, error) {
+func (c *cluster) addTarget(m *machine, id, version string, configure func(*target)) error {
 	t := &target{
 		id: id, service: m.service, version: version, zone: m.zone, slots: 13, work: 100 * time.Millisecond,
 		address: hostPort(m.ip, appPort), control: hostPort(m.ip, controlPort), rec: c.rec,
@@ -244,7 +244,7 @@
 		configure(t)
 	}
 	c.targets, m.target = append(c.targets, t), t
-	return t, t.start(c.ctx)
+	return t.start(c.ctx)
 }
 
 // watchReady asks each node every second whether it is ready, as the platform does.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,18 +23,19 @@
 
 // cases are the functions that play a case. They return what broke the rule, empty for nothing.
 var cases = map[string]func(c *cluster, trouble bool) (string, error){
-	"superseded": superseded,
-	"rerelease":  rerelease,
-	"vanished":   vanished,
-	"latebeat":   lateBeat,
-	"config":     refusedConfig,
+	"orderback":    orderBack,
+	"rerelease":    rerelease,
+	"ordercurrent": orderCurrent,
+	"vanished":     vanished,
+	"latebeat":     lateBeat,
+	"config":       refusedConfig,
 }
 
-func main() { os.Exit(run1()) }
+func main() { os.Exit(play()) }
 
-// run1 plays the case that the first argument names and writes record.txt to the folder that the
+// play plays the case that the first argument names and writes record.txt to the folder that the
 // second names.
-func run1() int {
+func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER, at the root of the repository")
 		return exitError
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -48,7 +48,6 @@
 	state    string // as the heartbeats say
 	sequence int
 	silent   bool // sends no heartbeats
-	ackedAt  time.Time
 	runs     []run
 }
 
