--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -189,7 +189,7 @@
 	for _, m := range added {
 		c.runClients(c.traffic, m, clients)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 	if trouble {
 		order(c, "v1", length)
 	}
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -218,7 +218,7 @@
 		work *= 2
 	}
 	select {
-	case <-time.After(time.Duration(float64(work) * (0.5 + rand.Float64()))):
+	case <-time.After(time.Duration(float64(work) * (0.75 + rand.Float64()/2))):
 	case <-r.Context().Done():
 	}
 	w.Header().Set("X-Baobabtide-Response-Signature", t.id+"."+id)
