btconfig: the state names the version in force of an unversioned service

Callers saw: nothing was served of a service whose version had been taken back once, ordered again and completed, by nodes that restarted after a later version was taken back.

Cause: each Reverted outcome up to the latest rollout refused its version, also where a later rollout of the same version had been completed, and the table sent requests to what was not refused. Running nodes kept the version of their previous table. Ruled out: lost outcomes and unknown targets, as a table built from all outcomes and ready targets shows the same.

Change: Assignment.InForce is the version of the latest completed rollout. Completed takes a version off the refused ones. Decoded states work both out from the outcomes, as earlier versions encode less. Tables send to the version in force if it has targets.

--- a/btconfig/outcomes.go
+++ b/btconfig/outcomes.go
@@ -52,24 +52,47 @@
 	)
 }
 
-// reconcileOutcomes ends the rollouts of unversioned services that have an
-// outcome and adds reverted versions to the refused ones. s must be a clone.
+// reconcileOutcomes ends the rollouts of unversioned services that have an outcome,
+// and works out which of their versions are in force and refused. s must be a clone.
 func (s *State) reconcileOutcomes() {
+	for key, a := range s.Assignments {
+		if a.Current == baobabtide.AnyVersion && a.Rollout != nil {
+			a.InForce, a.Refused = "", nil
+			s.Assignments[key] = a
+		}
+	}
 	for i := range s.Outcomes {
 		o := &s.Outcomes[i]
 		key := AssignmentKey(o.Customer, o.Service)
 		a, ok := s.Assignments[key]
-		if !ok || a.Current != baobabtide.AnyVersion || a.Rollout == nil {
+		if !ok || a.Current != baobabtide.AnyVersion || a.Rollout == nil || o.Rollout > a.Rollout.Offset {
 			continue
 		}
 		if a.Rollout.Offset == o.Rollout {
 			a = endRollout(a, o)
 		}
-		if o.Result == baobabtide.Reverted && o.Rollout <= a.Rollout.Offset {
-			a.Refused = addRefused(a, o.Version)
+		s.Assignments[key] = applyResult(a, o)
+	}
+}
+
+// applyResult returns the assignment after the next of its outcomes. A version that is in
+// force is not refused: there is none to return to. Neither is one that is released again,
+// while its rollout runs.
+func applyResult(a baobabtide.Assignment, o *baobabtide.OutcomeRecord) baobabtide.Assignment {
+	isVersion := func(version string) bool { return version == o.Version }
+	switch {
+	case o.Version == "":
+	case o.Result == baobabtide.Completed:
+		a.InForce = o.Version
+		if a.Refused = slices.DeleteFunc(slices.Clone(a.Refused), isVersion); len(a.Refused) == 0 {
+			a.Refused = nil // as in a state that never had one, which nodes compare and encode
 		}
-		s.Assignments[key] = a
+	case o.Version == a.InForce || slices.ContainsFunc(a.Refused, isVersion):
+	case a.Running() && a.Rollout.To == o.Version:
+	default:
+		a.Refused = append(slices.Clip(a.Refused), o.Version)
 	}
+	return a
 }
 
 // endRollout returns the assignment with the outcome of its rollout set, unless the
@@ -85,12 +108,3 @@
 	a.Rollout = &rollout
 	return a
 }
-
-// addRefused returns the assignment's refused versions with one more. A version
-// that is released again is not added while its rollout runs.
-func addRefused(a baobabtide.Assignment, version string) []string {
-	if slices.Contains(a.Refused, version) || (a.Running() && a.Rollout.To == version) {
-		return a.Refused
-	}
-	return append(slices.Clone(a.Refused), version)
-}
--- /dev/null
+++ b/btconfig/outcomes_test.go
@@ -0,0 +1,98 @@
+package btconfig
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btfixture"
+)
+
+// orderEntry returns the entry of an order to move the traffic of the unversioned service "s" to a version.
+func orderEntry(offset baobabtide.Offset, version string) baobabtide.Entry {
+	terms := btfixture.RolloutTerms()
+	data, err := btcodec.EncodeJSON(&baobabtide.Record{
+		ID: fmt.Sprintf("order.%d", offset), Actor: "operator",
+		Release: &baobabtide.Release{Service: "s", Version: version, Customers: []string{"c"}, Terms: &terms},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return baobabtide.Entry{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data}
+}
+
+func outcomeOf(offset baobabtide.Offset, version string, result baobabtide.Result) baobabtide.OutcomeRecord {
+	return baobabtide.OutcomeRecord{Rollout: offset, Customer: "c", Service: "s", Version: version, Result: result}
+}
+
+// versions is what nodes must agree on.
+type versions struct {
+	InForce string
+	Refused []string
+}
+
+func versionsOf(s *State) versions {
+	a := s.Assignments[AssignmentKey("c", "s")]
+	return versions{a.InForce, a.Refused}
+}
+
+// A node that starts folds the newest order alone and gets the outcomes in any order. It must come
+// to the same version in force as one that has seen everything happen.
+func TestStartingNodeAgreesOnVersionInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		running, starting := new(State), new(State)
+		var outcomes []baobabtide.OutcomeRecord
+		orders := rapid.SliceOfN(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 1, 8).Draw(t, "orders")
+		want := ""
+		for i, version := range orders {
+			offset := baobabtide.Offset(i + 1)
+			running = Fold(running, orderEntry(offset, version))
+			result := rapid.SampledFrom([]baobabtide.Result{baobabtide.Completed, baobabtide.Reverted}).Draw(t, "result")
+			o := outcomeOf(offset, version, result)
+			outcomes = append(outcomes, o)
+			running = running.WithOutcome(o)
+			if result == baobabtide.Completed {
+				want = version
+			}
+			if diff := cmp.Diff(want, versionsOf(running).InForce); diff != "" {
+				t.Fatalf("version in force after rollout %d (-want +got):\n%s", offset, diff)
+			}
+		}
+		starting = Fold(starting, orderEntry(baobabtide.Offset(len(orders)), orders[len(orders)-1]))
+		for _, o := range rapid.Permutation(outcomes).Draw(t, "arrivals") {
+			starting = starting.WithOutcome(o)
+		}
+		if diff := cmp.Diff(versionsOf(running), versionsOf(starting)); diff != "" {
+			t.Fatalf("a node that starts (-running +starting):\n%s", diff)
+		}
+	})
+}
+
+// A state of an earlier version names no version in force and may refuse it.
+func TestStateOfEarlierVersionGetsVersionInForce(t *testing.T) {
+	s := Fold(new(State), orderEntry(1, "v3"))
+	s.Outcomes = []baobabtide.OutcomeRecord{outcomeOf(1, "v3", baobabtide.Reverted)}
+	s = Fold(s, orderEntry(4, "v3"))
+	s.Outcomes = []baobabtide.OutcomeRecord{
+		outcomeOf(2, "v2", baobabtide.Reverted), outcomeOf(3, "v2", baobabtide.Completed), outcomeOf(4, "v3", baobabtide.Reverted),
+	}
+	a := s.Assignments[AssignmentKey("c", "s")]
+	a.Refused = []string{"v2", "v3"}
+	s.Assignments[AssignmentKey("c", "s")] = a
+	data, err := EncodeState(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := DecodeState(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(versions{"v2", []string{"v3"}}, versionsOf(decoded)); diff != "" {
+		t.Errorf("versions (-want +got):\n%s", diff)
+	}
+}
--- a/btconfig/snapshot.go
+++ b/btconfig/snapshot.go
@@ -84,12 +84,14 @@
 	return b.Bytes(), nil
 }
 
-// DecodeState decodes what EncodeState returns. Errors wrap ErrDamaged.
+// DecodeState decodes what EncodeState returns. Errors wrap ErrDamaged. What follows from
+// the outcomes is worked out again, as earlier versions encode less of it.
 func DecodeState(data []byte) (*State, error) {
 	s := new(State)
 	if err := decompress(data, s); err != nil {
 		return nil, err
 	}
+	s.reconcileOutcomes()
 	return s, nil
 }
 
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -234,12 +234,12 @@
 }
 
 // anyVersion returns the targets that receive the traffic of an unversioned
-// service: those of the version whose rollout has completed, if it has any;
-// otherwise all targets except those of the version that a running rollout
-// introduces and those of refused versions.
+// service: those of the version in force, if it has any; otherwise all targets
+// except those of the version that a running rollout introduces and those of
+// refused versions.
 func anyVersion(a *baobabtide.Assignment, pools map[versionKey]*Pool, position float64) Version {
-	if a.Rollout != nil && a.Rollout.Result == baobabtide.Completed {
-		if v := version(a.Service, a.Rollout.To, pools); v.Pool.Size() > 0 {
+	if a.InForce != "" {
+		if v := version(a.Service, a.InForce, pools); v.Pool.Size() > 0 {
 			return v
 		}
 	}
--- a/btroute/table_test.go
+++ b/btroute/table_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btfixture"
 )
@@ -87,6 +88,64 @@
 	}
 }
 
+// unversioned returns a configuration with one unversioned service and the given orders, each
+// the version that a rollout at offset 2, 3, ... moves traffic to.
+func unversioned(orders ...string) *btconfig.State {
+	s := state(baobabtide.AnyVersion, "service-0")
+	s.Contracts["c"].Contract.Services[0].Unversioned = true
+	for _, version := range orders {
+		terms := btfixture.RolloutTerms()
+		data, err := btcodec.EncodeJSON(&baobabtide.Record{
+			ID: fmt.Sprintf("order.%d", s.Offset+1), Actor: "operator",
+			Release: &baobabtide.Release{Service: "service-0", Version: version, Customers: []string{"c"}, Terms: &terms},
+		})
+		if err != nil {
+			panic(err)
+		}
+		s = btconfig.Fold(s, baobabtide.Entry{Offset: s.Offset + 1, Time: now, Data: data})
+	}
+	return s
+}
+
+// outcome returns the outcome of the rollout at an offset.
+func outcome(rollout baobabtide.Offset, version string, result baobabtide.Result) baobabtide.OutcomeRecord {
+	return baobabtide.OutcomeRecord{Rollout: rollout, Customer: "c", Service: "service-0", Version: version, Result: result}
+}
+
+// TestVersionReleasedAgainStaysInForce guards against nodes that start and send nothing to a version
+// that was taken back once, ordered again and completed, after a later one was taken back.
+func TestVersionReleasedAgainStaysInForce(t *testing.T) {
+	outcomes := []baobabtide.OutcomeRecord{
+		outcome(2, "v2", baobabtide.Reverted),
+		outcome(3, "v2", baobabtide.Completed),
+		outcome(4, "v3", baobabtide.Reverted),
+	}
+	tests := map[string][]int{"in order": {0, 1, 2}, "reversed": {2, 1, 0}, "mixed": {1, 2, 0}}
+	for name, order := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := unversioned("v2", "v2", "v3")
+			for _, i := range order {
+				s = s.WithOutcome(outcomes[i])
+			}
+			members := append(btfixture.Members(3, 1, 1, "v2"), btfixture.Members(1, 1, 1, "v3")...)
+			members[3].Name = "node-0003"
+			dest := Build(s, members, locality, nil).Destination("c", "service-0")
+			if diff := cmp.Diff(map[string]int{"v2": 3}, versionsOf(dest.Current.Pool)); diff != "" {
+				t.Errorf("current targets by version (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// versionsOf returns the number of targets of each version.
+func versionsOf(pool *Pool) map[string]int {
+	count := make(map[string]int)
+	for _, target := range pool.Targets() {
+		count[target.Version]++
+	}
+	return count
+}
+
 func TestNextVersionWithoutTargetsGetsNoTraffic(t *testing.T) {
 	s := state("v1", "service-0")
 	startRollout(s, "service-0", "v2")
--- a/record.go
+++ b/record.go
@@ -297,11 +297,13 @@
 	Service  string
 	Current  string   // version that gets the traffic, the old one while a rollout runs, or AnyVersion
 	Rollout  *Rollout `json:",omitempty"` // latest rollout, nil before the first
-	Refused  []string `json:",omitempty"` // versions that were reverted and get no traffic, for AnyVersion only
+	InForce  string   `json:",omitempty"` // version of the latest completed rollout, for AnyVersion only; empty before the first
+	Refused  []string `json:",omitempty"` // versions that were reverted and get no traffic, for AnyVersion only; without InForce
 }
 
-// AnyVersion is the current version of an unversioned service: all announced
-// versions except those that a rollout moves traffic to or has reverted.
+// AnyVersion is the current version of an unversioned service: the one in force, or
+// before any is, all announced versions except those that a rollout moves traffic to
+// or has reverted.
 const AnyVersion = "*"
 
 // Running reports whether there is a rollout that has not ended.
