platform: a value beyond a bound does not keep a configuration from coming into force

Callers saw: after a change of the configuration that also set an idle time-out of an hour, all requests went on to the old service, at all nodes, for good.

Cause: Contract.Check, made for publishers that get its error, rejected the whole record that the platform's store had accepted. Fractions of weights and whole numbers written as 2.0 failed the translation before that.

Rejected records are logged and counted at every node.

--- a/btcaller/request.go
+++ b/btcaller/request.go
@@ -75,19 +75,22 @@
 	return baobabtide.Refuse(baobabtide.ReasonBadRequest, 0, fmt.Errorf(format, args...))
 }
 
-// deadline parses a timeout in milliseconds, 1 to maxTimeout, and returns the
-// time at which it expires. An empty text stands for maxTimeout. The name is
-// that of the header.
+// deadline parses a timeout in milliseconds and returns the time at which it
+// expires. An empty text and longer ones stand for maxTimeout. The name is that of
+// the header.
 func deadline(name, text string) (time.Time, *baobabtide.RequestError) {
 	now := time.Now()
 	if text == "" {
 		return now.Add(maxTimeout), nil
 	}
 	millis, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || millis <= 0 || millis > maxTimeout.Milliseconds() {
-		return time.Time{}, badRequest("%s %q is not an integer from 1 to %d", name, text, maxTimeout.Milliseconds())
+	if errors.Is(err, strconv.ErrRange) {
+		err = nil // millis is the nearest number
 	}
-	return now.Add(time.Duration(millis) * time.Millisecond), nil
+	if err != nil || millis <= 0 {
+		return time.Time{}, badRequest("%s %q is not a positive integer", name, text)
+	}
+	return now.Add(time.Duration(min(millis, maxTimeout.Milliseconds())) * time.Millisecond), nil
 }
 
 // depth parses the depth of a call, 0 for an empty text. The name is that of the
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -26,10 +26,10 @@
 )
 
 const (
-	maxBufferedBody     = 64 << 10         // bytes of a request body that is kept in memory for retries
-	maxBufferedResponse = 4 << 20          // bytes of a response that is read completely before it is sent
-	maxKeyLength        = 256              // bytes
-	maxTimeout          = 10 * time.Minute // of a request, and its default
+	maxBufferedBody     = 64 << 10       // bytes of a request body that is kept in memory for retries
+	maxBufferedResponse = 4 << 20        // bytes of a response that is read completely before it is sent
+	maxKeyLength        = 256            // bytes
+	maxTimeout          = 24 * time.Hour // of a request, and its default
 
 	drainTimeout         = 30 * time.Second       // wait for running requests when the server stops
 	writeTimeout         = 30 * time.Second       // for the caller to accept writePart bytes
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -41,6 +41,7 @@
 	PullUnanswered    Event = "pull.unanswered" // a neighbor has a later configuration and has not sent it
 	RecordRejected    Event = "record.rejected"
 	RecordInvalid     Event = "record.invalid"
+	RecordBounded     Event = "record.bounded" // a record is in force with values within the bounds of a contract in place of others
 	TargetChanged     Event = "target.changed"
 	TargetRestored    Event = "target.restored"
 	TargetLimit       Event = "target.limit"       // the rate limit that a backend server names has changed
@@ -73,7 +74,7 @@
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, ClientRefused, RequestsServed,
 		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogReader,
-		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, ReportInvalid, HeartbeatRefused, MemberStatus,
+		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, RecordBounded, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, ReportInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, AccountsAnswered, AccountsFallback, LinesDropped,
 	}
 }
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -238,6 +238,7 @@
 		applied, err := n.config.Apply(link)
 		if applied {
 			fresh++
+			n.recordRejection(link.Entry.Offset)
 		}
 		if errors.Is(err, btconfig.ErrGap) {
 			gap = true
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -101,6 +101,7 @@
 	gauge("baobabtide_log_read_age_seconds", func() float64 { return n.logReadAge().Seconds() })
 	gauge("baobabtide_log_stalled_reads_total", func() float64 { return float64(n.progress.stalled.Load()) })
 	gauge("baobabtide_config_records_behind", n.recordsBehind)
+	gauge("baobabtide_config_records_rejected_total", func() float64 { return float64(n.recordsRejected.Load()) })
 	gauge("baobabtide_log_reads_total", func() float64 {
 		reads, _ := n.adapters.Calls()
 		return float64(reads)
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -94,7 +94,9 @@
 	quarantine         btquarantine.Table
 	unstored           unstored
 
-	resolving    atomic.Int64 // calls to key partners in progress that report the end of an attempt
+	resolving       atomic.Int64 // calls to key partners in progress that report the end of an attempt
+	recordsRejected atomic.Int64 // of the configuration, since the start of the process
+
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
 	outcomesRead atomic.Bool  // the outcome log has been read at least once, or the platform has none
 
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -152,19 +152,20 @@
 func (n *Node) applyPage(page *baobabtide.Page) {
 	applied := n.config.ApplyAll(page.Entries)
 	for _, offset := range applied {
-		n.logRejected(offset)
+		n.recordRejection(offset)
 	}
 	if len(applied) > 0 {
 		n.configChanged(nil)
 	}
 }
 
-// logRejected logs the record at an offset if it was rejected.
-func (n *Node) logRejected(offset baobabtide.Offset) {
+// recordRejection logs and counts the record at an offset if it was rejected.
+func (n *Node) recordRejection(offset baobabtide.Offset) {
 	entry, ok := n.config.State().Audit.At(offset)
 	if !ok || entry.Accepted {
 		return
 	}
+	n.recordsRejected.Add(1)
 	n.log.Warn().Str("event", string(btlog.RecordRejected)).Uint64("offset", uint64(offset)).Str("kind", entry.Kind).
 		Str("subject", entry.Subject).Str("reason", entry.Reason).Send()
 }
--- a/contract.go
+++ b/contract.go
@@ -86,20 +86,22 @@
 
 // Bounds on the fields of a contract and of an outcome's evidence.
 const (
-	maxServices  = 512
+	maxServices  = 1 << 14
 	maxRoutes    = 1 << 14
 	maxEvidence  = 1 << 10 // routes in an outcome's evidence
-	maxSplit     = 64      // services that share a route's traffic
-	maxWeight    = 1 << 20
-	maxAttempts  = 16
+	maxSplit     = maxServices
 	maxHost      = 253 // bytes, the longest DNS name
 	maxVersions  = 64
-	maxTimeout   = 10 * time.Minute
-	maxRollout   = 7 * 24 * time.Hour
+	maxTimeout   = 24 * time.Hour
+	maxFinish    = 10 * time.Minute
 	maxPriority  = 9
 	minFinish    = 100 * time.Millisecond
 	maxNotice    = time.Minute
 	maxErrorRate = 0.5 // of FalseRevertRate and MissedBadRate
+
+	MaxWeight         = 1 << 20            // of a ServiceShare
+	MaxAttempts       = 16                 // of a route
+	MaxCompleteWithin = 7 * 24 * time.Hour // of a rollout
 )
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
@@ -248,8 +250,8 @@
 	if r.Objective < 0 || r.Objective > maxTimeout {
 		return Fieldf("Objective", "%s, 0s to %s are allowed", r.Objective, maxTimeout)
 	}
-	if r.MaxAttempts < 0 || r.MaxAttempts > maxAttempts {
-		return Fieldf("MaxAttempts", "%d, 0 to %d are allowed", r.MaxAttempts, maxAttempts)
+	if r.MaxAttempts < 0 || r.MaxAttempts > MaxAttempts {
+		return Fieldf("MaxAttempts", "%d, 0 to %d are allowed", r.MaxAttempts, MaxAttempts)
 	}
 	if len(r.Host) > maxHost {
 		return Fieldf("Host", "%d bytes exceed %d", len(r.Host), maxHost)
@@ -268,8 +270,8 @@
 		if err := CheckName("Service", share.Service); err != nil {
 			return WithinIndex("Split", i, err)
 		}
-		if share.Weight < 0 || share.Weight > maxWeight {
-			return Fieldf(fmt.Sprintf("Split[%d].Weight", i), "%d, 0 to %d are allowed", share.Weight, maxWeight)
+		if share.Weight < 0 || share.Weight > MaxWeight {
+			return Fieldf(fmt.Sprintf("Split[%d].Weight", i), "%d, 0 to %d are allowed", share.Weight, MaxWeight)
 		}
 		sum += share.Weight
 	}
@@ -302,8 +304,8 @@
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (r *RolloutTerms) Check() error {
-	if r.CompleteWithin <= 0 || r.CompleteWithin > maxRollout {
-		return Fieldf("CompleteWithin", "%s, more than 0s up to %s are allowed", r.CompleteWithin, maxRollout)
+	if r.CompleteWithin <= 0 || r.CompleteWithin > MaxCompleteWithin {
+		return Fieldf("CompleteWithin", "%s, more than 0s up to %s are allowed", r.CompleteWithin, MaxCompleteWithin)
 	}
 	if r.MaxBadShare <= 0 || r.MaxBadShare > 1 {
 		return Fieldf("MaxBadShare", "%g, more than 0 up to 1 are allowed", r.MaxBadShare)
@@ -331,8 +333,8 @@
 	if r.MissedBadRate <= 0 || r.MissedBadRate >= maxErrorRate {
 		return Fieldf("MissedBadRate", "%g, between 0 and %g are allowed", r.MissedBadRate, maxErrorRate)
 	}
-	if r.Watch < 0 || r.Watch > maxRollout {
-		return Fieldf("Watch", "%s, 0s to %s are allowed", r.Watch, maxRollout)
+	if r.Watch < 0 || r.Watch > MaxCompleteWithin {
+		return Fieldf("Watch", "%s, 0s to %s are allowed", r.Watch, MaxCompleteWithin)
 	}
 	return nil
 }
@@ -342,8 +344,8 @@
 	if d.Notice < 0 || d.Notice > maxNotice {
 		return Fieldf("Notice", "%s, 0s to %s are allowed", d.Notice, maxNotice)
 	}
-	if d.Finish < minFinish || d.Finish > maxTimeout {
-		return Fieldf("Finish", "%s, %s to %s are allowed", d.Finish, minFinish, maxTimeout)
+	if d.Finish < minFinish || d.Finish > maxFinish {
+		return Fieldf("Finish", "%s, %s to %s are allowed", d.Finish, minFinish, maxFinish)
 	}
 	return nil
 }
