btbackend: one announcement does not make a server ready that may have departed

Callers saw: requests at a backend server, up to 11 s after its node had acknowledged that it deregistered: all nodes were killed, and a heartbeat sent before arrived late.

Cause: departures are held by processes, and an empty registry took the first announcement of a server as proof that it runs. Ruled out: a mix-up with a later start of the server.

Change: Registry.Began. A server that started before it and is not at its first announcement is starting until a second one follows, 0.7 s later or more; one that a neighbor has given back stays ready for 2.5 s meanwhile. Servers younger than 5 s at the start don't wait.

Two late announcements over 0.7 s apart still bring a server back.

--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -9,16 +9,33 @@
 	"github.com/baobabtide/baobabtide"
 )
 
+const (
+	youngAge      = 5 * time.Second         // age of a server, at the begin of a registry, up to which no process before can have acknowledged its departure
+	confirmPause  = 700 * time.Millisecond  // least time between two announcements of which the later one was not on its way for as long; servers repeat theirs after 1.5 s
+	confirmWindow = 2500 * time.Millisecond // lease of a restored server until a second announcement confirms it
+)
+
 // Server is an announced backend server.
 type Server struct {
 	Announcement Announcement
 	Expires      time.Time // end of the lease
 	ColdUntil    time.Time // end of the time in which the server is cold
+
+	// Unconfirmed is the arrival of the first announcement of a server that may have departed before
+	// the registry began, zero once another one has confirmed the server. Such a server is starting,
+	// or what it was restored as.
+	Unconfirmed time.Time
+	restored    bool // not announced to this registry yet
 }
 
 // Registry holds the backend servers beside a node with their leases. The zero
 // value is empty. All methods are safe for concurrent use.
 type Registry struct {
+	// Began is the start of the node's process. Servers that started before may have departed, with the
+	// acknowledgement of an earlier process, and a late announcement may bring them back: one alone does
+	// not make them ready. Zero if there was no such process.
+	Began time.Time
+
 	mu       sync.Mutex
 	servers  map[string]Server    // by name
 	departed map[string]departure // by name, servers that were draining or gone when they were removed
@@ -59,19 +76,57 @@
 	if !known && len(r.servers) >= baobabtide.MaxTargets {
 		return false // peers would refuse this node's whole record
 	}
+	former := old
 	if known && old.Announcement.Incarnation != a.Incarnation {
 		r.remove(a.Name, now)
+		former = Server{}
 	}
 	if leaving, ok := r.leaving[a.Name]; ok && leaving == a.Incarnation {
 		a.State = baobabtide.TargetDraining
 	}
-	r.servers[a.Name] = Server{Announcement: a, Expires: now.Add(a.Lease), ColdUntil: now.Add(a.Cold)}
+	r.servers[a.Name] = r.record(&a, &former, now)
 	if !known || !sameContent(&old.Announcement, &a) {
 		r.notifyChanged()
 	}
 	return true
 }
 
+// record returns the server that an announcement describes, given what is known of its incarnation, the
+// zero value for nothing. It sets the announcement's state to starting until the server is confirmed.
+func (r *Registry) record(a *Announcement, known *Server, now time.Time) Server {
+	s := Server{Expires: now.Add(a.Lease), ColdUntil: now.Add(a.Cold), Unconfirmed: r.unconfirmed(a, known, now)}
+	if !s.Unconfirmed.IsZero() && a.State == baobabtide.TargetReady {
+		if known.Announcement.State == baobabtide.TargetReady {
+			s.Expires = now.Add(min(a.Lease, confirmWindow))
+		} else {
+			a.State = baobabtide.TargetStarting
+		}
+	}
+	s.Announcement = *a
+	return s
+}
+
+// unconfirmed returns Server.Unconfirmed after an announcement.
+func (r *Registry) unconfirmed(a *Announcement, known *Server, now time.Time) time.Time {
+	isFirst := known.Announcement.Name == "" || known.restored
+	switch {
+	case !r.mayHaveDeparted(a):
+		return time.Time{}
+	case isFirst:
+		return now
+	case a.Sequence > known.Announcement.Sequence && now.Sub(known.Unconfirmed) >= confirmPause:
+		return time.Time{}
+	default:
+		return known.Unconfirmed
+	}
+}
+
+// mayHaveDeparted reports whether an earlier process of the node may have acknowledged the departure of
+// the server that sent an announcement. A server without sequences can't be told from one that is new.
+func (r *Registry) mayHaveDeparted(a *Announcement) bool {
+	return !r.Began.IsZero() && a.Sequence > 1 && a.Incarnation < uint64(r.Began.Add(-youngAge).UnixMilli())
+}
+
 // MarkLeaving records that an incarnation of a server has said in a response that it is about
 // to stop. It counts as draining from then on, whatever it announces.
 func (r *Registry) MarkLeaving(name string, incarnation uint64) {
@@ -98,7 +153,16 @@
 	r.mu.Lock()
 	known := len(r.servers) > 0 || len(r.departed) > 0
 	r.mu.Unlock()
-	return !known && r.Announce(a, now)
+	if known || !r.Announce(a, now) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.servers[a.Name]; ok {
+		s.restored = true
+		r.servers[a.Name] = s
+	}
+	return true
 }
 
 // superseded reports whether an announcement is outdated, see Announce.
--- /dev/null
+++ b/btbackend/restart_test.go
@@ -0,0 +1,92 @@
+package btbackend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide"
+)
+
+// arrival is an announcement that a registry receives after its begin.
+type arrival struct {
+	after    time.Duration
+	sequence uint64
+	state    baobabtide.TargetState
+	want     string // state of the server afterwards, empty if it isn't there
+}
+
+// TestLateAnnouncementDoesNotRevive guards against a late announcement that makes a server ready
+// after all nodes have been killed, and with them all that knew of its acknowledged departure.
+func TestLateAnnouncementDoesNotRevive(t *testing.T) {
+	const ready, draining = baobabtide.TargetReady, baobabtide.TargetDraining
+	began := time.Unix(10_000, 0)
+	old, young := uint64(began.Add(-time.Minute).UnixMilli()), uint64(began.Add(-time.Second).UnixMilli())
+	tests := map[string]struct {
+		incarnation uint64
+		restored    bool
+		arrivals    []arrival
+	}{
+		"one late announcement": {old, false, []arrival{
+			{5 * time.Second, 9, ready, "starting"},
+			{12 * time.Second, 0, ready, ""}, // the lease has ended; sequence 0 stands for no arrival
+		}},
+		"the same one twice": {old, false, []arrival{
+			{time.Second, 9, ready, "starting"},
+			{3 * time.Second, 9, ready, "starting"},
+		}},
+		"several that were held up together": {old, false, []arrival{
+			{time.Second, 7, ready, "starting"},
+			{1100 * time.Millisecond, 8, ready, "starting"},
+			{1200 * time.Millisecond, 9, ready, "starting"},
+		}},
+		"a server that goes on announcing itself": {old, false, []arrival{
+			{time.Second, 9, ready, "starting"},
+			{2500 * time.Millisecond, 10, ready, "ready"},
+			{4 * time.Second, 11, ready, "ready"},
+		}},
+		"a draining server": {old, false, []arrival{
+			{time.Second, 9, draining, "draining"},
+			{2500 * time.Millisecond, 10, draining, "draining"},
+		}},
+		"a server that has just started": {young, false, []arrival{{time.Second, 2, ready, "ready"}}},
+		"a server that starts later":     {old + 120_000, false, []arrival{{90 * time.Second, 1, ready, "ready"}}},
+		"its first announcement":         {old, false, []arrival{{time.Second, 1, ready, "ready"}}},
+		"restored, then one late announcement": {old, true, []arrival{
+			{time.Second, 9, ready, "ready"},
+			{4 * time.Second, 0, ready, ""},
+		}},
+		"restored, and it goes on announcing itself": {old, true, []arrival{
+			{time.Second, 9, ready, "ready"},
+			{2500 * time.Millisecond, 10, ready, "ready"},
+			{8 * time.Second, 0, ready, "ready"},
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := Registry{Began: began}
+			if tt.restored {
+				a := announcement("b", tt.incarnation, 0, ready)
+				a.Lease = confirmWindow
+				r.Restore(a, began)
+			}
+			for _, arrival := range tt.arrivals {
+				now := began.Add(arrival.after)
+				r.Expire(now)
+				if arrival.sequence > 0 {
+					a := announcement("b", tt.incarnation, arrival.sequence, arrival.state)
+					a.Lease = 6 * time.Second
+					r.Announce(a, now)
+				}
+				got := ""
+				for _, target := range r.Targets() {
+					got = target.State.String()
+				}
+				if diff := cmp.Diff(arrival.want, got); diff != "" {
+					t.Errorf("state after %s (-want +got):\n%s", arrival.after, diff)
+				}
+			}
+		})
+	}
+}
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -166,6 +166,7 @@
 		directoryAddresses: make(chan []string),
 		metrics:            metrics.NewSet(),
 	}
+	n.registry.Began = now
 	n.backend.Store(&settings.Backend)
 	n.clientBudget = n.newClientBudget()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
