btconfig: an order that replaces a running rollout takes back its version

Callers saw: after an order for the old version, 2 s into the rollout of a new one, nearly all requests at the new version, which then failed half of them.

Cause: a rollout without an outcome that is not the latest one excluded nothing, so its version was current. The version of the second order was on trial, and no other one was current. Ruled out: a ramp of the first rollout, as a third version has the same effect.

Change: a replaced rollout ends as Reverted, found by each node that folds both orders and told to the others; Completed wins where it was recorded. Statuses repeat the earlier outcomes that count. If no other version has targets, the one on trial is current, unless others were lost.

--- a/btconfig/fold.go
+++ b/btconfig/fold.go
@@ -206,9 +206,12 @@
 }
 
 // applyUnversioned starts rollouts of an unversioned service under the release's
-// own terms. They replace running ones.
+// own terms. They replace running ones, whose versions are taken back.
 func (s *State) applyUnversioned(r *baobabtide.Release, entry baobabtide.Entry) {
 	for _, customer := range r.Customers {
+		if a := s.Assignments[AssignmentKey(customer, r.Service)]; a.Current == baobabtide.AnyVersion && a.Running() {
+			s.addOutcome(replacedOutcome(customer, r.Service, a.Rollout.Offset, a.Rollout.To))
+		}
 		s.Assignments[AssignmentKey(customer, r.Service)] = baobabtide.Assignment{
 			Customer: customer,
 			Service:  r.Service,
--- a/btconfig/outcomes.go
+++ b/btconfig/outcomes.go
@@ -13,24 +13,83 @@
 // agree.
 
 // WithOutcome returns the state with one more outcome of an unversioned service.
-// It returns s if s has an outcome of that rollout already.
+// It returns s if s has an outcome of that rollout already, unless the rollout was
+// completed and s takes it for one that was replaced.
 func (s *State) WithOutcome(o baobabtide.OutcomeRecord) *State {
-	i, found := slices.BinarySearchFunc(s.Outcomes, o, compareOutcomes)
-	if found {
+	next := s.clone()
+	if !next.addOutcome(o) {
 		return s
 	}
-	next := s.clone()
-	next.Outcomes = slices.Insert(slices.Clone(s.Outcomes), i, o)
 	next.reconcileOutcomes()
 	return next
 }
 
+// addOutcome adds an outcome to s, which must be a clone, as WithOutcome does. It returns
+// false if it has no effect.
+func (s *State) addOutcome(o baobabtide.OutcomeRecord) bool {
+	i, found := slices.BinarySearchFunc(s.Outcomes, o, compareOutcomes)
+	switch {
+	case !found:
+		s.Outcomes = slices.Insert(slices.Clone(s.Outcomes), i, o)
+	case s.Outcomes[i].Result == baobabtide.Reverted && o.Result == baobabtide.Completed:
+		s.Outcomes = slices.Clone(s.Outcomes)
+		s.Outcomes[i] = o
+	default:
+		return false
+	}
+	return true
+}
+
+// HasOutcome reports whether the state has an outcome of the same rollout.
+func (s *State) HasOutcome(o *baobabtide.OutcomeRecord) bool {
+	_, found := slices.BinarySearchFunc(s.Outcomes, *o, compareOutcomes)
+	return found
+}
+
+// replacedOutcome returns the outcome of a rollout that another one replaced before it had
+// ended. It is not recorded in the outcome log, as each node that sees both orders finds it.
+func replacedOutcome(customer, service string, rollout baobabtide.Offset, version string) baobabtide.OutcomeRecord {
+	return baobabtide.OutcomeRecord{
+		Rollout:  rollout,
+		Customer: customer,
+		Service:  service,
+		Version:  version,
+		Result:   baobabtide.Reverted,
+		Reason:   "another rollout replaced it",
+	}
+}
+
+// EarlierOutcomes returns the outcomes of rollouts of an unversioned service before the one at an
+// offset that still count: the latest completed one and those after it, maxEarlier at most.
+func (s *State) EarlierOutcomes(customer, service string, before baobabtide.Offset) []baobabtide.OutcomeRecord {
+	var earlier []baobabtide.OutcomeRecord
+	for _, o := range s.Outcomes {
+		if o.Customer != customer || o.Service != service || o.Rollout >= before {
+			continue
+		}
+		if o.Result == baobabtide.Completed {
+			earlier = nil
+		}
+		if len(earlier) == maxEarlier {
+			earlier = slices.Delete(earlier, 1, 2) // the first may be the completed one
+		}
+		o.Reason, o.Evidence = "", nil
+		earlier = append(earlier, o)
+	}
+	return earlier
+}
+
+const maxEarlier = 32 // outcomes of one service that EarlierOutcomes returns
+
 // withStart returns the state with an earlier start time of a running rollout. It
 // returns s if the rollout does not run or its start time is not later than the
-// given one.
+// given one. A rollout before the latest one has been replaced.
 func (s *State) withStart(start baobabtide.RolloutStart) *State {
 	key := AssignmentKey(start.Customer, start.Service)
 	a, ok := s.Assignments[key]
+	if ok && a.Current == baobabtide.AnyVersion && a.Rollout != nil && start.Rollout < a.Rollout.Offset {
+		return s.WithOutcome(replacedOutcome(start.Customer, start.Service, start.Rollout, start.Version))
+	}
 	if !ok || !a.Running() || a.Rollout.Offset != start.Rollout || !start.Started.Before(a.Rollout.Started) {
 		return s
 	}
@@ -96,9 +155,9 @@
 }
 
 // endRollout returns the assignment with the outcome of its rollout set, unless the
-// rollout has one.
+// rollout has it already.
 func endRollout(a baobabtide.Assignment, o *baobabtide.OutcomeRecord) baobabtide.Assignment {
-	if a.Rollout.Result != "" {
+	if a.Rollout.Result == o.Result {
 		return a
 	}
 	rollout := *a.Rollout
--- a/btconfig/outcomes_test.go
+++ b/btconfig/outcomes_test.go
@@ -96,3 +96,66 @@
 		t.Errorf("versions (-want +got):\n%s", diff)
 	}
 }
+
+// TestOrderReplacesRunningRollout guards against a version that nothing has cleared and that counts as
+// current as soon as another order replaces its rollout.
+func TestOrderReplacesRunningRollout(t *testing.T) {
+	completed, reverted := outcomeOf(1, "v2", baobabtide.Completed), outcomeOf(1, "v2", baobabtide.Reverted)
+	tests := map[string]struct {
+		before, after []baobabtide.OutcomeRecord // that a node learns before and after the second order
+		want          versions
+	}{
+		"running":                      {nil, nil, versions{"", []string{"v2"}}},
+		"taken back":                   {[]baobabtide.OutcomeRecord{reverted}, nil, versions{"", []string{"v2"}}},
+		"completed":                    {[]baobabtide.OutcomeRecord{completed}, nil, versions{"v2", nil}},
+		"completed, which comes late":  {nil, []baobabtide.OutcomeRecord{completed}, versions{"v2", nil}},
+		"completed, and replaced late": {[]baobabtide.OutcomeRecord{completed}, []baobabtide.OutcomeRecord{reverted}, versions{"v2", nil}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := Fold(new(State), orderEntry(1, "v2"))
+			for _, o := range tt.before {
+				s = s.WithOutcome(o)
+			}
+			s = Fold(s, orderEntry(2, "v1"))
+			for _, o := range tt.after {
+				s = s.WithOutcome(o)
+			}
+			if diff := cmp.Diff(tt.want, versionsOf(s)); diff != "" {
+				t.Errorf("versions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A node that starts folds the newest order only. The status of the older one tells it that there was one.
+func TestOlderStartWasReplaced(t *testing.T) {
+	var s Store
+	s.ApplyAll([]baobabtide.Entry{orderEntry(9, "v1")})
+	s.AddRolloutStart(baobabtide.RolloutStart{Rollout: 5, Customer: "c", Service: "s", Version: "v2", Started: time.Unix(5, 0)})
+	if diff := cmp.Diff(versions{"", []string{"v2"}}, versionsOf(s.State())); diff != "" {
+		t.Errorf("versions (-want +got):\n%s", diff)
+	}
+}
+
+func TestEarlierOutcomes(t *testing.T) {
+	s := new(State)
+	for _, o := range []baobabtide.OutcomeRecord{
+		outcomeOf(1, "v1", baobabtide.Reverted), outcomeOf(2, "v2", baobabtide.Completed), outcomeOf(3, "v3", baobabtide.Reverted),
+		outcomeOf(4, "v4", baobabtide.Completed), outcomeOf(5, "v5", baobabtide.Reverted), outcomeOf(6, "v6", baobabtide.Reverted),
+	} {
+		o.Reason, o.Evidence = "it failed", []baobabtide.RouteEvidence{{Route: "r"}}
+		s = s.WithOutcome(o)
+	}
+	want := []baobabtide.OutcomeRecord{outcomeOf(4, "v4", baobabtide.Completed), outcomeOf(5, "v5", baobabtide.Reverted)}
+	if diff := cmp.Diff(want, s.EarlierOutcomes("c", "s", 6)); diff != "" {
+		t.Errorf("earlier outcomes (-want +got):\n%s", diff)
+	}
+	for i := range 2 * maxEarlier {
+		s = s.WithOutcome(outcomeOf(baobabtide.Offset(10+i), "v9", baobabtide.Reverted))
+	}
+	earlier := s.EarlierOutcomes("c", "s", 1000)
+	if diff := cmp.Diff([]baobabtide.Offset{maxEarlier, 4}, []baobabtide.Offset{baobabtide.Offset(len(earlier)), earlier[0].Rollout}); diff != "" {
+		t.Errorf("number of earlier outcomes and the first one (-want +got):\n%s", diff)
+	}
+}
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -234,6 +234,7 @@
 // it asked, it pulls those after the present one.
 func (n *Node) applyLinks(e *edge, links []btconfig.Link) int {
 	fresh, gap := 0, false
+	before := n.config.State()
 	for _, link := range links {
 		applied, err := n.config.Apply(link)
 		if applied {
@@ -251,6 +252,7 @@
 		n.pull(e, own, time.Now())
 	}
 	if fresh > 0 {
+		n.sendReplaced(before)
 		n.configChanged(e)
 	}
 	return fresh
--- a/btnode/outcomes.go
+++ b/btnode/outcomes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btpeer"
 )
 
@@ -63,16 +64,22 @@
 		return 0, err
 	}
 	n.outcomesRead.Store(true)
+	n.addOutcomes(nil, outcomes.Ended)
 	for _, start := range outcomes.Begun {
-		if start.Started.Before(n.started) { // a later start was seen by this process, whose own time of it is more accurate than another node's
+		if start.Started.Before(n.started) || n.wasReplaced(&start) { // a later start was seen by this process, whose own time of it is more accurate than another node's
 			n.config.AddRolloutStart(start)
 		}
 		n.rollouts.markStartRecorded(start)
 	}
-	n.addOutcomes(nil, outcomes.Ended)
 	return outcomes.Next, nil
 }
 
+// wasReplaced reports whether a later rollout of the service has replaced the one that starts.
+func (n *Node) wasReplaced(start *baobabtide.RolloutStart) bool {
+	a := n.config.State().Assignments[btconfig.AssignmentKey(start.Customer, start.Service)]
+	return a.Rollout != nil && a.Rollout.Offset > start.Rollout
+}
+
 // addOutcomes adds outcomes to the configuration and sends those that are new on all
 // edges except the one that they came from.
 func (n *Node) addOutcomes(from *edge, outcomes []baobabtide.OutcomeRecord) {
@@ -80,22 +87,44 @@
 	for _, o := range outcomes {
 		if n.config.AddOutcome(o) {
 			fresh = append(fresh, o)
-			n.log.Info().Str("event", "rollout.ended").Uint64("rollout", uint64(o.Rollout)).Str("service", o.Service).
-				Str("version", o.Version).Str("result", string(o.Result)).Str("reason", o.Reason).Send()
 		}
 	}
 	if len(fresh) > 0 {
-		n.sendToAll(&btpeer.Gossip{Outcomes: fresh}, from)
+		n.tellOutcomes(from, fresh)
 		n.markDirty()
 	}
 }
 
+// sendReplaced sends the outcomes of rollouts that later ones have replaced since an earlier state.
+// A node that gets only the newest order of a service doesn't find them.
+func (n *Node) sendReplaced(before *btconfig.State) {
+	var fresh []baobabtide.OutcomeRecord
+	for _, o := range n.config.State().Outcomes {
+		if !before.HasOutcome(&o) {
+			fresh = append(fresh, o)
+		}
+	}
+	if len(fresh) > 0 {
+		n.tellOutcomes(nil, fresh)
+	}
+}
+
+// tellOutcomes logs outcomes and sends them on all edges except one.
+func (n *Node) tellOutcomes(except *edge, outcomes []baobabtide.OutcomeRecord) {
+	for _, o := range outcomes {
+		n.log.Info().Str("event", "rollout.ended").Uint64("rollout", uint64(o.Rollout)).Str("service", o.Service).
+			Str("version", o.Version).Str("result", string(o.Result)).Str("reason", o.Reason).Send()
+	}
+	n.sendToAll(&btpeer.Gossip{Outcomes: outcomes}, except)
+}
+
 // recordOutcome adds the outcome of a rollout to the outcome log and the
 // configuration, unless the rollout has ended. It fails if all attempts fail.
 func (n *Node) recordOutcome(outcome *baobabtide.OutcomeRecord) error {
 	known := func() bool { return n.hasEnded(outcome.Rollout) }
 	return n.recordUnlessKnown(known, func(next baobabtide.Offset) error {
-		err := n.adapters.Outcomes.Record(n.ctx, next, outcome)
+		earlier := n.config.State().EarlierOutcomes(outcome.Customer, outcome.Service, outcome.Rollout)
+		err := n.adapters.Outcomes.Record(n.ctx, next, outcome, earlier)
 		if err == nil {
 			n.addOutcomes(nil, []baobabtide.OutcomeRecord{*outcome})
 		}
@@ -115,7 +144,8 @@
 	}
 	known := func() bool { return n.hasEnded(rollout.Offset) || n.rollouts.isStartRecorded(rollout) }
 	return n.recordUnlessKnown(known, func(next baobabtide.Offset) error {
-		err := n.adapters.Outcomes.RecordStart(n.ctx, next, &start)
+		earlier := n.config.State().EarlierOutcomes(start.Customer, start.Service, start.Rollout)
+		err := n.adapters.Outcomes.RecordStart(n.ctx, next, &start, earlier)
 		if err == nil {
 			n.rollouts.markStartRecorded(start)
 		}
--- a/btnode/outcomes_test.go
+++ b/btnode/outcomes_test.go
@@ -64,11 +64,11 @@
 	return nil
 }
 
-func (f *faultyOutcomes) RecordStart(_ context.Context, at baobabtide.Offset, start *baobabtide.RolloutStart) error {
+func (f *faultyOutcomes) RecordStart(_ context.Context, at baobabtide.Offset, start *baobabtide.RolloutStart, _ []baobabtide.OutcomeRecord) error {
 	return f.append(at, func() { f.begun = []baobabtide.RolloutStart{*start} })
 }
 
-func (f *faultyOutcomes) Record(_ context.Context, at baobabtide.Offset, o *baobabtide.OutcomeRecord) error {
+func (f *faultyOutcomes) Record(_ context.Context, at baobabtide.Offset, o *baobabtide.OutcomeRecord, _ []baobabtide.OutcomeRecord) error {
 	return f.append(at, func() { f.ended = append(f.ended, *o) })
 }
 
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -150,11 +150,13 @@
 // applyPage applies the records of a page that are beyond the configuration in force. Other
 // readers may have passed on some of them in the meantime.
 func (n *Node) applyPage(page *baobabtide.Page) {
+	before := n.config.State()
 	applied := n.config.ApplyAll(page.Entries)
 	for _, offset := range applied {
 		n.recordRejection(offset)
 	}
 	if len(applied) > 0 {
+		n.sendReplaced(before)
 		n.configChanged(nil)
 	}
 }
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -112,8 +112,8 @@
 // decide updates the decision on a rollout and returns it. If no trip is known and the
 // evidence shows that the version is bad, it also stores and returns a trip, otherwise
 // nil. Until the outcome log has been read once, the decision is PhaseProbe with a
-// share of 0.
-func (r *rollouts) decide(rollout *baobabtide.Rollout, now time.Time) (btrollout.Decision, *btrollout.Trip) {
+// share of 0. dest is the destination of the rollout, nil if it is not known.
+func (r *rollouts) decide(rollout *baobabtide.Rollout, dest *btroute.Destination, now time.Time) (btrollout.Decision, *btrollout.Trip) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	id := btrollout.IDOf(rollout)
@@ -135,6 +135,9 @@
 	adjusted := *rollout
 	adjusted.Started = p.startedAt(rollout, now)
 	p.decision = btrollout.Decide(&adjusted, evidence, tripped, p.cleared, now)
+	if dest != nil {
+		p.decision = p.decision.ForTargets(&adjusted, dest.IsOnly, now)
+	}
 	if !r.node.outcomesRead.Load() {
 		p.decision = btrollout.Decision{Phase: btrollout.PhaseProbe, Reason: "the outcome may be recorded already"}
 	}
@@ -156,15 +159,16 @@
 	decisions := make([]btrollout.Decision, len(running))
 	var newTrips []btrollout.Trip
 	for i := range running {
-		decision, trip := r.decide(&running[i], now)
+		var dest *btroute.Destination
+		if table != nil {
+			dest = table.Destination(running[i].Customer, running[i].Service)
+		}
+		decision, trip := r.decide(&running[i], dest, now)
 		decisions[i] = decision
 		if trip != nil {
 			newTrips = append(newTrips, *trip)
 		}
-		if table == nil {
-			continue
-		}
-		if dest := table.Destination(running[i].Customer, running[i].Service); dest != nil {
+		if dest != nil {
 			dest.SetShare(decision.Share)
 		}
 	}
--- a/btnode/rollouts_test.go
+++ b/btnode/rollouts_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,8 +15,10 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btfixture"
+	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btrollout"
 	"github.com/baobabtide/baobabtide/btsettings"
@@ -127,13 +130,13 @@
 	return baobabtide.Outcomes{Begun: f.begun, Next: baobabtide.Offset(len(f.begun) + 1)}, nil
 }
 
-func (f *fakeOutcomes) RecordStart(_ context.Context, _ baobabtide.Offset, start *baobabtide.RolloutStart) error {
+func (f *fakeOutcomes) RecordStart(_ context.Context, _ baobabtide.Offset, start *baobabtide.RolloutStart, _ []baobabtide.OutcomeRecord) error {
 	f.writes++
 	f.begun = append(f.begun, *start)
 	return nil
 }
 
-func (f *fakeOutcomes) Record(context.Context, baobabtide.Offset, *baobabtide.OutcomeRecord) error {
+func (f *fakeOutcomes) Record(context.Context, baobabtide.Offset, *baobabtide.OutcomeRecord, []baobabtide.OutcomeRecord) error {
 	return baobabtide.ErrUnavailable
 }
 
@@ -258,3 +261,27 @@
 		})
 	}
 }
+
+// TestReplacedRolloutIsTold guards against nodes that fold only the newest order of a service and send
+// requests to the version of one that it has replaced: the others tell them.
+func TestReplacedRolloutIsTold(t *testing.T) {
+	n, neighbor := rolloutNode("")
+	n.members.table = btmember.New(baobabtide.Member{Name: "self", Zone: "z"}, btmember.Timing{}, rand.New(rand.NewPCG(1, 1)))
+	state := n.config.State()
+	data, err := btcodec.EncodeJSON(&baobabtide.Record{
+		ID: "order.10", Actor: "operator",
+		Release: &baobabtide.Release{Service: "s", Version: "v1", Customers: []string{"c"}, Terms: new(btfixture.RolloutTerms())},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.applyLinks(neighbor, []btconfig.Link{{Prev: state.Offset, Entry: baobabtide.Entry{Offset: 10, Data: data}}})
+	var told []baobabtide.OutcomeRecord
+	for len(neighbor.queue) > 0 {
+		told = append(told, (<-neighbor.queue).Outcomes...)
+	}
+	want := []baobabtide.OutcomeRecord{{Rollout: 5, Customer: "c", Service: "s", Version: "v2", Result: baobabtide.Reverted, Reason: "another rollout replaced it"}}
+	if diff := cmp.Diff(want, told); diff != "" {
+		t.Errorf("outcomes that the neighbor gets (-want +got):\n%s", diff)
+	}
+}
--- a/btrollout/decide.go
+++ b/btrollout/decide.go
@@ -109,6 +109,21 @@
 	return d
 }
 
+// ForTargets returns the decision if the node knows which versions have targets. If no other version
+// has any, the version carries all traffic, and there is nothing to return to.
+func (d Decision) ForTargets(r *baobabtide.Rollout, isOnly bool, now time.Time) Decision {
+	elapsed := elapsedFraction(r, now)
+	switch {
+	case d.Phase == PhaseTripped:
+	case isOnly:
+		d = Decision{Phase: PhaseProbe, Share: 1, Reason: "no other version has targets"}
+		if elapsed >= proposeFraction {
+			d.Phase, d.Result = PhaseDone, baobabtide.Completed
+		}
+	}
+	return d
+}
+
 // requestsExhausted reports whether the new version has had MaxBadRequests
 // requests on a route, the most that it may get before it is cleared.
 func requestsExhausted(r *baobabtide.Rollout, evidence []baobabtide.RouteEvidence) bool {
--- a/btrollout/decide_test.go
+++ b/btrollout/decide_test.go
@@ -97,6 +97,33 @@
 	}
 }
 
+// TestOnlyVersionIsNotTakenBack guards against an order for the version that carries all traffic that ends with
+// the service having no version.
+func TestOnlyVersionIsNotTakenBack(t *testing.T) {
+	tests := map[string]struct {
+		elapsed float64
+		tripped bool
+		want    baobabtide.Result
+	}{
+		"running":     {0.9, false, ""},
+		"at the end":  {0.98, false, baobabtide.Completed},
+		"late":        {1.1, false, baobabtide.Completed},
+		"found bad":   {0.5, true, baobabtide.Reverted},
+		"bad, at end": {0.98, true, baobabtide.Reverted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := rollout()
+			r.Terms.WhenUndecided = baobabtide.UndecidedRevert
+			now := startTime.Add(time.Duration(tt.elapsed * float64(r.Terms.CompleteWithin)))
+			d := Decide(r, nil, tt.tripped, time.Time{}, now).ForTargets(r, true, now)
+			if diff := cmp.Diff(tt.want, d.Result); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestReportsMergeInAnyOrder(t *testing.T) {
 	id := IDOf(rollout())
 	report := func(node string, requests int) Report {
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -209,16 +209,49 @@
 		dest.Next = version(terms.Service, a.Rollout.To, pools)
 		dest.Rollout = a.Rollout
 	}
-	if dest.Current.Pool.Size() == 0 && prev != nil {
-		dest.keepPrevious(prev.destinations[key], pools)
+	if dest.Current.Pool.Size() > 0 {
+		return dest
+	}
+	var old *Destination
+	if prev != nil {
+		old = prev.destinations[key]
 	}
+	dest.keepPrevious(old, pools)
+	dest.useOnlyVersion(&a, old)
 	return dest
 }
 
+// useOnlyVersion makes the version being rolled out to an unversioned service the current one if no
+// other version has targets: operators may order the version that carries the traffic. Where the
+// targets of other versions have been lost, the new version is still unproven and keeps its share.
+func (d *Destination) useOnlyVersion(a *baobabtide.Assignment, old *Destination) {
+	if a.Current != baobabtide.AnyVersion || d.Rollout == nil || d.Current.Pool.Size() > 0 {
+		return
+	}
+	d.lost = a.InForce != "" || d.losesTargets(old)
+	if d.lost || d.Next.Pool.Size() == 0 {
+		return
+	}
+	d.IsOnly = true
+	d.Current, d.Next, d.Rollout = d.Next, Version{}, nil
+}
+
+// losesTargets reports whether a version other than the one being rolled out had targets in an
+// earlier table, which served the same rollout or the time before it.
+func (d *Destination) losesTargets(old *Destination) bool {
+	if old == nil {
+		return false
+	}
+	if old.lost && old.Rollout != nil && old.Rollout.Offset == d.Rollout.Offset {
+		return true
+	}
+	return slices.ContainsFunc(old.Current.Pool.Targets(), func(t *Target) bool { return t.Version != d.Rollout.To })
+}
+
 // keepPrevious replaces the current version, which has no known target, by the one
 // of the previous table if that still has targets.
 func (d *Destination) keepPrevious(old *Destination, pools map[versionKey]*Pool) {
-	if old == nil || old.Current.Name == d.Current.Name {
+	if old == nil || old.Current.Name == d.Current.Name || old.IsOnly {
 		return
 	}
 	held := version(d.Service, old.Current.Name, pools)
--- a/btroute/table_test.go
+++ b/btroute/table_test.go
@@ -137,6 +137,97 @@
 	}
 }
 
+// TestReplacedRolloutGetsNoTraffic guards against an order that replaces a running rollout and thereby
+// gives nearly all traffic to the version of that rollout, which nothing has cleared.
+func TestReplacedRolloutGetsNoTraffic(t *testing.T) {
+	type want struct {
+		Current, Next map[string]int
+		IsOnly        bool
+	}
+	none := map[string]int{}
+	tests := map[string]struct {
+		before, after []string // orders
+		outcomes      []baobabtide.OutcomeRecord
+		members       []string // versions of their targets
+		want          want
+	}{
+		"back to the old version": {
+			[]string{"v2"}, []string{"v2", "v1"}, nil,
+			[]string{"v1", "v1", "v2"}, want{map[string]int{"v1": 2}, none, true},
+		},
+		"on to a third version": {
+			[]string{"v2"}, []string{"v2", "v3"}, nil,
+			[]string{"v1", "v1", "v2", "v3"}, want{map[string]int{"v1": 2}, map[string]int{"v3": 1}, false},
+		},
+		"the version that carries the traffic": {
+			[]string{"v2"}, []string{"v2", "v1"}, []baobabtide.OutcomeRecord{outcome(2, "v2", baobabtide.Reverted)},
+			[]string{"v1", "v1"}, want{map[string]int{"v1": 2}, none, true},
+		},
+		"the version in force by name": {
+			[]string{"v1"}, []string{"v1", "v1"}, []baobabtide.OutcomeRecord{outcome(2, "v1", baobabtide.Completed)},
+			[]string{"v1", "v1"}, want{map[string]int{"v1": 2}, map[string]int{"v1": 2}, false},
+		},
+		"the first order names the only version": {
+			nil, []string{"v1"}, nil,
+			[]string{"v1", "v1"}, want{map[string]int{"v1": 2}, none, true},
+		},
+		"the same version again": {
+			[]string{"v2"}, []string{"v2", "v2"}, nil,
+			[]string{"v1", "v2"}, want{map[string]int{"v1": 1}, map[string]int{"v2": 1}, false},
+		},
+	}
+	for name, tt := range tests {
+		for _, node := range []string{"running", "starting"} {
+			t.Run(name+"/"+node, func(t *testing.T) {
+				members := membersOf(tt.members...)
+				before, after := unversioned(tt.before...), unversioned(tt.after...)
+				for _, o := range tt.outcomes {
+					before, after = before.WithOutcome(o), after.WithOutcome(o)
+				}
+				var prev *Table
+				if node == "running" {
+					prev = Build(before, members, locality, nil)
+				}
+				for range 2 { // the second time after an unrelated change
+					prev = Build(after, members, locality, prev)
+					dest := prev.Destination("c", "service-0")
+					got := want{versionsOf(dest.Current.Pool), versionsOf(dest.Next.Pool), dest.IsOnly}
+					if diff := cmp.Diff(tt.want, got); diff != "" {
+						t.Errorf("targets by version (-want +got):\n%s", diff)
+					}
+				}
+			})
+		}
+	}
+}
+
+// An unproven version keeps its share although the targets of the old one are lost, also after
+// further changes; they get all other requests as soon as they are back.
+func TestNewVersionKeepsItsShareWhenTheOldIsLost(t *testing.T) {
+	s := unversioned("v2")
+	table := Build(s, membersOf("v1", "v2"), locality, nil)
+	for range 2 {
+		table = Build(s, membersOf("v2"), locality, table)
+		dest := table.Destination("c", "service-0")
+		if diff := cmp.Diff([]int{0, 1}, []int{dest.Current.Pool.Size(), dest.Next.Pool.Size()}); diff != "" {
+			t.Errorf("targets of the current and the next version (-want +got):\n%s", diff)
+		}
+	}
+	table = Build(s, membersOf("v1", "v2"), locality, table)
+	if diff := cmp.Diff(map[string]int{"v1": 1}, versionsOf(table.Destination("c", "service-0").Current.Pool)); diff != "" {
+		t.Errorf("current targets once the old version is back (-want +got):\n%s", diff)
+	}
+}
+
+// membersOf returns members with one target each, of the given versions.
+func membersOf(versions ...string) []baobabtide.Member {
+	members := btfixture.Members(len(versions), 1, 1, "")
+	for i, version := range versions {
+		members[i].Targets[0].Version = version
+	}
+	return members
+}
+
 // versionsOf returns the number of targets of each version.
 func versionsOf(pool *Pool) map[string]int {
 	count := make(map[string]int)
--- a/log.go
+++ b/log.go
@@ -60,9 +60,11 @@
 	Outcomes(ctx context.Context) (Outcomes, error)
 	// RecordStart records a start, and Record an outcome, unless the position at is no
 	// longer the next one. In that case they return ErrConflict. ErrUncertain
-	// means that the start or outcome may have been recorded.
-	RecordStart(ctx context.Context, at Offset, start *RolloutStart) error
-	Record(ctx context.Context, at Offset, outcome *OutcomeRecord) error
+	// means that the start or outcome may have been recorded. A log that keeps only the
+	// newest record of a service stores the earlier outcomes with it, without their
+	// reasons and evidence.
+	RecordStart(ctx context.Context, at Offset, start *RolloutStart, earlier []OutcomeRecord) error
+	Record(ctx context.Context, at Offset, outcome *OutcomeRecord, earlier []OutcomeRecord) error
 }
 
 // Outcomes is the content of an OutcomeLog.
