btrollout: a rollout whose version has no targets is not completed

Callers saw: nothing served of a service whose new version had been lost as it started: its rollout was told as completed, so the old targets were stopped.

Cause: decisions were made from evidence and time alone; without evidence WhenUndecided counted. A version that was cleared before it lost its targets was completed too.

Change: Decision.ForTargets withholds Completed while the version has no targets and takes the rollout back from 98.5% of its time on.

--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -136,7 +136,7 @@
 	adjusted.Started = p.startedAt(rollout, now)
 	p.decision = btrollout.Decide(&adjusted, evidence, tripped, p.cleared, now)
 	if dest != nil {
-		p.decision = p.decision.ForTargets(&adjusted, dest.IsOnly, now)
+		p.decision = p.decision.ForTargets(&adjusted, dest.Next.Pool.Size() > 0, dest.IsOnly, now)
 	}
 	if !r.node.outcomesRead.Load() {
 		p.decision = btrollout.Decision{Phase: btrollout.PhaseProbe, Reason: "the outcome may be recorded already"}
--- a/btnode/rollouts_test.go
+++ b/btnode/rollouts_test.go
@@ -21,6 +21,7 @@
 	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btrollout"
+	"github.com/baobabtide/baobabtide/btroute"
 	"github.com/baobabtide/baobabtide/btsettings"
 )
 
@@ -262,6 +263,49 @@
 	}
 }
 
+// TestDecisionsKnowTheTargets guards against decisions on rollouts that ignore which versions have targets.
+func TestDecisionsKnowTheTargets(t *testing.T) {
+	terms := btfixture.RolloutTerms()
+	terms.WhenUndecided = baobabtide.UndecidedComplete
+	now := time.Now()
+	state := &btconfig.State{
+		Offset:    9,
+		Contracts: map[string]btconfig.ContractState{"c": {Revision: 1, Contract: *btfixture.Contract("c", "service-0")}},
+		Assignments: map[string]baobabtide.Assignment{"c/service-0": {
+			Customer: "c", Service: "service-0", Current: baobabtide.AnyVersion,
+			Rollout: &baobabtide.Rollout{
+				Offset: 5, Customer: "c", Service: "service-0", To: "v2", Terms: terms,
+				Started: now.Add(-time.Duration(0.99 * float64(terms.CompleteWithin))),
+			},
+		}},
+	}
+	tests := map[string]struct {
+		versions []string // of the targets
+		want     baobabtide.Result
+	}{
+		"old and new": {[]string{"v1", "v2"}, baobabtide.Completed},
+		"old":         {[]string{"v1"}, baobabtide.Reverted},
+		"new":         {[]string{"v2"}, baobabtide.Completed},
+		"none":        {nil, baobabtide.Reverted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := &Node{settings: &btsettings.Settings{}}
+			n.rollouts.node = n
+			n.outcomesRead.Store(true)
+			members := btfixture.Members(len(tt.versions), 1, 1, "")
+			for i, version := range tt.versions {
+				members[i].Targets[0].Version = version
+			}
+			table := btroute.Build(state, members, btroute.Locality{Node: "self", Zone: "zone-0"}, nil)
+			decisions, _ := n.rollouts.setShares(state.Running(), table, now)
+			if diff := cmp.Diff(tt.want, decisions[0].Result); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestReplacedRolloutIsTold guards against nodes that fold only the newest order of a service and send
 // requests to the version of one that it has replaced: the others tell them.
 func TestReplacedRolloutIsTold(t *testing.T) {
--- a/btrollout/decide.go
+++ b/btrollout/decide.go
@@ -38,6 +38,7 @@
 	fullTrafficFraction = 0.08  // time with all traffic on the new version before completion is proposed
 	rampEndFraction     = 0.9   // time at which a ramp that began earlier ends at the latest
 	proposeFraction     = 0.97  // time from which an outcome is proposed in any case, also without enough evidence or fullTrafficFraction
+	noTargetsFraction   = 0.985 // time from which a version without targets is taken back; later than proposeFraction, as other nodes may know its targets
 	minorRouteFraction  = 0.02  // fraction of the service's requests below which an undecided route doesn't keep a version from being cleared
 	minFailureRate      = 0.001 // lower bound of estimated failure rates; the likelihood ratio is undefined at 0 and 1
 	maxFailureRate      = 0.999 // upper bound of estimated failure rates
@@ -109,9 +110,10 @@
 	return d
 }
 
-// ForTargets returns the decision if the node knows which versions have targets. If no other version
-// has any, the version carries all traffic, and there is nothing to return to.
-func (d Decision) ForTargets(r *baobabtide.Rollout, isOnly bool, now time.Time) Decision {
+// ForTargets returns the decision if the node knows which versions have targets. A rollout is not
+// completed as long as its version has none: the operator would stop the targets of the others. If no
+// other version has any, the version carries all traffic, and there is nothing to return to.
+func (d Decision) ForTargets(r *baobabtide.Rollout, hasTargets, isOnly bool, now time.Time) Decision {
 	elapsed := elapsedFraction(r, now)
 	switch {
 	case d.Phase == PhaseTripped:
@@ -120,6 +122,11 @@
 		if elapsed >= proposeFraction {
 			d.Phase, d.Result = PhaseDone, baobabtide.Completed
 		}
+	case !hasTargets && d.Result == baobabtide.Completed:
+		d.Result = ""
+		if elapsed >= noTargetsFraction {
+			d.Result, d.Reason = baobabtide.Reverted, "the new version has no targets"
+		}
 	}
 	return d
 }
--- a/btrollout/decide_test.go
+++ b/btrollout/decide_test.go
@@ -97,6 +97,43 @@
 	}
 }
 
+// TestRolloutWithoutTargetsIsNotCompleted guards against a rollout that is told as completed although its
+// version has no target, so that the operator stops all targets that there are.
+func TestRolloutWithoutTargetsIsNotCompleted(t *testing.T) {
+	good := []baobabtide.RouteEvidence{route("a", counts(1000, 0), counts(60, 0))}
+	tests := map[string]struct {
+		elapsed    float64
+		evidence   []baobabtide.RouteEvidence
+		hasTargets bool
+		want       baobabtide.Result
+	}{
+		"no evidence, targets":               {0.98, nil, true, baobabtide.Completed},
+		"no evidence, no targets yet":        {0.98, nil, false, ""},
+		"no evidence, no targets at the end": {0.99, nil, false, baobabtide.Reverted},
+		"cleared, targets":                   {0.95, good, true, baobabtide.Completed},
+		"cleared, its targets are lost":      {0.95, good, false, ""},
+		"cleared, lost until the end":        {0.99, good, false, baobabtide.Reverted},
+		"late":                               {1.1, good, true, baobabtide.Reverted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := rollout()
+			r.Terms.WhenUndecided = baobabtide.UndecidedComplete
+			at := func(fraction float64) time.Time {
+				return startTime.Add(time.Duration(fraction * float64(r.Terms.CompleteWithin)))
+			}
+			var cleared time.Time
+			if tt.evidence != nil {
+				cleared = at(0.5)
+			}
+			d := Decide(r, tt.evidence, false, cleared, at(tt.elapsed)).ForTargets(r, tt.hasTargets, false, at(tt.elapsed))
+			if diff := cmp.Diff(tt.want, d.Result); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestOnlyVersionIsNotTakenBack guards against an order for the version that carries all traffic that ends with
 // the service having no version.
 func TestOnlyVersionIsNotTakenBack(t *testing.T) {
@@ -116,7 +153,7 @@
 			r := rollout()
 			r.Terms.WhenUndecided = baobabtide.UndecidedRevert
 			now := startTime.Add(time.Duration(tt.elapsed * float64(r.Terms.CompleteWithin)))
-			d := Decide(r, nil, tt.tripped, time.Time{}, now).ForTargets(r, true, now)
+			d := Decide(r, nil, tt.tripped, time.Time{}, now).ForTargets(r, false, true, now)
 			if diff := cmp.Diff(tt.want, d.Result); diff != "" {
 				t.Errorf("result (-want +got):\n%s", diff)
 			}
