btcaller: a refusal does not drop the responses behind it

Callers saw: pipelined requests that had been passed on, and some of which had run, got neither a response nor a refusal, as an earlier request on their connection was refused.

Cause: the refusal of a pipelined request was made the last response of its connection while requests behind it ran.

Change: conn.closeSoon ends the reading; all requests that were read are answered, those that have not started are refused, and the last response closes the connection.

Measured: TestRefusalKeepsAnswersBehindIt fails without the change (3 requests unanswered) and passes with it.

--- a/btcaller/close_test.go
+++ b/btcaller/close_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbudget"
 	"github.com/baobabtide/baobabtide/btfixture"
@@ -110,3 +114,71 @@
 		t.Error("the body can still be read")
 	}
 }
+
+// TestRefusalKeepsAnswersBehindIt guards against responses that are ready and are dropped because an
+// earlier request on their connection was refused.
+func TestRefusalKeepsAnswersBehindIt(t *testing.T) {
+	type answered struct {
+		Path  string
+		Close bool
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	started, refused := make(chan string, 10), make(chan struct{})
+	handler := handlerFunc(func(_ context.Context, req *baobabtide.Request) (*baobabtide.Response, error) {
+		started <- req.Target
+		switch req.Target {
+		case "/refused":
+			<-refused
+			return nil, baobabtide.Refuse(baobabtide.ReasonOverload, time.Second, errors.New("full"))
+		case "/slow":
+			time.Sleep(100 * time.Millisecond)
+		}
+		return btfixture.OKResponse(req.Target), nil
+	})
+	server, stop := NewServer(handler, strictLimits())
+	var unanswered atomic.Int64
+	server.OnUnanswered = func(Unanswered) { unanswered.Add(1) }
+	t.Cleanup(stop)
+	go func() { _ = server.Serve(listener, nil) }()
+	c := dial(t, listener.Addr().String())
+	send := func(paths ...string) {
+		for _, path := range paths {
+			if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	send("/slow", "/refused", "/slow", "/fast")
+	for range 4 {
+		<-started
+	}
+	close(refused)
+	time.Sleep(20 * time.Millisecond) // the connection is about to close
+	send("/late")
+	var got []answered
+	for reader := bufio.NewReader(c); ; {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		body, _ := io.ReadAll(resp.Body)
+		path := string(body)
+		if resp.StatusCode != http.StatusOK {
+			path = resp.Header.Get(HeaderReason)
+		}
+		got = append(got, answered{path, resp.Close})
+	}
+	want := []answered{{"/slow", false}, {"overload", false}, {"/slow", false}, {"/fast", true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("responses (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(0), unanswered.Load()); diff != "" {
+		t.Errorf("requests without a response (-want +got):\n%s", diff)
+	}
+	if len(started) > 0 {
+		t.Errorf("%s was read from a connection that is about to close", <-started)
+	}
+}
--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -48,16 +48,12 @@
 	relaying  bool // a response is read from the backend server while it is written
 	used      bool // a request has been read
 	shed      bool // the connection was selected by Server.shed
-	closing   bool // no further request is read
-	requests  int  // requests that were read, for exchange.number
-	closesAt  int  // number of the first request whose response closes the connection, 0 if none
-	lastAlone int  // number of the last request that was started after the one before it was answered
+	closing   bool // no further request is read; the connection is closed after the responses to those that were
 }
 
 // exchange is a request with its response.
 type exchange struct {
 	conn       *conn
-	number     int // of the request on its connection, from 1
 	req        *baobabtide.Request
 	admitted   bool          // the request runs or has run
 	stream     *streamBody   // nil for a body in memory
@@ -255,8 +251,7 @@
 		defer c.server.releasePipelined(ex)
 		if !concurrent {
 			<-previous.done
-			if !c.startAlone(ex) {
-				ex.closeAfter.Store(true)
+			if c.isClosing() {
 				ex.refuse(baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("an earlier response closes the connection")))
 				close(ex.done)
 				return
@@ -276,31 +271,19 @@
 	}
 }
 
-// startAlone reports whether a request that must not run twice may start. It may not if the
-// response to an earlier request closes the connection: its own response would be dropped, and
-// the caller would send it again.
-func (c *conn) startAlone(ex *exchange) bool {
+// isClosing reports whether the connection is closed after the requests that were read.
+func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closesAt > 0 && c.closesAt < ex.number {
-		return false
-	}
-	c.lastAlone = max(c.lastAlone, ex.number)
-	return true
+	return c.closing
 }
 
-// closeBehind closes the connection after the response of an exchange, unless a request behind
-// it that must not run twice has started.
-func (c *conn) closeBehind(ex *exchange) {
+// closeSoon closes the connection after the responses to the requests that were read: those that
+// run are answered, those that have not started are refused. At least one must be pending.
+func (c *conn) closeSoon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lastAlone > ex.number {
-		return
-	}
-	ex.closeAfter.Store(true)
-	if c.closesAt == 0 || ex.number < c.closesAt {
-		c.closesAt = ex.number
-	}
+	c.closing = true
 }
 
 // nextRequest reads one request, or refuses it unread if the budget has no read buffer for it.
@@ -333,8 +316,6 @@
 	defer c.mu.Unlock()
 	c.reading, c.shed, c.streaming = false, false, ex.stream != nil
 	c.pending++
-	c.requests++
-	ex.number = c.requests
 	c.readPace.pause(time.Now())
 	if ex.stream == nil {
 		_ = c.socket.SetReadDeadline(time.Time{})
--- a/btcaller/conn_write.go
+++ b/btcaller/conn_write.go
@@ -112,8 +112,8 @@
 }
 
 // closesAfter reports whether the connection is closed after a response. While the
-// server is draining, it is closed if no other request is pending or partly
-// read.
+// server is draining or the connection is closing, it is closed if no other request
+// is pending or partly read.
 func (c *conn) closesAfter(ex *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,7 +121,7 @@
 		c.closing = true
 		return true
 	}
-	if c.server.draining.Load() && c.pending == 1 && !c.reading {
+	if (c.closing || c.server.draining.Load()) && c.pending == 1 && !c.reading {
 		c.closing = true
 		return true
 	}
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -372,7 +372,7 @@
 		if ex.stream != nil && !ex.stream.detach() { // another goroutine may still read the body
 			ex.closeAfter.Store(true)
 		}
-		ex.conn.closeBehind(ex)
+		ex.conn.closeSoon()
 		ex.refuse(&baobabtide.RequestError{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonInternal})
 	}
 }
@@ -387,7 +387,7 @@
 	if err != nil {
 		refusal := baobabtide.AsRequestError(err)
 		if ex.pipelined && refusal.Verdict == baobabtide.NotRun && refusal.RetryAfter > 0 {
-			ex.conn.closeBehind(ex) // the requests sent behind it would be refused at once as well
+			ex.conn.closeSoon() // further requests would be refused as well
 		}
 		ex.refuse(refusal)
 		cancel()
