--- a/baobabtided/crowd_test.go
+++ b/baobabtided/crowd_test.go
@@ -226,9 +226,17 @@
 	_, _ = w.Write(make([]byte, size))
 }
 
-// startCrowded runs a node with a memory limit in a process of its own and returns once it has a
-// route to its backend server.
+// startCrowded runs a node with a memory limit and a backend server for crowds, see startLimited.
 func startCrowded(t *testing.T, megabytes float64) *process {
+	t.Helper()
+	server := &http.Server{Handler: crowdBackend{}}
+	t.Cleanup(func() { _ = server.Close() })
+	return startLimited(t, megabytes, func(l net.Listener) { _ = server.Serve(l) })
+}
+
+// startLimited runs a node with a memory limit in a process of its own and returns once it has a
+// route to its backend server, which serve runs until the listener is closed.
+func startLimited(t *testing.T, megabytes float64, serve func(net.Listener)) *process {
 	t.Helper()
 	log, address := startLog(t)
 	settings, path := writeSettings(t, address)
@@ -247,9 +255,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: crowdBackend{}}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	go serve(listener)
+	t.Cleanup(func() { _ = listener.Close() })
 	announcement := &btbackend.Announcement{
 		Name: "n-v1", Service: service, Version: "v1", Address: listener.Addr().String(), State: baobabtide.TargetReady,
 		Slots: crowdSlots, Connections: 2 * crowdSlots, Incarnation: 1, Lease: time.Minute,
