--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	youngAge      = 5 * time.Second         // age of a server, at the begin of a registry, up to which no process before can have acknowledged its departure
-	confirmPause  = 700 * time.Millisecond  // least time between two announcements of which the later one was not on its way for as long; servers repeat theirs after 1.5 s
-	confirmWindow = 2500 * time.Millisecond // lease of a restored server until a second announcement confirms it
+	youngAge      = 5 * time.Second         // age of a server at the start of a node up to which its departure can't have been acknowledged before
+	confirmPause  = 700 * time.Millisecond  // least time from the first announcement to the one that confirms a server; late ones may arrive together
+	confirmWindow = 3500 * time.Millisecond // lease of a restored server until it is confirmed, for two announcements, about 1.5 s apart
 )
 
 // Server is an announced backend server.
--- a/btconfig/fold.go
+++ b/btconfig/fold.go
@@ -210,7 +210,7 @@
 func (s *State) applyUnversioned(r *baobabtide.Release, entry baobabtide.Entry) {
 	for _, customer := range r.Customers {
 		if a := s.Assignments[AssignmentKey(customer, r.Service)]; a.Current == baobabtide.AnyVersion && a.Running() {
-			s.addOutcome(replacedOutcome(customer, r.Service, a.Rollout.Offset, a.Rollout.To))
+			s.Outcomes, _ = insertOutcome(s.Outcomes, replacedOutcome(customer, r.Service, a.Rollout.Offset, a.Rollout.To))
 		}
 		s.Assignments[AssignmentKey(customer, r.Service)] = baobabtide.Assignment{
 			Customer: customer,
--- a/btconfig/outcomes.go
+++ b/btconfig/outcomes.go
@@ -16,28 +16,30 @@
 // It returns s if s has an outcome of that rollout already, unless the rollout was
 // completed and s takes it for one that was replaced.
 func (s *State) WithOutcome(o baobabtide.OutcomeRecord) *State {
-	next := s.clone()
-	if !next.addOutcome(o) {
+	outcomes, changed := insertOutcome(s.Outcomes, &o)
+	if !changed {
 		return s
 	}
+	next := s.clone()
+	next.Outcomes = outcomes
 	next.reconcileOutcomes()
 	return next
 }
 
-// addOutcome adds an outcome to s, which must be a clone, as WithOutcome does. It returns
-// false if it has no effect.
-func (s *State) addOutcome(o baobabtide.OutcomeRecord) bool {
-	i, found := slices.BinarySearchFunc(s.Outcomes, o, compareOutcomes)
+// insertOutcome returns a copy of outcomes with one more, as WithOutcome describes it, or the
+// outcomes themselves and false if it has no effect.
+func insertOutcome(outcomes []baobabtide.OutcomeRecord, o *baobabtide.OutcomeRecord) ([]baobabtide.OutcomeRecord, bool) {
+	i, found := slices.BinarySearchFunc(outcomes, *o, compareOutcomes)
 	switch {
 	case !found:
-		s.Outcomes = slices.Insert(slices.Clone(s.Outcomes), i, o)
-	case s.Outcomes[i].Result == baobabtide.Reverted && o.Result == baobabtide.Completed:
-		s.Outcomes = slices.Clone(s.Outcomes)
-		s.Outcomes[i] = o
+		return slices.Insert(slices.Clone(outcomes), i, *o), true
+	case outcomes[i].Result == baobabtide.Reverted && o.Result == baobabtide.Completed:
+		outcomes = slices.Clone(outcomes)
+		outcomes[i] = *o
+		return outcomes, true
 	default:
-		return false
+		return outcomes, false
 	}
-	return true
 }
 
 // HasOutcome reports whether the state has an outcome of the same rollout.
@@ -48,8 +50,8 @@
 
 // replacedOutcome returns the outcome of a rollout that another one replaced before it had
 // ended. It is not recorded in the outcome log, as each node that sees both orders finds it.
-func replacedOutcome(customer, service string, rollout baobabtide.Offset, version string) baobabtide.OutcomeRecord {
-	return baobabtide.OutcomeRecord{
+func replacedOutcome(customer, service string, rollout baobabtide.Offset, version string) *baobabtide.OutcomeRecord {
+	return &baobabtide.OutcomeRecord{
 		Rollout:  rollout,
 		Customer: customer,
 		Service:  service,
@@ -88,7 +90,7 @@
 	key := AssignmentKey(start.Customer, start.Service)
 	a, ok := s.Assignments[key]
 	if ok && a.Current == baobabtide.AnyVersion && a.Rollout != nil && start.Rollout < a.Rollout.Offset {
-		return s.WithOutcome(replacedOutcome(start.Customer, start.Service, start.Rollout, start.Version))
+		return s.WithOutcome(*replacedOutcome(start.Customer, start.Service, start.Rollout, start.Version))
 	}
 	if !ok || !a.Running() || a.Rollout.Offset != start.Rollout || !start.Started.Before(a.Rollout.Started) {
 		return s
--- a/btnode/outcomes.go
+++ b/btnode/outcomes.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btpeer"
 )
 
@@ -112,7 +113,7 @@
 // tellOutcomes logs outcomes and sends them on all edges except one.
 func (n *Node) tellOutcomes(except *edge, outcomes []baobabtide.OutcomeRecord) {
 	for _, o := range outcomes {
-		n.log.Info().Str("event", "rollout.ended").Uint64("rollout", uint64(o.Rollout)).Str("service", o.Service).
+		n.log.Info().Str("event", string(btlog.RolloutEnded)).Uint64("rollout", uint64(o.Rollout)).Str("service", o.Service).
 			Str("version", o.Version).Str("result", string(o.Result)).Str("reason", o.Reason).Send()
 	}
 	n.sendToAll(&btpeer.Gossip{Outcomes: outcomes}, except)
--- a/contract_bound.go
+++ b/contract_bound.go
@@ -93,7 +93,8 @@
 	for i := 2; names[name]; i++ {
 		name = ValidName(fmt.Sprintf("%s~%d", r.Name, i))
 	}
-	if names[name] = true; name != r.Name {
+	names[name] = true
+	if name != r.Name {
 		b.changed("Name", "%q became %q", r.Name, name)
 		r.Name = name
 	}
