btbackend: a node that starts serves at the first announcement of a server

Change: in the first 3 s of a node one announcement makes a server ready, until these 3 s end. An unconfirmed server turns starting in place of being removed.

--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -12,7 +12,8 @@
 const (
 	youngAge      = 5 * time.Second         // age of a server at the start of a node up to which its departure can't have been acknowledged before
 	confirmPause  = 700 * time.Millisecond  // least time from the first announcement to the one that confirms a server; late ones may arrive together
-	confirmWindow = 3500 * time.Millisecond // lease of a restored server until it is confirmed, for two announcements, about 1.5 s apart
+	confirmWindow = 3500 * time.Millisecond // in which a restored server stays ready until it is confirmed, for two announcements, about 1.5 s apart
+	startWindow   = 3 * time.Second         // after the start of a node in which one announcement is enough, as it may know no server yet
 )
 
 // Server is an announced backend server.
@@ -23,8 +24,9 @@
 
 	// Unconfirmed is the arrival of the first announcement of a server that may have departed before
 	// the registry began, zero once another one has confirmed the server. Such a server is starting,
-	// or what it was restored as.
+	// or ready until readyUntil.
 	Unconfirmed time.Time
+	readyUntil  time.Time
 	restored    bool // not announced to this registry yet
 }
 
@@ -33,7 +35,7 @@
 type Registry struct {
 	// Began is the start of the node's process. Servers that started before may have departed, with the
 	// acknowledgement of an earlier process, and a late announcement may bring them back: one alone does
-	// not make them ready. Zero if there was no such process.
+	// not make them ready for longer than the start of the node takes. Zero if there was no such process.
 	Began time.Time
 
 	mu       sync.Mutex
@@ -92,13 +94,19 @@
 }
 
 // record returns the server that an announcement describes, given what is known of its incarnation, the
-// zero value for nothing. It sets the announcement's state to starting until the server is confirmed.
+// zero value for nothing. It sets the announcement's state to starting if the server is not confirmed.
 func (r *Registry) record(a *Announcement, known *Server, now time.Time) Server {
 	s := Server{Expires: now.Add(a.Lease), ColdUntil: now.Add(a.Cold), Unconfirmed: r.unconfirmed(a, known, now)}
-	if !s.Unconfirmed.IsZero() && a.State == baobabtide.TargetReady {
-		if known.Announcement.State == baobabtide.TargetReady {
-			s.Expires = now.Add(min(a.Lease, confirmWindow))
-		} else {
+	if !s.Unconfirmed.IsZero() {
+		switch {
+		case known.restored:
+			s.readyUntil = now.Add(confirmWindow)
+		case known.Announcement.Name == "":
+			s.readyUntil = r.Began.Add(startWindow)
+		default:
+			s.readyUntil = known.readyUntil
+		}
+		if a.State == baobabtide.TargetReady && !now.Before(s.readyUntil) {
 			a.State = baobabtide.TargetStarting
 		}
 	}
@@ -261,13 +269,19 @@
 }
 
 // Expire removes the servers whose lease has ended by now, and the departures
-// that need no longer be remembered.
+// that need no longer be remembered. Ready servers that should have been confirmed by
+// now are starting again.
 func (r *Registry) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, s := range r.servers {
-		if now.After(s.Expires) {
+		switch {
+		case now.After(s.Expires):
 			r.remove(name, now)
+		case !s.Unconfirmed.IsZero() && !now.Before(s.readyUntil) && s.Announcement.State == baobabtide.TargetReady:
+			s.Announcement.State = baobabtide.TargetStarting
+			r.servers[name] = s
+			r.notifyChanged()
 		}
 	}
 	for name, gone := range r.departed {
