--- a/btbackend/response.go
+++ b/btbackend/response.go
@@ -17,7 +17,7 @@
 	idleMargin       = time.Second // a connection is closed this long before the backend server would close it
 	lengthUntilClose = -2          // fasthttp's content length of a body that ends when the connection is closed
 
-	maxRetryAfter = 10 * time.Minute // the longest timeout of a request
+	maxRetryAfter = 10 * time.Minute
 
 	maxShedBody = 64 << 10              // bytes of the body of a response that reports that the request has not run
 	shedTimeout = 50 * time.Millisecond // to receive that body; the request could go to another target meanwhile
--- a/btdispatch/dispatcher.go
+++ b/btdispatch/dispatcher.go
@@ -21,13 +21,13 @@
 )
 
 const (
-	defaultAttempts     = 3               // targets that one request may reach if its route sets no MaxAttempts
-	maxRedirects        = 3               // refusals by busy targets, after which the request waits at one
-	maxRedirectBody     = 16 << 10        // bytes of body that are sent again for such a refusal
-	maxHeldBody         = 16 << 10        // bytes of the body of a failed response that is kept during the next attempt
-	maxMoves            = 4               // refusals after which a request is not moved again
-	maxTargets          = 16 + 2*maxMoves // targets tried in one round; 16 is the largest MaxAttempts of a contract
-	maxDepth            = 32              // calls that may lead to a request, bounds loops between services
+	defaultAttempts     = 3                                   // targets that one request may reach if its route sets no MaxAttempts
+	maxRedirects        = 3                                   // refusals by busy targets, after which the request waits at one
+	maxRedirectBody     = 16 << 10                            // bytes of body that are sent again for such a refusal
+	maxHeldBody         = 16 << 10                            // bytes of the body of a failed response that is kept during the next attempt
+	maxMoves            = 4                                   // refusals after which a request is not moved again
+	maxTargets          = baobabtide.MaxAttempts + 2*maxMoves // targets tried in one round
+	maxDepth            = 32                                  // calls that may lead to a request, bounds loops between services
 	noTargetRetryAfter  = time.Second
 	noConfigRetryAfter  = time.Second
 	keyHomeRetryAfter   = 2 * time.Second
