btnode, btbackend: names and comments a newcomer would stop at

No code changes: tellOutcomes is broadcastOutcomes, sendReplaced broadcastReplaced; two tests and the pages say restored, reported and being rolled out.

--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -23,19 +23,18 @@
 	ColdUntil    time.Time // end of the time in which the server is cold
 
 	// Unconfirmed is the arrival of the first announcement of a server that may have departed before
-	// the registry began, zero once another one has confirmed the server. Such a server is starting,
-	// or ready until readyUntil.
+	// the registry began, zero once another one has confirmed the server.
 	Unconfirmed time.Time
-	readyUntil  time.Time
-	restored    bool // not announced to this registry yet
+	readyUntil  time.Time // until then an unconfirmed server may be ready, afterwards it is starting
+	restored    bool      // not announced to this registry yet
 }
 
 // Registry holds the backend servers beside a node with their leases. The zero
 // value is empty. All methods are safe for concurrent use.
 type Registry struct {
-	// Began is the start of the node's process. Servers that started before may have departed, with the
-	// acknowledgement of an earlier process, and a late announcement may bring them back: one alone does
-	// not make them ready for longer than the start of the node takes. Zero if there was no such process.
+	// Began is the start of the node's process. An earlier process may have acknowledged the departure of a
+	// server that started before, so a single announcement, which may be a late one, makes it ready only
+	// during the start of the node. Zero if there was no earlier process.
 	Began time.Time
 
 	mu       sync.Mutex
--- a/btbackend/restart_test.go
+++ b/btbackend/restart_test.go
@@ -17,9 +17,9 @@
 	want     string // state of the server afterwards, empty if it isn't there
 }
 
-// TestLateAnnouncementDoesNotRevive guards against a late announcement that makes a server ready
+// TestLateAnnouncementDoesNotRestoreServer guards against a late announcement that makes a server ready
 // after all nodes have been killed, and with them all that knew of its acknowledged departure.
-func TestLateAnnouncementDoesNotRevive(t *testing.T) {
+func TestLateAnnouncementDoesNotRestoreServer(t *testing.T) {
 	const ready, draining = baobabtide.TargetReady, baobabtide.TargetDraining
 	began := time.Unix(10_000, 0)
 	old, young := uint64(began.Add(-time.Minute).UnixMilli()), uint64(began.Add(-time.Second).UnixMilli())
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -252,7 +252,7 @@
 		n.pull(e, own, time.Now())
 	}
 	if fresh > 0 {
-		n.sendReplaced(before)
+		n.broadcastReplaced(before)
 		n.configChanged(e)
 	}
 	return fresh
--- a/btnode/outcomes.go
+++ b/btnode/outcomes.go
@@ -91,14 +91,14 @@
 		}
 	}
 	if len(fresh) > 0 {
-		n.tellOutcomes(from, fresh)
+		n.broadcastOutcomes(from, fresh)
 		n.markDirty()
 	}
 }
 
-// sendReplaced sends the outcomes of rollouts that later ones have replaced since an earlier state.
+// broadcastReplaced sends the outcomes of rollouts that later ones have replaced since an earlier state.
 // A node that gets only the newest order of a service doesn't find them.
-func (n *Node) sendReplaced(before *btconfig.State) {
+func (n *Node) broadcastReplaced(before *btconfig.State) {
 	var fresh []baobabtide.OutcomeRecord
 	for _, o := range n.config.State().Outcomes {
 		if !before.HasOutcome(&o) {
@@ -106,12 +106,12 @@
 		}
 	}
 	if len(fresh) > 0 {
-		n.tellOutcomes(nil, fresh)
+		n.broadcastOutcomes(nil, fresh)
 	}
 }
 
-// tellOutcomes logs outcomes and sends them on all edges except one.
-func (n *Node) tellOutcomes(except *edge, outcomes []baobabtide.OutcomeRecord) {
+// broadcastOutcomes logs outcomes and sends them on all edges except one.
+func (n *Node) broadcastOutcomes(except *edge, outcomes []baobabtide.OutcomeRecord) {
 	for _, o := range outcomes {
 		n.log.Info().Str("event", string(btlog.RolloutEnded)).Uint64("rollout", uint64(o.Rollout)).Str("service", o.Service).
 			Str("version", o.Version).Str("result", string(o.Result)).Str("reason", o.Reason).Send()
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -156,7 +156,7 @@
 		n.recordRejection(offset)
 	}
 	if len(applied) > 0 {
-		n.sendReplaced(before)
+		n.broadcastReplaced(before)
 		n.configChanged(nil)
 	}
 }
--- a/btnode/rollouts_test.go
+++ b/btnode/rollouts_test.go
@@ -306,9 +306,9 @@
 	}
 }
 
-// TestReplacedRolloutIsTold guards against nodes that fold only the newest order of a service and send
+// TestReplacedRolloutIsBroadcast guards against nodes that fold only the newest order of a service and send
 // requests to the version of one that it has replaced: the others tell them.
-func TestReplacedRolloutIsTold(t *testing.T) {
+func TestReplacedRolloutIsBroadcast(t *testing.T) {
 	n, neighbor := rolloutNode("")
 	n.members.table = btmember.New(baobabtide.Member{Name: "self", Zone: "z"}, btmember.Timing{}, rand.New(rand.NewPCG(1, 1)))
 	state := n.config.State()
--- a/btrollout/decide_test.go
+++ b/btrollout/decide_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// TestRolloutWithoutTargetsIsNotCompleted guards against a rollout that is told as completed although its
+// TestRolloutWithoutTargetsIsNotCompleted guards against a rollout that is reported as completed although its
 // version has no target, so that the operator stops all targets that there are.
 func TestRolloutWithoutTargetsIsNotCompleted(t *testing.T) {
 	good := []baobabtide.RouteEvidence{route("a", counts(1000, 0), counts(60, 0))}
--- a/btroute/destination.go
+++ b/btroute/destination.go
@@ -17,8 +17,8 @@
 	Next     Version             // version being rolled out, empty unless a rollout is running
 	Rollout  *baobabtide.Rollout // running rollout, nil for none
 	Held     string              // assigned version without a known target, in whose place Current is an earlier one; empty for none
-	IsOnly   bool                // no version but the one being rolled out has targets, or had any since its rollout began; it is Current, and there is no Next
-	lost     bool                // see losesTargets
+	IsOnly   bool                // Current is the version being rolled out, as no other has or had targets; Next and Rollout are empty
+	lost     bool                // the other versions had targets and have none now; IsOnly is false then
 	share    atomic.Uint64       // share of traffic that goes to Next, as math.Float64bits
 }
 
