btconfig: recorded outcomes of unversioned services join the set of outcomes

What callers could see, on a platform without an outcome log: a version that was reverted kept its part of the traffic.

Cause: applyOutcome ended the rollout, but only outcomes of the set exclude versions.

Change: applyOutcome adds it to the set; Current stays AnyVersion, and InForce names a completed one.

Measured: TestRecordedOutcomeOfUnversionedService fails in both cases without the change and passes.

--- a/btconfig/fold.go
+++ b/btconfig/fold.go
@@ -297,7 +297,10 @@
 	ended.Ended = entry.Time.UTC()
 	ended.Evidence = o.Evidence
 	a.Rollout = &ended
-	if o.Result == baobabtide.Completed {
+	switch {
+	case a.Current == baobabtide.AnyVersion:
+		s.Outcomes, _ = insertOutcome(s.Outcomes, o) // reconcileOutcomes works out the version in force
+	case o.Result == baobabtide.Completed:
 		a.Current = ended.To
 	}
 	s.Assignments[key] = a
--- a/btconfig/outcomes_test.go
+++ b/btconfig/outcomes_test.go
@@ -159,3 +159,33 @@
 		t.Errorf("number of earlier outcomes and the first one (-want +got):\n%s", diff)
 	}
 }
+
+// TestRecordedOutcomeOfUnversionedService guards against a reverted version that gets traffic again on a platform
+// whose outcomes are records of the configuration.
+func TestRecordedOutcomeOfUnversionedService(t *testing.T) {
+	tests := map[string]struct {
+		result baobabtide.Result
+		want   versions
+	}{
+		"reverted":  {baobabtide.Reverted, versions{"", []string{"v2"}}},
+		"completed": {baobabtide.Completed, versions{"v2", nil}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := Fold(new(State), orderEntry(1, "v2"))
+			o := outcomeOf(1, "v2", tt.result)
+			data, err := btcodec.EncodeJSON(&baobabtide.Record{ID: "outcome.1", Actor: "node/n", Outcome: &o})
+			if err != nil {
+				t.Fatal(err)
+			}
+			s = Fold(s, baobabtide.Entry{Offset: 2, Time: time.Unix(2, 0), Data: data})
+			if diff := cmp.Diff(tt.want, versionsOf(s)); diff != "" {
+				t.Errorf("versions (-want +got):\n%s", diff)
+			}
+			a := s.Assignments[AssignmentKey("c", "s")]
+			if diff := cmp.Diff([]string{baobabtide.AnyVersion, string(tt.result)}, []string{a.Current, string(a.Rollout.Result)}); diff != "" {
+				t.Errorf("current version and result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
