--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const host = "mesh.example"
+
+// workOf takes the run time from the path, which ends in its milliseconds.
+func workOf(r *http.Request) time.Duration {
+	ms := 20
+	_, _ = fmt.Sscanf(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], "%d", &ms)
+	return time.Duration(ms) * time.Millisecond
+}
+
+// startAll starts three machines with a target of one service each.
+func startAll(repo string, book *record, b bounds, services []string, timeout int) (*cluster, error) {
+	c, err := newCluster(repo, book, b, services)
+	if err != nil {
+		return nil, err
+	}
+	c.configure(1, []string{"board", "desk"}, []route{
+		{"look", host, "/look/", "idempotent", timeout, 800, 2, "desk", 2},
+		{"book", host, "/book/", "non_idempotent", timeout, 800, 1, "desk", 2},
+		{"board", host, "/board/", "idempotent", timeout, 800, 2, "board", 2},
+	})
+	for i, m := range c.machines {
+		if err := m.begin(fmt.Sprintf("i-%d", i+1), "v1", nil); err != nil {
+			return c, err
+		}
+	}
+	if err := c.awaitServing(host, "/look/20"); err != nil {
+		return c, err
+	}
+	return c, nil
+}
+
+// longStop: a planned stop of one machine while requests of its clients run, under the bounds of
+// large/LATER.md.
+func longStop(repo string, book *record, trouble bool) (int, error) {
+	large := bounds{4 * time.Second, 3 * time.Second, 10 * time.Second, 3 * time.Second}
+	c, err := startAll(repo, book, large, []string{"desk", "desk", "desk"}, 6000)
+	if c != nil {
+		defer c.stop(false)
+	}
+	if err != nil {
+		return failed, err
+	}
+	time.Sleep(large.StableWindow)
+	first := c.machines[0]
+	stoppedAt := time.Now()
+	if trouble {
+		first.signal(syscall.SIGTERM)
+	}
+	type sent struct {
+		id    string
+		after time.Duration
+		reply *reply
+	}
+	var requests []*sent
+	var wg sync.WaitGroup
+	for i, after := range []time.Duration{0, 500, 1000, 1500} {
+		s := &sent{id: fmt.Sprintf("long-%d", i), after: after * time.Millisecond}
+		requests = append(requests, s)
+		wg.Go(func() {
+			time.Sleep(time.Until(stoppedAt.Add(s.after)))
+			s.reply = first.send(s.id, "POST", host, "/book/4100", 6*time.Second, []byte("booking"))
+		})
+	}
+	wg.Wait()
+	code := held
+	for _, s := range requests {
+		runs := book.runsOf(s.id)
+		ended := s.reply.Sent.Add(s.reply.Took).Sub(stoppedAt)
+		if len(runs) == 0 || s.reply.Whole || ended >= large.Grace*5/6 {
+			continue
+		}
+		book.printf("LOST: %s was read and passed on to %s; %d ms after the SIGTERM its client got %s", s.id, runs[0].Target, ended.Milliseconds(), s.reply)
+		code = broken
+	}
+	if trouble && !first.wait(large.Grace) {
+		book.printf("the node did not end within the grace time")
+	}
+	return code, nil
+}
+
+// lateBeats: a target deregisters, all nodes are killed and started again, and two heartbeats that
+// the target had sent before arrive late.
+func lateBeats(repo string, book *record, trouble bool) (int, error) {
+	c, err := startAll(repo, book, smallBounds, []string{"board", "desk", "desk"}, 2000)
+	if c != nil {
+		defer c.stop(false)
+	}
+	if err != nil {
+		return failed, err
+	}
+	time.Sleep(6 * time.Second) // the target has run for a while, and its machine is in touch
+	leaving := c.machines[2].target
+	leaving.stopBeats()
+	late := [][]byte{leaving.nextBeat(), leaving.nextBeat()} // on their way for seconds
+	if !leaving.post("deregister", []byte(fmt.Sprintf(`{"born":%d}`, leaving.born.UnixMilli()))) {
+		return failed, fmt.Errorf("the deregistration was not acknowledged")
+	}
+	acknowledged := time.Now()
+	book.printf("%s: deregistration of %s is acknowledged", c.machines[2].name, leaving.id)
+	time.Sleep(300 * time.Millisecond)
+	restarted := time.Now()
+	if trouble {
+		for _, m := range c.machines {
+			m.signal(syscall.SIGKILL)
+		}
+		for _, m := range c.machines {
+			m.wait(5 * time.Second)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range c.machines {
+			if err := m.start(); err != nil {
+				return failed, err
+			}
+		}
+		restarted = time.Now()
+	}
+	for i, body := range late {
+		time.Sleep(time.Until(restarted.Add(time.Duration(700+1500*i) * time.Millisecond)))
+		book.printf("late heartbeat %d of %s arrives: acknowledged %t", i+1, leaving.id, leaving.post("heartbeat", body))
+	}
+	inTouch := restarted.Add(smallBounds.StableWindow + 200*time.Millisecond)
+	time.Sleep(time.Until(inTouch))
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	for i := 0; time.Since(inTouch) < 3*time.Second; i++ {
+		wg.Go(func() {
+			if c.machines[0].send(fmt.Sprintf("after-%d", i), "GET", host, "/look/100", 2*time.Second, nil).Whole {
+				served.Add(1)
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	code := held
+	for _, r := range book.runsAt(leaving.id) {
+		if since := r.Start.Sub(acknowledged); since > smallBounds.Drain && r.Start.After(inTouch) {
+			book.printf("DRAIN: %s reached %s %d ms after its departure was acknowledged", r.ID, r.Target, since.Milliseconds())
+			code = broken
+		}
+	}
+	book.printf("%d requests were served", served.Load())
+	return code, nil
+}
+
+// quietRollout: a new version of a service with little traffic is bad from its start.
+func quietRollout(repo string, book *record, trouble bool) (int, error) {
+	const (
+		pause    = 500 * time.Millisecond // between two requests
+		duration = 16                     // s, of the rollout
+		rollback = 5 * time.Second        // rollbackMs
+		mostBad  = 50
+	)
+	c, err := newCluster(repo, book, smallBounds, []string{"board", "desk", "desk", "desk", "desk"})
+	if c != nil {
+		defer c.stop(false)
+	}
+	if err != nil {
+		return failed, err
+	}
+	c.configure(1, []string{"board", "desk"}, []route{{"book", host, "/book/", "non_idempotent", 2000, 800, 1, "desk", 2}})
+	for i, m := range c.machines[:3] {
+		if err := m.begin(fmt.Sprintf("i-%d-v1", i+1), "v1", nil); err != nil {
+			return failed, err
+		}
+	}
+	if err := c.awaitServing(host, "/book/20"); err != nil {
+		return failed, err
+	}
+	fails := func() bool { return trouble && rand.IntN(2) == 0 }
+	for i, m := range c.machines[3:] { // the new targets are started beside the old ones
+		if err := m.begin(fmt.Sprintf("i-%d-v2", i+4), "v2", fails); err != nil {
+			return failed, err
+		}
+	}
+	time.Sleep(smallBounds.StableWindow + 1250*time.Millisecond)
+	c.store.put("keyed.op", "rollout/desk", map[string]any{"service": "desk", "newVersion": "v2", "durationS": duration})
+	book.printf("operator: the order to move desk to v2 in %d s is acknowledged", duration)
+	isNew := func(target string) bool { return strings.HasSuffix(target, "-v2") }
+	code, state, began := held, "", time.Now()
+	for i := 0; time.Since(began) < 95*time.Second && code == held; i++ {
+		if now := c.rolloutState("desk"); now != state {
+			state = now
+			book.printf("status/rollout/desk: %s %s", state, c.reason)
+			if state == "completed" {
+				for _, m := range c.machines[1:3] { // the old targets stop at once, their nodes get SIGTERM
+					m.target.end()
+					m.signal(syscall.SIGTERM)
+				}
+			}
+		}
+		id := fmt.Sprintf("book-%d", i)
+		sentAt := time.Now()
+		c.machines[0].send(id, "POST", host, "/book/20", 2*time.Second, []byte("booking"))
+		last := book.nthBad(mostBad, isNew)
+		for _, r := range book.runsOf(id) {
+			if isNew(r.Target) && !last.IsZero() && sentAt.Sub(last) > rollback {
+				book.printf("EXPOSURE: %s reached %s, sent %d ms after the %dth bad answer of v2", id, r.Target, sentAt.Sub(last).Milliseconds(), mostBad)
+				code = broken
+			}
+		}
+		if !trouble && state == "completed" && time.Since(began) > (duration+10)*time.Second {
+			break
+		}
+		if state == "rolled_back" {
+			break // the new targets drain and leave
+		}
+		time.Sleep(time.Until(sentAt.Add(pause)))
+	}
+	return code, nil
+}
