review: a departure is lost when the node beside it is killed twice

A node that starts again gets the departures back from its neighbors but does not announce them, so its new membership record, which replaces the former one, lacks them. After a second kill two late heartbeats make the departed target ready, and it gets requests 6 to 9 s after its departure was acknowledged (DRAIN).

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -91,6 +91,84 @@
 	return code, nil
 }
 
+// departure is a target that deregisters, with two heartbeats that it had sent before and that
+// arrive late.
+type departure struct {
+	machine      *machine
+	late         [][]byte
+	acknowledged time.Time
+}
+
+// deregister lets the target of a machine deregister.
+func (m *machine) deregister() (*departure, error) {
+	t := m.target
+	t.stopBeats()
+	d := &departure{machine: m, late: [][]byte{t.nextBeat(), t.nextBeat()}}
+	if !t.post("deregister", []byte(fmt.Sprintf(`{"born":%d}`, t.born.UnixMilli()))) {
+		return nil, fmt.Errorf("the deregistration was not acknowledged")
+	}
+	d.acknowledged = time.Now()
+	m.cluster.book.printf("%s: deregistration of %s is acknowledged", m.name, t.id)
+	return d, nil
+}
+
+// arrive lets the late heartbeats arrive, the first after a time and the second after a pause.
+func (d *departure) arrive(since time.Time, after, pause time.Duration) {
+	for i, body := range d.late {
+		time.Sleep(time.Until(since.Add(after + time.Duration(i)*pause)))
+		age := time.Since(d.acknowledged).Milliseconds()
+		d.machine.cluster.book.printf("late heartbeat %d of %s arrives %d ms after the deregistration: acknowledged %t",
+			i+1, d.machine.target.id, age, d.machine.target.post("heartbeat", body))
+	}
+}
+
+// check sends requests of the clients at a machine for a time, and returns broken if one reaches
+// the target that has departed. All machines are in touch by then.
+func (d *departure) check(clients *machine, duration time.Duration) int {
+	book, began := clients.cluster.book, time.Now()
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	for i := 0; time.Since(began) < duration; i++ {
+		wg.Go(func() {
+			if clients.send(fmt.Sprintf("after-%d", i), "GET", host, "/look/100", 2*time.Second, nil).Whole {
+				served.Add(1)
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	wg.Wait()
+	code := held
+	for _, r := range book.runsAt(d.machine.target.id) {
+		if since := r.Start.Sub(d.acknowledged); since > clients.cluster.bounds.Drain && r.Start.After(began) {
+			book.printf("DRAIN: %s reached %s %d ms after its departure was acknowledged", r.ID, r.Target, since.Milliseconds())
+			code = broken
+		}
+	}
+	book.printf("%d requests were served", served.Load())
+	return code
+}
+
+// restart kills the nodes of machines at the same moment and starts them again after a pause. It
+// returns when the last has started.
+func (c *cluster) restart(machines []*machine, pause time.Duration) (time.Time, error) {
+	for _, m := range machines {
+		m.signal(syscall.SIGKILL)
+	}
+	for _, m := range machines {
+		m.wait(5 * time.Second)
+	}
+	time.Sleep(pause)
+	for _, m := range machines {
+		if err := m.start(); err != nil {
+			return time.Time{}, err
+		}
+	}
+	return time.Now(), nil
+}
+
+// touchMargin is added to the time after which a machine is in touch.
+const touchMargin = 200 * time.Millisecond
+
 // lateBeats: a target deregisters, all nodes are killed and started again, and two heartbeats that
 // the target had sent before arrive late.
 func lateBeats(repo string, book *record, trouble bool) (int, error) {
@@ -102,57 +180,50 @@
 		return failed, err
 	}
 	time.Sleep(6 * time.Second) // the target has run for a while, and its machine is in touch
-	leaving := c.machines[2].target
-	leaving.stopBeats()
-	late := [][]byte{leaving.nextBeat(), leaving.nextBeat()} // on their way for seconds
-	if !leaving.post("deregister", []byte(fmt.Sprintf(`{"born":%d}`, leaving.born.UnixMilli()))) {
-		return failed, fmt.Errorf("the deregistration was not acknowledged")
-	}
-	acknowledged := time.Now()
-	book.printf("%s: deregistration of %s is acknowledged", c.machines[2].name, leaving.id)
+	d, err := c.machines[2].deregister()
+	if err != nil {
+		return failed, err
+	}
 	time.Sleep(300 * time.Millisecond)
 	restarted := time.Now()
 	if trouble {
-		for _, m := range c.machines {
-			m.signal(syscall.SIGKILL)
-		}
-		for _, m := range c.machines {
-			m.wait(5 * time.Second)
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, m := range c.machines {
-			if err := m.start(); err != nil {
-				return failed, err
-			}
+		if restarted, err = c.restart(c.machines, 500*time.Millisecond); err != nil {
+			return failed, err
 		}
-		restarted = time.Now()
 	}
-	for i, body := range late {
-		time.Sleep(time.Until(restarted.Add(time.Duration(700+1500*i) * time.Millisecond)))
-		book.printf("late heartbeat %d of %s arrives: acknowledged %t", i+1, leaving.id, leaving.post("heartbeat", body))
+	d.arrive(restarted, 700*time.Millisecond, 1500*time.Millisecond)
+	time.Sleep(time.Until(restarted.Add(c.bounds.StableWindow + touchMargin)))
+	return d.check(c.machines[0], 3*time.Second), nil
+}
+
+// killedTwice: a target deregisters, the node beside it is killed and started again twice, and two
+// heartbeats that the target had sent before arrive late.
+func killedTwice(repo string, book *record, trouble bool) (int, error) {
+	c, err := startAll(repo, book, smallBounds, []string{"board", "desk", "desk"}, 2000)
+	if c != nil {
+		defer c.stop(false)
 	}
-	inTouch := restarted.Add(smallBounds.StableWindow + 200*time.Millisecond)
-	time.Sleep(time.Until(inTouch))
-	var served atomic.Int64
-	var wg sync.WaitGroup
-	for i := 0; time.Since(inTouch) < 3*time.Second; i++ {
-		wg.Go(func() {
-			if c.machines[0].send(fmt.Sprintf("after-%d", i), "GET", host, "/look/100", 2*time.Second, nil).Whole {
-				served.Add(1)
-			}
-		})
-		time.Sleep(50 * time.Millisecond)
+	if err != nil {
+		return failed, err
 	}
-	wg.Wait()
-	code := held
-	for _, r := range book.runsAt(leaving.id) {
-		if since := r.Start.Sub(acknowledged); since > smallBounds.Drain && r.Start.After(inTouch) {
-			book.printf("DRAIN: %s reached %s %d ms after its departure was acknowledged", r.ID, r.Target, since.Milliseconds())
-			code = broken
+	time.Sleep(6 * time.Second)
+	d, err := c.machines[2].deregister()
+	if err != nil {
+		return failed, err
+	}
+	time.Sleep(300 * time.Millisecond)
+	restarted := time.Now()
+	for i := 0; i < 2 && trouble; i++ {
+		if restarted, err = c.restart(c.machines[2:], 500*time.Millisecond); err != nil {
+			return failed, err
+		}
+		if i == 0 {
+			time.Sleep(1500 * time.Millisecond)
 		}
 	}
-	book.printf("%d requests were served", served.Load())
-	return code, nil
+	d.arrive(restarted, 500*time.Millisecond, time.Second)
+	time.Sleep(time.Until(restarted.Add(c.bounds.StableWindow + touchMargin)))
+	return d.check(c.machines[0], 3*time.Second), nil
 }
 
 // quietRollout: a new version of a service with little traffic is bad from its start.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -39,6 +39,7 @@
 	"long-stop":     longStop,
 	"late-beats":    lateBeats,
 	"quiet-rollout": quietRollout,
+	"killed-twice":  killedTwice,
 }
 
 func main() {
