review: a late heartbeat makes a draining target ready after one restart

A node that starts again restores a draining target without its sequence, and a late heartbeat in which the target was ready replaces that state for 3.5 s. Requests reach the target 4 s after its leaving was acknowledged (DRAIN).

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -117,7 +117,7 @@
 	for i, body := range d.late {
 		time.Sleep(time.Until(since.Add(after + time.Duration(i)*pause)))
 		age := time.Since(d.acknowledged).Milliseconds()
-		d.machine.cluster.book.printf("late heartbeat %d of %s arrives %d ms after the deregistration: acknowledged %t",
+		d.machine.cluster.book.printf("late heartbeat %d of %s arrives %d ms after its departure was acknowledged: acknowledged %t",
 			i+1, d.machine.target.id, age, d.machine.target.post("heartbeat", body))
 	}
 }
@@ -134,7 +134,7 @@
 				served.Add(1)
 			}
 		})
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(25 * time.Millisecond)
 	}
 	wg.Wait()
 	code := held
@@ -226,6 +226,43 @@
 	return d.check(c.machines[0], 3*time.Second), nil
 }
 
+// lateReady: a target reports that it is draining, the node beside it is killed and started again
+// once, and the target's heartbeats around that arrive seconds late: first one from before, in
+// which it was ready, and then those that repeat that it is draining.
+func lateReady(repo string, book *record, trouble bool) (int, error) {
+	c, err := startAll(repo, book, smallBounds, []string{"board", "desk", "desk"}, 2000)
+	if c != nil {
+		defer c.stop(false)
+	}
+	if err != nil {
+		return failed, err
+	}
+	time.Sleep(6 * time.Second)
+	m, t := c.machines[2], c.machines[2].target
+	t.stopBeats()
+	ready := t.nextBeat() // on its way for seconds
+	t.setState("draining")
+	if !t.post("heartbeat", t.nextBeat()) {
+		return failed, fmt.Errorf("the heartbeat was not acknowledged")
+	}
+	d := &departure{machine: m, late: [][]byte{ready}, acknowledged: time.Now()}
+	book.printf("%s: the heartbeat in which %s is draining is acknowledged", m.name, t.id)
+	time.Sleep(300 * time.Millisecond)
+	restarted := time.Now()
+	if trouble {
+		if restarted, err = c.restart(c.machines[2:], 500*time.Millisecond); err != nil {
+			return failed, err
+		}
+	}
+	draining := &departure{machine: m, late: [][]byte{t.nextBeat(), t.nextBeat()}, acknowledged: d.acknowledged}
+	d.arrive(restarted, 2200*time.Millisecond, 0)
+	var wg sync.WaitGroup
+	wg.Go(func() { draining.arrive(restarted, 4300*time.Millisecond, 1500*time.Millisecond) })
+	defer wg.Wait()
+	time.Sleep(time.Until(restarted.Add(c.bounds.StableWindow + touchMargin)))
+	return d.check(c.machines[0], 3*time.Second), nil
+}
+
 // quietRollout: a new version of a service with little traffic is bad from its start.
 func quietRollout(repo string, book *record, trouble bool) (int, error) {
 	const (
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -40,6 +40,7 @@
 	"late-beats":    lateBeats,
 	"quiet-rollout": quietRollout,
 	"killed-twice":  killedTwice,
+	"late-ready":    lateReady,
 }
 
 func main() {
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -177,6 +177,13 @@
 	}
 }
 
+// setState sets the state that the next heartbeats tell.
+func (t *target) setState(state string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state = state
+}
+
 // stopBeats ends the heartbeats.
 func (t *target) stopBeats() { close(t.stopped) }
 
