--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 repository=$(cd "$dir/../.." && pwd)
 program="$repository/target/review-standin-2"
 [ -x "$program" ] || exit 2
-exec "$program" long-stop "$repository" "$dir/record.txt"
+exec "$program" tenant-name "$repository" "$dir/record.txt"
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -302,3 +302,70 @@
 	}
 	return code, nil
 }
+
+// tenantName: a configuration moves a route, takes a key away and adds a tenant whose name holds a
+// space.
+func tenantName(repo string, book *record, trouble bool) (int, error) {
+	b := bounds{3 * time.Second, 2500 * time.Millisecond, 6 * time.Second, 2500 * time.Millisecond}
+	c, err := newCluster(repo, book, b, []string{"counter", "supply", "stock"})
+	if c != nil {
+		defer c.stop(false)
+	}
+	if err != nil {
+		return failed, err
+	}
+	c.contracts = append(c.contracts, "health", "pool", "tenants", "quota")
+	services := []string{"counter", "supply", "stock"}
+	routes := func(service string) []route {
+		return []route{{"look", host, "/look/", "idempotent", 2000, 800, 2, service, 2}}
+	}
+	c.configure(1, services, routes("supply"), tenant{"growers", []string{"key-1", "key-2"}})
+	for i, m := range c.machines {
+		if err := m.begin(fmt.Sprintf("i-%d", i+1), "v1", nil); err != nil {
+			return failed, err
+		}
+	}
+	for n := 0; !c.machines[0].sendWithKey(fmt.Sprintf("warm-%d", n), "GET", host, "/look/20", 2*time.Second, nil, "key-1").Whole; n++ {
+		if n > 100 {
+			return failed, fmt.Errorf("nothing is served")
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(b.StableWindow + time.Second)
+	name := "Swan Coast"
+	if !trouble {
+		name = "Swan-Coast"
+	}
+	c.configure(2, services, routes("stock"), tenant{"growers", []string{"key-1"}}, tenant{name, []string{"key-3"}})
+	time.Sleep(b.ConfigApply + 100*time.Millisecond)
+	counts := make(map[string]int)
+	for i, began := 0, time.Now(); time.Since(began) < 8*time.Second; i++ {
+		for _, key := range []string{"key-1", "key-2", "key-3"} {
+			id := fmt.Sprintf("after-%d-%s", i, key)
+			r := c.machines[i%3].sendWithKey(id, "GET", host, "/look/20", 2*time.Second, nil, key)
+			for _, run := range book.runsOf(id) {
+				switch {
+				case run.Target == "i-2":
+					counts["run by the old service"]++
+				case key == "key-2":
+					counts["run with a dropped key"]++
+				default:
+					counts["run as the newest version says"]++
+				}
+			}
+			if r.Status == 401 && key != "key-2" {
+				counts["refused with 401 though the key is there"]++
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	code := held
+	for what, count := range counts {
+		if what != "run as the newest version says" {
+			book.printf("CONFIG: %d requests, sent later than %d ms after the acknowledgement of version 2, %s", count, b.ConfigApply.Milliseconds(), what)
+			code = broken
+		}
+	}
+	book.printf("%d requests were run as version 2 says", counts["run as the newest version says"])
+	return code, nil
+}
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -53,6 +53,7 @@
 	machines  []*machine
 	ports     map[string]int
 	template  string
+	contracts []string
 	program   []string
 	reason    string // of the newest status that has one
 }
@@ -69,6 +70,7 @@
 		return nil, err
 	}
 	c := &cluster{repo: repo, dir: dir, bounds: b, book: book, store: newStore()}
+	c.contracts = []string{"base", "drain", "config", "cost", "retry", "recover", "rollout", "platform"}
 	current.Store(c)
 	deploy, err := os.ReadFile(filepath.Join(repo, "deploy/system.toml"))
 	if err != nil {
@@ -126,7 +128,7 @@
 		"portRange.0": m.cluster.ports["operator"], "portRange.1": m.cluster.ports["metrics"],
 		"limits.linkMbps": 1000.0, "limits.memoryMb": 284, "limits.maxFds": 4100,
 		"platform.address":        m.platform,
-		"contracts":               []string{"base", "drain", "config", "cost", "retry", "recover", "rollout", "platform"},
+		"contracts":               m.cluster.contracts,
 		"bounds.retryBudgetSlack": 64, "bounds.graceS": b.Grace.Seconds(), "bounds.drainMs": b.Drain.Milliseconds(),
 		"bounds.stableWindowMs": b.StableWindow.Milliseconds(), "bounds.configApplyMs": b.ConfigApply.Milliseconds(),
 	}
@@ -272,6 +274,11 @@
 
 // send sends one request to the node of a machine on a new connection, as a client there does.
 func (m *machine) send(id, method, host, path string, deadline time.Duration, body []byte) *reply {
+	return m.sendWithKey(id, method, host, path, deadline, body, "")
+}
+
+// sendWithKey is send with an API key.
+func (m *machine) sendWithKey(id, method, host, path string, deadline time.Duration, body []byte, key string) *reply {
 	r := &reply{Sent: time.Now()}
 	defer func() {
 		r.Took = time.Since(r.Sent)
@@ -287,6 +294,9 @@
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Baobabtide-Request-Id: %s\r\nX-Baobabtide-Deadline-Ms: %s\r\n", method, path, host, id, strconv.FormatInt(deadline.Milliseconds(), 10))
+	if key != "" {
+		fmt.Fprintf(&out, "Api-Key: %s\r\n", key)
+	}
 	if body != nil {
 		fmt.Fprintf(&out, "Content-Length: %d\r\n", len(body))
 	}
@@ -323,8 +333,14 @@
 	MaxAttempts int    `json:"maxAttempts"`
 }
 
+// tenant is a tenant of the configuration.
+type tenant struct {
+	Name    string   `json:"name"`
+	APIKeys []string `json:"apiKeys"`
+}
+
 // configure writes a configuration.
-func (c *cluster) configure(version int, services []string, routes []route) {
+func (c *cluster) configure(version int, services []string, routes []route, tenants ...tenant) {
 	type service struct {
 		Name           string `json:"name"`
 		HealthPath     string `json:"healthPath"`
@@ -336,10 +352,14 @@
 	for _, name := range services {
 		list = append(list, service{name, "/health", 130, "h1", false})
 	}
-	c.store.put("keyed.op", "config", map[string]any{
+	config := map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if len(tenants) > 0 {
+		config["tenants"] = tenants
+	}
+	c.store.put("keyed.op", "config", config)
 	c.book.printf("operator: configuration %d is acknowledged", version)
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -39,6 +39,7 @@
 	"long-stop":     longStop,
 	"quiet-rollout": quietRollout,
 	"killed-twice":  killedTwice,
+	"tenant-name":   tenantName,
 	"late-ready":    lateReady,
 }
 
