--- a/account.go
+++ b/account.go
@@ -5,11 +5,13 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"strings"
+	"unicode/utf8"
 )
 
 // Account is a client account of a customer. Its limits hold over all nodes together.
 type Account struct {
-	Name              string      // unique in the contract, can stand in a header
+	Name              string      // unique in the contract, valid for CheckAccountName
 	Keys              []KeyDigest // each belongs to one account of the contract
 	Priority          int         `json:",omitempty"` // goes before the priority of the route; higher goes first
 	RequestsPerSecond float64     `json:",omitempty"` // 0 for no limit
@@ -18,7 +20,7 @@
 
 // Bounds on the accounts of a contract.
 const (
-	MaxAccountKeyLength = 256 // bytes
+	maxAccountNameLength = 8 << 10 // bytes; servers commonly limit all headers of a request to 8 KB
 
 	maxAccounts    = 1 << 16
 	maxAccountKeys = 1 << 16 // of one account; a longer array can't be decoded from a snapshot
@@ -69,7 +71,7 @@
 
 // Check returns a FieldError for the first field that is invalid, nil if none is.
 func (a *Account) Check() error {
-	if err := CheckName("Name", a.Name); err != nil {
+	if err := CheckAccountName("Name", a.Name); err != nil {
 		return err
 	}
 	if a.Priority < 0 || a.Priority > maxPriority {
@@ -94,6 +96,27 @@
 	return nil
 }
 
+// CheckAccountName returns a FieldError if a name can't stand in a header as it is: if it is empty or
+// too long, holds a control character other than a tab or invalid UTF-8, or starts or ends with a space
+// or a tab, which recipients remove.
+func CheckAccountName(field, name string) error {
+	if name == "" || len(name) > maxAccountNameLength {
+		return Fieldf(field, "%d bytes, 1 to %d are allowed", len(name), maxAccountNameLength)
+	}
+	if !utf8.ValidString(name) {
+		return Fieldf(field, "%q is not valid UTF-8", name)
+	}
+	if strings.Trim(name, " \t") != name {
+		return Fieldf(field, "%q starts or ends with white space", name)
+	}
+	for i := range len(name) {
+		if c := name[i]; (c < ' ' && c != '\t') || c == '\x7f' {
+			return Fieldf(field, "%q holds the character %q", name, c)
+		}
+	}
+	return nil
+}
+
 // checkAccounts returns an error for the first account that is invalid, or that has its name or
 // a key in common with another one.
 func checkAccounts(accounts []Account) error {
--- a/btbackend/account_test.go
+++ b/btbackend/account_test.go
@@ -20,6 +20,8 @@
 		want    []string // values of the header
 	}{
 		"account":            {DefaultNames(), "a", nil, []string{"a"}},
+		"space":              {DefaultNames(), "Swan Coast", nil, []string{"Swan Coast"}},
+		"tab, outside ASCII": {DefaultNames(), "Grün\tß", nil, []string{"Grün\tß"}},
 		"none":               {DefaultNames(), "", nil, nil},
 		"forged":             {DefaultNames(), "a", []baobabtide.HeaderField{{Name: HeaderAccount, Value: "b"}}, []string{"a"}},
 		"forged, no account": {DefaultNames(), "", []baobabtide.HeaderField{{Name: HeaderAccount, Value: "b"}}, nil},
--- a/btcaller/account.go
+++ b/btcaller/account.go
@@ -13,8 +13,8 @@
 }
 
 // newRequest returns a request with the digest of the caller's account key, if the caller sent
-// one. The digest is zero, which matches no account, if the key is empty or too long, or if there
-// is more than one: another system might read another one of them.
+// one. The digest is zero, which matches no account, if the key is empty, or if there is more than
+// one: another system might read another one of them.
 func (n *HeaderNames) newRequest(in *fasthttp.Request) *baobabtide.Request {
 	if n.AccountKey == "" {
 		return &baobabtide.Request{}
@@ -24,7 +24,7 @@
 		return &baobabtide.Request{}
 	}
 	req := &keyedRequest{}
-	if key := keys[0]; len(keys) == 1 && len(key) > 0 && len(key) <= baobabtide.MaxAccountKeyLength {
+	if key := keys[0]; len(keys) == 1 && len(key) > 0 {
 		req.digest = baobabtide.DigestKey(key)
 	}
 	req.KeyDigest = &req.digest
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -152,7 +152,7 @@
 		return baobabtide.Fieldf("Priority", "%d, 0 to %d are allowed", h.Priority, baobabtide.MaxRequestPriority)
 	}
 	if h.Account != "" {
-		if err := baobabtide.CheckName("Account", h.Account); err != nil {
+		if err := baobabtide.CheckAccountName("Account", h.Account); err != nil {
 			return err
 		}
 	}
--- a/btquota/message.go
+++ b/btquota/message.go
@@ -11,7 +11,10 @@
 // MovedWindow is the time since the answer of another coordinator for which Report.Moved is set.
 const MovedWindow = 10 * time.Second
 
-const maxRows = 1 << 16 // accounts in a message, as many as a contract may have
+const (
+	maxRows       = 1 << 16 // accounts in a message, as many as a contract may have
+	maxNodeLength = 256     // bytes of the name of a node
+)
 
 // Report is sent by a node to the coordinator of its zone, and by a coordinator to others.
 type Report struct {
@@ -125,8 +128,8 @@
 
 // Check returns an error for the first invalid field.
 func (r *Report) Check() error {
-	if r.Node == "" || len(r.Node) > baobabtide.MaxAccountKeyLength {
-		return baobabtide.Fieldf("Node", "%d characters, 1 to %d are allowed", len(r.Node), baobabtide.MaxAccountKeyLength)
+	if r.Node == "" || len(r.Node) > maxNodeLength {
+		return baobabtide.Fieldf("Node", "%d characters, 1 to %d are allowed", len(r.Node), maxNodeLength)
 	}
 	if err := checkShares(r.Shares); err != nil {
 		return err
