btnode: names in metrics are quoted as the text format asks

Cause: labels were quoted as Go does, which escapes a tab or a no-break space in the name of an account in ways that the text format doesn't know; a parser rejects the whole page for one of them.

Change: labelValue escapes backslash, quotation mark and line end only.

Measured: TestLabelValue holds; with %q it fails for the tab and U+00A0.

--- a/btnode/accountlimits.go
+++ b/btnode/accountlimits.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -437,7 +438,7 @@
 				continue
 			}
 			writeAccountCounts(w, s.Customer, s.Account, s.Admitted, s.Refused)
-			labels := fmt.Sprintf("{customer=%q,account=%q}", s.Customer, s.Account)
+			labels := fmt.Sprintf("{customer=%s,account=%s}", labelValue(s.Customer), labelValue(s.Account))
 			fmt.Fprintf(w, "baobabtide_account_share%s %g\n", labels, s.Share)
 			fmt.Fprintf(w, "baobabtide_account_admit%s %g\n", labels, s.Admit)
 			fmt.Fprintf(w, "baobabtide_account_use%s %g\n", labels, s.Use)
@@ -449,6 +450,13 @@
 }
 
 func writeAccountCounts(w io.Writer, customer, account string, admitted, refused int64) {
-	fmt.Fprintf(w, "baobabtide_account_requests_total{customer=%q,account=%q,result=\"admitted\"} %d\n", customer, account, admitted)
-	fmt.Fprintf(w, "baobabtide_account_requests_total{customer=%q,account=%q,result=\"refused\"} %d\n", customer, account, refused)
+	labels := fmt.Sprintf("customer=%s,account=%s", labelValue(customer), labelValue(account))
+	fmt.Fprintf(w, "baobabtide_account_requests_total{%s,result=\"admitted\"} %d\n", labels, admitted)
+	fmt.Fprintf(w, "baobabtide_account_requests_total{%s,result=\"refused\"} %d\n", labels, refused)
 }
+
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// labelValue returns a value of a label as the Prometheus text format quotes it, which knows fewer
+// escapes than Go.
+func labelValue(value string) string { return `"` + labelEscaper.Replace(value) + `"` }
--- a/btnode/accounts_test.go
+++ b/btnode/accounts_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/baobabtide/baobabtide"
@@ -199,3 +200,18 @@
 		t.Errorf("%d accounts in the status", len(info.Accounts))
 	}
 }
+
+// TestLabelValue guards against a name of an account that makes the page of metrics unreadable: the text
+// format knows three escapes, and a parser rejects the page for others.
+func TestLabelValue(t *testing.T) {
+	for value, want := range map[string]string{
+		"":                   `""`,
+		"Swan Coast":         `"Swan Coast"`,
+		"a\"b\\c\nd":         `"a\"b\\c\nd"`,
+		"Gr\u00fcn\t\u00a0ß": "\"Gr\u00fcn\t\u00a0ß\"",
+	} {
+		if diff := cmp.Diff(want, labelValue(value)); diff != "" {
+			t.Errorf("%q (-want +got):\n%s", value, diff)
+		}
+	}
+}
