btnode: a planned stop fits the grace time of the platform

Cause: the template's drain terms are constants that fit a grace time of 6 s. Played with them, requests end at 5.1 s under 7.7 s and 10 s, and under 1.7 s a stop lasts 3.1 s. A cut by a signal or a contract's shorter terms would show other moments.

Late in a stop, requests whose deadlines come before its end are admitted while some run beside the node; others are refused at once, 3 s after the signal at the latest.

--- a/btcaller/conn.go
+++ b/btcaller/conn.go
@@ -377,7 +377,7 @@
 	if !ex.reserve(btbudget.Running, class, runningCost) {
 		return c.noMemory()
 	}
-	if refusal := c.server.admit(c); refusal != nil {
+	if refusal := c.server.admit(c, ex.req.Deadline); refusal != nil {
 		return refusal
 	}
 	return nil
--- a/btcaller/server.go
+++ b/btcaller/server.go
@@ -100,6 +100,7 @@
 	listener  net.Listener
 	running   int           // requests that were admitted and have no response yet
 	finishBy  time.Time     // latest end of the stop, zero before it has begun
+	admitEnd  time.Time     // latest deadline of requests that are admitted, zero for any
 	idle      chan struct{} // closed when the stop has begun and no request is running
 	closed    bool
 	streams   chan struct{} // holds a value for each streamed body that is read under Limits.Strict
@@ -201,6 +202,14 @@
 	}()
 }
 
+// AdmitUntil refuses requests whose deadlines are after the end of a stop from now on. They might be
+// broken off.
+func (s *Server) AdmitUntil(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.admitEnd = end
+}
+
 // Stop finishes the running requests and closes the server.
 func (s *Server) Stop(finish time.Duration) {
 	s.Finish(finish)
@@ -234,16 +243,19 @@
 	}
 }
 
-// admit counts a request as running. It returns a refusal instead if the connection is
-// beyond the limit, or if the stop has begun: then the caller is asked to come back when the
+// admit counts a request with a deadline as running. It returns a refusal instead if the connection
+// is beyond the limit, or if the stop has begun: then the caller is asked to come back when the
 // drain must have ended.
-func (s *Server) admit(c *conn) *baobabtide.RequestError {
+func (s *Server) admit(c *conn, deadline time.Time) *baobabtide.RequestError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case !s.finishBy.IsZero():
 		s.Refused.Add(1)
 		return baobabtide.Refuse(baobabtide.ReasonDraining, max(time.Until(s.finishBy), minRestartTime), errors.New("the node stops"))
+	case !s.admitEnd.IsZero() && deadline.After(s.admitEnd):
+		s.Refused.Add(1)
+		return baobabtide.Refuse(baobabtide.ReasonDraining, max(time.Until(s.admitEnd), minRestartTime), errors.New("the node stops before the deadline"))
 	case c.refused:
 		return baobabtide.Refuse(baobabtide.ReasonOverload, overloadRetryAfter, errors.New("too many connections"))
 	}
--- a/btnode/adapters.go
+++ b/btnode/adapters.go
@@ -52,11 +52,11 @@
 
 // origin returns the service of the backend server beside the node, empty if the
 // settings name none.
-func (n *Node) origin() string { return n.backend.Load().Service }
+func (n *Node) origin() string { return n.reloaded.Load().Backend.Service }
 
 // backendSettings returns the settings in force of the backend server beside the
 // node.
-func (n *Node) backendSettings() btsettings.Backend { return *n.backend.Load() }
+func (n *Node) backendSettings() btsettings.Backend { return n.reloaded.Load().Backend }
 
 // callerLimits returns the limits on callers' requests that the contract of the
 // default customer sets, nil if there are none or no route table exists yet.
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btcaller"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btrollout"
@@ -15,7 +16,8 @@
 	defaultNotice = time.Second      // time in which the node still accepts requests, until callers go elsewhere
 	defaultFinish = 20 * time.Second // time for the requests in flight after the notice; both apply if neither a contract nor the settings set them
 
-	callTimeDivisor   = 4                      // callers are served for 1/4 of the time to finish if requests still run beside the node; those that are admitted last need the rest
+	callTimeDivisor   = 4                      // requests of any duration are admitted for 1/4 of the time to finish if some still run beside the node; those that are admitted last need the rest
+	maxCallTime       = 750 * time.Millisecond // the same on a platform with a grace time, which counts requests that are broken off if they were sent over 3 s after the signal
 	announceStopTime  = 200 * time.Millisecond // for the server of the backend servers' announcements to stop
 	drainCheckPeriod  = 20 * time.Millisecond  // between checks whether requests are still in flight
 	disseminationTime = 50 * time.Millisecond  // for the other nodes to learn that the targets are draining, before the node refuses requests
@@ -29,9 +31,9 @@
 // The node reports itself as not ready, but serves requests for the notice period, so
 // that callers can go elsewhere. Then it announces its targets as draining and refuses new
 // requests to them. It serves callers until those in flight have ended, because these make
-// calls through the node, or until a quarter of the time to finish has passed; from then on it
-// refuses callers' new requests. It leaves when its callers have their responses, the other
-// nodes have received theirs and the key partners know the results.
+// calls through the node. Once a quarter of the time to finish has passed, it refuses callers'
+// new requests that may last longer than the stop. It leaves when its callers have their
+// responses, the other nodes have received theirs and the key partners know the results.
 func (n *Node) Drain(reason string) int {
 	n.stopOnce.Do(func() {
 		n.log.Info().Str("event", "node.draining").Str("reason", reason).Send()
@@ -54,14 +56,25 @@
 	n.announceTargets()
 	n.sleep(disseminationTime)
 	n.local.Drain()
-	n.await(func() bool { return n.local.Active() == 0 }, n.stopBy.Add(-terms.Finish+terms.Finish/callTimeDivisor))
 	announceStop := time.AfterFunc(time.Until(n.stopBy)-announceStopTime, n.stopAnnounce) // leave needs it stopped
 	defer announceStop.Stop()
+	idle := func() bool { return n.local.Active() == 0 }
+	n.await(idle, n.stopBy.Add(n.callTime(terms.Finish)-terms.Finish))
+	n.callers.AdmitUntil(n.stopBy.Add(-btcaller.RefusalTimeout))
+	n.await(idle, n.stopBy.Add(-btcaller.RefusalTimeout))
 	n.finishCallers()
 	n.await(func() bool { return n.pending() == 0 }, n.stopBy)
 	n.log.Info().Str("event", "node.drained").Int("unfinished", n.local.Active()).Int("undelivered", n.server.Undelivered()).Send()
 }
 
+// callTime returns how long requests of any duration are admitted in the time to finish.
+func (n *Node) callTime(finish time.Duration) time.Duration {
+	if n.reloaded.Load().Limits.Grace() > 0 {
+		return min(finish/callTimeDivisor, maxCallTime)
+	}
+	return finish / callTimeDivisor
+}
+
 // await returns when a condition holds or a time has come.
 func (n *Node) await(holds func() bool, until time.Time) {
 	for !holds() && time.Now().Before(until) {
@@ -75,11 +88,14 @@
 	return n.local.Active() + n.server.Undelivered() + int(n.resolving.Load())
 }
 
-// drainTerms returns the terms of a planned stop of this node. The backend server beside it
-// may have ended before, so the service that the settings name counts as well as those of
-// the targets. Without a contract for any of them the terms of the settings apply, or the
-// defaults if they have none.
+// drainTerms returns the terms of a planned stop of this node. On a platform with a grace time
+// they follow from it. The backend server beside the node may have ended before, so the service that
+// the settings name counts as well as those of the targets. Without a contract for any of them the
+// terms of the settings apply, or the defaults if they have none.
 func (n *Node) drainTerms() baobabtide.DrainTerms {
+	if settings := n.reloaded.Load(); settings.Limits.Grace() > 0 {
+		return settings.DrainTerms()
+	}
 	terms := baobabtide.DrainTerms{Notice: defaultNotice, Finish: defaultFinish}
 	if n.settings.Terms.Customer != "" {
 		terms = n.settings.Terms.Drain
--- a/btnode/draining_test.go
+++ b/btnode/draining_test.go
@@ -59,18 +59,24 @@
 	return baobabtide.Page{Entries: l.entries[first-1:], First: 1, Next: next}
 }
 
-// setFreeAddresses sets each address to a different host:port on which nothing listens. No
-// other process uses the host.
+// chosenAddresses holds the addresses that setFreeAddresses has chosen.
+var chosenAddresses sync.Map
+
+// setFreeAddresses sets each address to a host:port on which nothing listens, and which no other
+// node of the tests gets. No other process uses the host.
 func setFreeAddresses(t *testing.T, addresses ...*string) {
 	t.Helper()
 	pid := os.Getpid()
-	for _, address := range addresses {
+	for i := 0; i < len(addresses); {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.252.%d.%d:0", pid>>8&0xff, pid&0xff))
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer l.Close() // after the last one is chosen, so that no port is chosen twice
-		*address = l.Addr().String()
+		_ = l.Close()
+		if _, taken := chosenAddresses.LoadOrStore(l.Addr().String(), true); !taken {
+			*addresses[i] = l.Addr().String()
+			i++
+		}
 	}
 }
 
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -46,8 +46,8 @@
 // Node is the process beside a backend server. It routes requests, admits them to
 // the backend server and exchanges membership and configuration with other nodes.
 type Node struct {
-	settings    *btsettings.Settings               // as read at the start; Reload replaces only backend
-	backend     atomic.Pointer[btsettings.Backend] // section in force, replaced by Reload
+	settings    *btsettings.Settings                // as read at the start
+	reloaded    atomic.Pointer[btsettings.Settings] // as read last; of these only Backend and the grace time are in force before the next start
 	log         zerolog.Logger
 	locality    btroute.Locality
 	incarnation uint64
@@ -167,7 +167,7 @@
 		metrics:            metrics.NewSet(),
 	}
 	n.registry.Began = now
-	n.backend.Store(&settings.Backend)
+	n.reloaded.Store(settings)
 	n.clientBudget = n.newClientBudget()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	closePeers := n.createPeerClient()
--- a/btnode/planned_stop_test.go
+++ b/btnode/planned_stop_test.go
@@ -106,7 +106,8 @@
 }
 
 // A request that doesn't end beside a node that stops is given a quarter of the time to
-// finish; callers are refused then, so that those admitted before have the rest.
+// finish; callers are refused then, so that those admitted before have the rest. Requests that
+// end in time, such as the calls of the one that runs, are still admitted.
 func TestRunningRequestLeavesTimeToCallers(t *testing.T) {
 	const finish = 4 * time.Second
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
@@ -147,6 +148,19 @@
 		t.Error("callers were served until the end of the stop")
 	default:
 	}
+	call, err := http.NewRequest(http.MethodGet, "http://"+callers.Addr().String(), http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	call.Header.Set(btcaller.HeaderTimeout, "300")
+	resp, err := http.DefaultClient.Do(call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.Header.Get(btcaller.HeaderReason) == string(baobabtide.ReasonDraining) {
+		t.Error("a call that ends before the stop was refused")
+	}
 	cancel()
 	<-stopped
 }
--- a/btnode/restore_test.go
+++ b/btnode/restore_test.go
@@ -58,7 +58,7 @@
 func TestRestoredServerIsTakenToBeWarm(t *testing.T) {
 	now := time.Now()
 	n := &Node{started: now, log: zerolog.Nop()}
-	n.backend.Store(&btsettings.Backend{Address: "127.0.0.1:1"})
+	n.reloaded.Store(&btsettings.Settings{Backend: btsettings.Backend{Address: "127.0.0.1:1"}})
 	n.restoreTargets([]baobabtide.Target{{Name: "b", Service: "s", Version: "v1", State: baobabtide.TargetReady, Slots: 4, Incarnation: 5}}, now)
 	cold := func() []time.Duration {
 		var left []time.Duration
--- a/btsettings/limits.go
+++ b/btsettings/limits.go
@@ -1,6 +1,10 @@
 package btsettings
 
-import "github.com/baobabtide/baobabtide"
+import (
+	"time"
+
+	"github.com/baobabtide/baobabtide"
+)
 
 const (
 	minMemoryMegabytes = 24 // a node without clients needs about 18
@@ -18,6 +22,11 @@
 
 	// Descriptors is the number of file descriptors that the node may have open, 0 for no limit.
 	Descriptors int `json:",omitzero"`
+
+	// GraceSeconds is the time from the signal to stop until the platform kills the process, 0 if it
+	// doesn't. If it is set, a planned stop may use all of it but for the end of the process, whatever
+	// the drain terms of contracts and settings are.
+	GraceSeconds float64 `json:",omitzero"`
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
@@ -29,6 +38,9 @@
 	if l.Descriptors != 0 && (l.Descriptors < minDescriptors || l.Descriptors > maxDescriptors) {
 		return baobabtide.Fieldf("Descriptors", "%d, 0 or %d to %d are allowed", l.Descriptors, minDescriptors, maxDescriptors)
 	}
+	if !(l.GraceSeconds >= 0) {
+		return baobabtide.Fieldf("GraceSeconds", "%g is negative", l.GraceSeconds)
+	}
 	return nil
 }
 
@@ -49,3 +61,10 @@
 	}
 	return min(most, l.Descriptors*callerDescriptorsNum/callerDescriptorsDen)
 }
+
+const maxGraceSeconds = 1 << 30 // as far as a duration holds it; drain terms end far earlier
+
+// Grace returns the time from the signal to stop until the platform kills the process, 0 if it doesn't.
+func (l *Limits) Grace() time.Duration {
+	return time.Duration(min(l.GraceSeconds, maxGraceSeconds) * float64(time.Second))
+}
--- a/btsettings/terms.go
+++ b/btsettings/terms.go
@@ -32,3 +32,12 @@
 	}
 	return nil
 }
+
+// DrainTerms returns the terms of a planned stop: those that fit the grace time of the platform, or those
+// of the Terms section if it has none.
+func (s *Settings) DrainTerms() baobabtide.DrainTerms {
+	if grace := s.Limits.Grace(); grace > 0 {
+		return baobabtide.DrainWithin(grace)
+	}
+	return s.Terms.Drain
+}
