--- a/btnode/grace_test.go
+++ b/btnode/grace_test.go
@@ -33,10 +33,10 @@
 	run     time.Duration // at the backend server
 	timeout time.Duration // of the caller
 
-	status  int // 0 if the connection ended without a response
-	reason  string
-	ended   time.Duration // after the signal
-	err     error
+	status int // 0 if the connection ended without a response
+	reason string
+	ended  time.Duration // after the signal
+	err    error
 }
 
 // graceBackend is a backend server that runs each request for the time that its path names in
