btconn: responses whose head is not valid count as none

Cause: fasthttp reports 0 as 200 and cuts or passes on blanks in names, so that the checks behind it saw other values. Trailers and interim heads are not the way: the first are not passed on, the others are read by the same code.

Frames between nodes hold statuses from 200 to 999. A response without a type keeps none.

--- a/baobabtide-load/btworkload/driver.go
+++ b/baobabtide-load/btworkload/driver.go
@@ -17,6 +17,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btbackendstandin"
 	"github.com/baobabtide/baobabtide/btcaller"
+	"github.com/baobabtide/baobabtide/btconn"
 )
 
 const (
@@ -44,6 +45,15 @@
 	outstanding atomic.Int64
 }
 
+// dial opens a connection to a node.
+func dial(address string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return btconn.NewCheckedConn(c), nil
+}
+
 // Run sends requests until the context ends and waits until all of them have
 // ended. The requests' random choices derive from seed.
 func (d *Driver) Run(ctx context.Context, seed uint64) {
@@ -51,7 +61,7 @@
 		MaxConnsPerHost:           maxConnections,
 		MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader:  true,
-		Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, time.Second) },
+		Dial:                      dial,
 	}
 	defer d.client.CloseIdleConnections()
 	var wg sync.WaitGroup
--- a/btbackend/announce.go
+++ b/btbackend/announce.go
@@ -90,6 +90,15 @@
 }
 
 var announceClient = fasthttp.Client{
-	Dial:                func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, announceTimeout) },
+	Dial:                dialNode,
 	MaxResponseBodySize: maxAnnounceBody,
 }
+
+// dialNode opens a connection to the node at an address.
+func dialNode(address string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, announceTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return btconn.NewRequestConn(c), nil
+}
--- a/btbackend/exchange.go
+++ b/btbackend/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconn"
 )
 
 const (
@@ -166,6 +167,7 @@
 func (p *Pool) readResponse(c *backendConn, req *baobabtide.Request) (*fasthttp.Response, error) {
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
+	resp.Header.SetNoDefaultContentType(true)
 	resp.SkipBody = req.Method == fasthttp.MethodHead
 	if err := readFinalHeader(c.reader, &resp.Header); err != nil {
 		fasthttp.ReleaseResponse(resp)
@@ -189,11 +191,14 @@
 		if err := checkStatusLineStart(r); err != nil {
 			return err
 		}
+		if _, err := btconn.ReadHead(r); err != nil {
+			return err
+		}
 		if err := header.Read(r); err != nil {
 			return err
 		}
 		switch status := header.StatusCode(); {
-		case status < fasthttp.StatusContinue, status == fasthttp.StatusSwitchingProtocols:
+		case status == fasthttp.StatusSwitchingProtocols:
 			return fmt.Errorf("status %d is no response", status)
 		case status >= fasthttp.StatusOK:
 			return nil
--- a/btcaller/fuzz_test.go
+++ b/btcaller/fuzz_test.go
@@ -11,15 +11,18 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbudget"
+	"github.com/baobabtide/baobabtide/btconn"
 	"github.com/baobabtide/baobabtide/btfixture"
 	"github.com/baobabtide/baobabtide/btpanic"
 )
 
-// FuzzHead guards against a head whose end headScan and fasthttp see at different places: the
+// FuzzHead guards against a head whose end the scan and fasthttp see at different places: the
 // rest would be taken for another request, or the parser would wait for more than has arrived.
 func FuzzHead(f *testing.F) {
 	for _, text := range []string{
@@ -32,25 +35,25 @@
 		if len(data) == 0 || len(data) > readBuffer {
 			return
 		}
-		var whole, steps headScan
-		whole.scan(data)
+		var whole, steps btconn.HeadScan
+		err := whole.Scan(data)
 		for i := range data {
-			steps.scan(data[:i+1])
+			_ = steps.Scan(data[:i+1])
 		}
-		if whole != steps {
-			t.Fatalf("scan of all %+v, in steps %+v", whole, steps)
+		if diff := cmp.Diff(whole, steps, cmpopts.IgnoreUnexported(btconn.HeadScan{})); diff != "" || (err != nil) != (steps.Scan(data) != nil) {
+			t.Fatalf("scan of all, which failed with %v, and in steps (-all +steps):\n%s", err, diff)
 		}
-		if !whole.end {
+		if !whole.End || err != nil {
 			return
 		}
-		reader := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data[:whole.scanned]), iotest.ErrReader(errBeyondHead)), readBuffer)
+		reader := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(data[:whole.Scanned]), iotest.ErrReader(errBeyondHead)), readBuffer)
 		var header fasthttp.RequestHeader
-		err := header.Read(reader)
+		err = header.Read(reader)
 		if errors.Is(err, errBeyondHead) {
-			t.Errorf("the parser needs more than the %d bytes of the head %q", whole.scanned, data[:whole.scanned])
+			t.Errorf("the parser needs more than the %d bytes of the head %q", whole.Scanned, data[:whole.Scanned])
 		}
 		if err == nil && reader.Buffered() > 0 {
-			t.Errorf("the parser left %d of the %d bytes of the head %q", reader.Buffered(), whole.scanned, data[:whole.scanned])
+			t.Errorf("the parser left %d of the %d bytes of the head %q", reader.Buffered(), whole.Scanned, data[:whole.Scanned])
 		}
 	})
 }
--- a/btcaller/input.go
+++ b/btcaller/input.go
@@ -14,6 +14,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btbudget"
+	"github.com/baobabtide/baobabtide/btconn"
 )
 
 const (
@@ -116,51 +117,20 @@
 	c.release(btbudget.Head, int64(size))
 }
 
-// headScan finds the end of the head of a request in a buffer that grows.
-type headScan struct {
-	scanned int  // bytes of the buffer that hold whole lines
-	lines   int  // lines that are not empty
-	ended   bool // the last line that is not empty ends with CR LF, or is the request line
-	end     bool
-}
-
-// scan continues with a longer buffer. Like fasthttp's parser it ends at the first line that holds
-// only CR LF after one that ends with CR LF, or after the request line.
-func (s *headScan) scan(buffer []byte) {
-	for !s.end {
-		i := bytes.IndexByte(buffer[s.scanned:], '\n')
-		if i < 0 {
-			return
-		}
-		line := buffer[s.scanned : s.scanned+i]
-		s.scanned += i + 1
-		switch {
-		case len(line) > 1 || (len(line) == 1 && line[0] != '\r'):
-			s.lines++
-			s.ended = s.lines == 1 || line[len(line)-1] == '\r'
-		case s.lines > 0 && s.ended && len(line) == 1:
-			s.end = true
-		case s.lines > 0:
-			s.ended = len(line) == 1
-		}
-	}
-}
-
-// fields returns the number of header fields that were found.
-func (s *headScan) fields() int { return max(0, s.lines-1) }
-
 // readHead reads the head of a request into the read buffer and then parses it, so that a head
 // without an end costs nothing but that buffer. It returns io.EOF if the connection ends before.
 func (c *conn) readHead(ex *exchange, limits bounds) (*fasthttp.Request, error) {
-	var scan headScan
+	var scan btconn.HeadScan
 	for {
 		buffer, _ := c.reader.Peek(c.reader.Buffered())
-		scan.scan(buffer)
-		if c.server.limits.Strict && scan.fields() > maxFields {
+		if err := scan.Scan(buffer); err != nil {
+			return nil, fmt.Errorf("head: %w", err)
+		}
+		if c.server.limits.Strict && scan.Fields() > maxFields {
 			c.reportRefusal(ManyFields, 0)
 			return nil, baobabtide.Refuse(baobabtide.ReasonManyFields, 0, fmt.Errorf("more than %d header fields", maxFields))
 		}
-		if scan.end {
+		if scan.End {
 			break
 		}
 		if len(buffer) < c.reader.Size() {
@@ -169,7 +139,7 @@
 			}
 			continue
 		}
-		if scan.lines == 0 && len(bytes.Trim(buffer, "\r\n")) == 0 {
+		if scan.Lines == 0 && len(bytes.Trim(buffer, "\r\n")) == 0 {
 			return nil, io.EOF // line ends without a request
 		}
 		size := max(readBuffer, limits.headerBytes)
@@ -180,7 +150,7 @@
 			return nil, c.noMemory()
 		}
 	}
-	cost := int64(scan.scanned*headCopies + scan.fields()*fieldCost)
+	cost := int64(scan.Scanned*headCopies + scan.Fields()*fieldCost)
 	class := btbudget.Ordinary
 	if cost > maxOrdinaryHead {
 		class = btbudget.General
@@ -188,7 +158,7 @@
 	if !ex.reserve(btbudget.Head, class, cost) {
 		return nil, c.noMemory()
 	}
-	ex.fields = scan.fields()
+	ex.fields = scan.Fields()
 	in := fasthttp.AcquireRequest()
 	if err := in.Header.Read(c.reader); err != nil {
 		fasthttp.ReleaseRequest(in)
--- a/btoperator/client.go
+++ b/btoperator/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconn"
 )
 
 const (
@@ -25,8 +26,7 @@
 type Client struct {
 	Address string // host:port
 
-	scheme string
-	http   fasthttp.Client
+	http fasthttp.Client
 }
 
 var _ Node = (*Client)(nil)
@@ -34,19 +34,31 @@
 // NewClient returns a client for the node at an address, host:port. A nil config
 // means plaintext.
 func NewClient(address string, config *tls.Config) *Client {
-	c := &Client{Address: address, scheme: "http"}
-	if config != nil {
-		c.scheme = "https"
-	}
+	c := &Client{Address: address}
 	c.http = fasthttp.Client{
-		Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, dialTimeout) },
-		TLSConfig:                 config,
+		Dial:                      func(addr string) (net.Conn, error) { return dial(addr, config) },
 		MaxIdemponentCallAttempts: 1,
 		MaxResponseBodySize:       maxResponseBytes,
 	}
 	return c
 }
 
+// dial opens a connection to a node. The client's TLS would be above the check of heads.
+func dial(address string, config *tls.Config) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	var c net.Conn
+	var err error
+	if config == nil {
+		c, err = dialer.Dial("tcp", address)
+	} else {
+		c, err = tls.DialWithDialer(dialer, "tcp", address, config)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return btconn.NewCheckedConn(c), nil
+}
+
 // Publish implements Node.
 func (c *Client) Publish(ctx context.Context, record *baobabtide.Record) (*PublishResult, error) {
 	return post[PublishResult](ctx, c, pathPublish, record)
@@ -116,7 +128,7 @@
 // for clientTimeout at most; a cancellation of ctx does not end it. An error response
 // of the node is returned as an *Error.
 func call[Out any](ctx context.Context, c *Client, req *fasthttp.Request, path string) (*Out, error) {
-	req.SetRequestURI(c.scheme + "://" + c.Address + path)
+	req.SetRequestURI("http://" + c.Address + path)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	timeout := clientTimeout
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -218,8 +218,10 @@
 	if f.Refusal != nil && f.Refusal.Verdict > baobabtide.Ran {
 		return baobabtide.Fieldf("Refusal.Verdict", "%d is unknown", f.Refusal.Verdict)
 	}
-	if f.Head != nil && (f.Head.Status < 100 || f.Head.Status > 999) {
-		return baobabtide.Fieldf("Head.Status", "%d is not an HTTP status", f.Head.Status)
+	if f.Head != nil {
+		if err := baobabtide.CheckStatus(f.Head.Status); err != nil {
+			return baobabtide.Within("Head", err)
+		}
 	}
 	return nil
 }
--- a/request.go
+++ b/request.go
@@ -96,6 +96,19 @@
 	Excused bool          // the response is a failure that may be due to a failed call of the backend server; it is no evidence on the version
 }
 
+// CheckStatus returns a FieldError if a status is not that of a final response.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return Fieldf("Status", "%d, %d to %d are allowed", status, minStatus, maxStatus)
+	}
+	return nil
+}
+
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
 // Load is the load of a target as its admitting node reports it with each response
 // and refusal.
 type Load struct {
