btnode: a node that is cut off from most others reads the log

Cause: only the readers of a zone read the log, and failure detection takes out three silent neighbors in 3 to 4.5 s. To read when no edge carries a message was tried and is not enough: two machines that are cut off together hear each other.

Change: a node that has heard from less than half of its neighbors for 0.94 s reads the log, but for the first 2 s of its process.

--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -125,6 +125,18 @@
 	return len(s.set)
 }
 
+// heardSince returns, by the names of the nodes that this node has an edge to, whether a message has
+// arrived on one of these edges since a time.
+func (s *edges) heardSince(since time.Time) map[string]bool {
+	heard := make(map[string]bool)
+	for _, e := range s.all() {
+		e.mu.Lock()
+		heard[e.name] = heard[e.name] || !e.lastReceived.Before(since)
+		e.mu.Unlock()
+	}
+	return heard
+}
+
 // names returns the names of the nodes that this node has an edge to.
 func (s *edges) names() map[string]bool {
 	s.mu.Lock()
@@ -224,6 +236,11 @@
 	}
 }
 
+// doubtLimit returns how long an edge may be silent before it is doubted.
+func (n *Node) doubtLimit() time.Duration {
+	return n.settings.Peer.SilenceLimit * silenceNumerator / silenceDenominator
+}
+
 func isNeighbor(neighbors []baobabtide.Member, name string) bool {
 	return slices.ContainsFunc(neighbors, func(m baobabtide.Member) bool { return m.Name == name })
 }
@@ -243,7 +260,7 @@
 		e.cancel(fmt.Errorf("%w: replaced, silent for %s", errEdgeClosed, silence))
 		return
 	}
-	if silence > n.settings.Peer.SilenceLimit*silenceNumerator/silenceDenominator && e.doubt() && !n.edges.connected(e.name) {
+	if silence > n.doubtLimit() && e.doubt() && !n.edges.connected(e.name) {
 		n.members.mu.Lock()
 		n.members.table.Unwatch(e.name) // an attempt to replace the edge watches it again
 		n.members.mu.Unlock()
--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -22,23 +22,50 @@
 	changed broadcast    // signaled when this node becomes a reader or ceases to be one
 }
 
-// updateReadDuty determines from the membership whether this node reads the log.
+// updateReadDuty determines from the membership whether this node reads the log. A node that is cut off
+// from most others reads it too: the readers may not be able to pass a change on to it, and it takes
+// seconds until failure detection has found that out of all of them.
 func (n *Node) updateReadDuty(now time.Time) {
 	n.members.mu.Lock() // also for the result, so that the latest membership determines it
 	readers := n.members.table.LogReaders(n.settings.Platform.ReadersPerZone)
 	slot := slices.Index(readers, n.locality.Node)
 	n.duty.slot.Store(int64(max(slot, 0)))
 	n.duty.readers.Store(int64(len(readers)))
-	reader := slot >= 0 && n.mayReadLog(now)
+	cutOff := n.isCutOff(now)
+	reader := (slot >= 0 || cutOff) && n.mayReadLog(now)
 	changed := n.reader.Swap(reader) != reader
 	n.members.mu.Unlock()
 	if !changed {
 		return
 	}
-	n.log.Info().Str("event", string(btlog.LogReader)).Bool("reader", reader).Int("readers", len(readers)).Send()
+	n.log.Info().Str("event", string(btlog.LogReader)).Bool("reader", reader).Bool("cut-off", cutOff).Int("readers", len(readers)).Send()
 	n.duty.changed.signal()
 }
 
+// isCutOff reports whether no message has arrived lately from more than half of the neighbors and of the
+// other nodes that this one has edges to. A node that starts has no edges yet. It is called with
+// members.mu held.
+func (n *Node) isCutOff(now time.Time) bool {
+	if now.Sub(n.started) < joinGrace {
+		return false
+	}
+	heard := n.edges.heardSince(now.Add(-n.doubtLimit()))
+	silent := 0
+	for _, isHeard := range heard {
+		if !isHeard {
+			silent++
+		}
+	}
+	others := len(heard)
+	for _, m := range n.members.table.Neighbors() {
+		if _, hasEdge := heard[m.Name]; !hasEdge {
+			silent++
+			others++
+		}
+	}
+	return silent > others/2
+}
+
 // mayAffectReaders reports whether a change of these members may change the readers of this
 // node's zone.
 func (n *Node) mayAffectReaders(members []baobabtide.Member) bool {
