btbackend: a late announcement does not undo an acknowledged draining

Cause: neighbors restore the target as draining and without its sequence, and one late announcement, in which it was ready, replaced that for 3.5 s. The registry alone shows it, so that the way through the neighbors is not at fault.

Change: a server that was restored as draining stays so until a second announcement with a higher sequence confirms it.

--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -27,6 +27,7 @@
 	Unconfirmed time.Time
 	readyUntil  time.Time // until then an unconfirmed server may be ready, afterwards it is starting
 	restored    bool      // not announced to this registry yet
+	wasDraining bool      // an earlier process knew it as draining, and it is until it is confirmed
 }
 
 // Registry holds the backend servers beside a node with their leases. The zero
@@ -93,11 +94,15 @@
 }
 
 // record returns the server that an announcement describes, given what is known of its incarnation, the
-// zero value for nothing. It sets the announcement's state to starting if the server is not confirmed.
+// zero value for nothing. If the server is not confirmed, it sets the announcement's state to draining or
+// starting.
 func (r *Registry) record(a *Announcement, known *Server, now time.Time) Server {
 	s := Server{Expires: now.Add(a.Lease), ColdUntil: now.Add(a.Cold), Unconfirmed: r.unconfirmed(a, known, now)}
 	if !s.Unconfirmed.IsZero() {
+		s.wasDraining = known.leftBefore()
 		switch {
+		case s.wasDraining: // ready only once it is confirmed
+			a.State = baobabtide.TargetDraining
 		case known.restored:
 			s.readyUntil = now.Add(confirmWindow)
 		case known.Announcement.Name == "":
@@ -117,17 +122,23 @@
 func (r *Registry) unconfirmed(a *Announcement, known *Server, now time.Time) time.Time {
 	isFirst := known.Announcement.Name == "" || known.restored
 	switch {
-	case !r.mayHaveDeparted(a):
+	case !known.leftBefore() && !r.mayHaveDeparted(a):
 		return time.Time{}
 	case isFirst:
 		return now
-	case a.Sequence > known.Announcement.Sequence && now.Sub(known.Unconfirmed) >= confirmPause:
+	case (a.Sequence > known.Announcement.Sequence || a.Sequence == 0) && now.Sub(known.Unconfirmed) >= confirmPause:
 		return time.Time{}
 	default:
 		return known.Unconfirmed
 	}
 }
 
+// leftBefore reports whether an earlier process of the node knew the server as draining, and no later
+// announcement has confirmed it.
+func (s *Server) leftBefore() bool {
+	return s.wasDraining || (s.restored && s.Announcement.State == baobabtide.TargetDraining)
+}
+
 // mayHaveDeparted reports whether an earlier process of the node may have acknowledged the departure of
 // the server that sent an announcement. A server without sequences can't be told from one that is new.
 func (r *Registry) mayHaveDeparted(a *Announcement) bool {
--- a/btbackend/restart_test.go
+++ b/btbackend/restart_test.go
@@ -75,26 +75,72 @@
 		t.Run(name, func(t *testing.T) {
 			r := Registry{Began: began}
 			if tt.restored {
-				a := announcement("b", tt.incarnation, 0, ready)
-				a.Lease = 2500 * time.Millisecond
-				r.Restore(a, began)
-			}
-			for _, arrival := range tt.arrivals {
-				now := began.Add(arrival.after)
-				r.Expire(now)
-				if arrival.sequence > 0 {
-					a := announcement("b", tt.incarnation, arrival.sequence, arrival.state)
-					a.Lease = 6 * time.Second
-					r.Announce(a, now)
-				}
-				got := ""
-				for _, target := range r.Targets() {
-					got = target.State.String()
-				}
-				if diff := cmp.Diff(arrival.want, got); diff != "" {
-					t.Errorf("state after %s (-want +got):\n%s", arrival.after, diff)
-				}
+				r.restore(began, tt.incarnation, ready)
 			}
+			r.checkArrivals(t, tt.incarnation, tt.arrivals)
+		})
+	}
+}
+
+// restore records a server as a neighbor of the node knows it.
+func (r *Registry) restore(began time.Time, incarnation uint64, state baobabtide.TargetState) {
+	a := announcement("b", incarnation, 0, state)
+	a.Lease = 2500 * time.Millisecond
+	r.Restore(a, began)
+}
+
+// checkArrivals announces a server and checks its state after each arrival.
+func (r *Registry) checkArrivals(t *testing.T, incarnation uint64, arrivals []arrival) {
+	t.Helper()
+	for _, arrival := range arrivals {
+		now := r.Began.Add(arrival.after)
+		r.Expire(now)
+		if arrival.sequence > 0 {
+			a := announcement("b", incarnation, arrival.sequence, arrival.state)
+			a.Lease = 6 * time.Second
+			r.Announce(a, now)
+		}
+		got := ""
+		for _, target := range r.Targets() {
+			got = target.State.String()
+		}
+		if diff := cmp.Diff(arrival.want, got); diff != "" {
+			t.Errorf("state after %s (-want +got):\n%s", arrival.after, diff)
+		}
+	}
+}
+
+// TestLateAnnouncementDoesNotUndoDraining guards against a late announcement that makes a server ready again
+// whose draining an earlier process of the node has acknowledged.
+func TestLateAnnouncementDoesNotUndoDraining(t *testing.T) {
+	const ready, draining = baobabtide.TargetReady, baobabtide.TargetDraining
+	began := time.Unix(10_000, 0)
+	old, young := uint64(began.Add(-time.Minute).UnixMilli()), uint64(began.Add(-time.Second).UnixMilli())
+	tests := map[string]struct {
+		incarnation uint64
+		arrivals    []arrival
+	}{
+		"one late announcement": {old, []arrival{
+			{2 * time.Second, 9, ready, "draining"},
+			{5 * time.Second, 11, draining, "draining"},
+			{6 * time.Second, 9, ready, "draining"},
+		}},
+		"of a young server":            {young, []arrival{{time.Second, 2, ready, "draining"}, {6 * time.Second, 0, ready, "draining"}}},
+		"the same one twice":           {old, []arrival{{time.Second, 9, ready, "draining"}, {4 * time.Second, 9, ready, "draining"}}},
+		"two that were held up":        {old, []arrival{{time.Second, 8, ready, "draining"}, {1100 * time.Millisecond, 9, ready, "draining"}}},
+		"behind a draining one":        {old, []arrival{{time.Second, 9, draining, "draining"}, {2 * time.Second, 8, ready, "draining"}}},
+		"draining for its node's stop": {old, []arrival{{time.Second, 9, ready, "draining"}, {2500 * time.Millisecond, 10, ready, "ready"}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := Registry{Began: began}
+			r.restore(began, tt.incarnation, draining)
+			r.checkArrivals(t, tt.incarnation, tt.arrivals)
 		})
 	}
+	t.Run("another incarnation", func(t *testing.T) {
+		r := Registry{Began: began}
+		r.restore(began, old, draining)
+		r.checkArrivals(t, old+61_000, []arrival{{2 * time.Second, 1, ready, "ready"}})
+	})
 }
