btbackend: a departure is announced also if the server is not known

Cause: a departure that a neighbor restores, or that is acknowledged by a node which has not known the server since its start, changed no server, so that nobody was woken to announce it. It had not expired: the case takes 5 s, it is kept for a minute.

Change: a departure that is new to the registry counts as a change.

--- a/btbackend/registry.go
+++ b/btbackend/registry.go
@@ -263,11 +263,14 @@
 // deregister records the departure of an incarnation and removes the server, unless
 // a later incarnation of it has announced itself.
 func (r *Registry) deregister(name string, incarnation uint64, now time.Time) {
-	old, known := r.servers[name]
-	if known && old.Announcement.Incarnation <= incarnation {
+	if old, known := r.servers[name]; known && old.Announcement.Incarnation <= incarnation {
 		r.remove(name, now)
 	}
+	before, known := r.departed[name]
 	r.recordDeparture(name, incarnation, now)
+	if !known || before.incarnation < incarnation {
+		r.notifyChanged() // the neighbors keep departures for the node's next process
+	}
 }
 
 // sameContent reports whether two announcements are equal apart from their sequence and name
@@ -318,7 +321,7 @@
 	}
 }
 
-// Changed returns a channel that is closed with the next change of the servers. A
+// Changed returns a channel that is closed with the next change of the servers or the departures. A
 // repeated announcement that differs only in its sequence is no change, unless the server is
 // cold or was so at the last one.
 func (r *Registry) Changed() <-chan struct{} {
--- a/btbackend/restart_test.go
+++ b/btbackend/restart_test.go
@@ -144,3 +144,33 @@
 		r.checkArrivals(t, old+61_000, []arrival{{2 * time.Second, 1, ready, "ready"}})
 	})
 }
+
+// TestDepartureOfUnknownServerIsAnnounced guards against an acknowledged departure that the neighbors do not
+// learn of, as the node has not known the server since its start, and that its next process then lacks.
+func TestDepartureOfUnknownServerIsAnnounced(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	for name, depart := range map[string]func(r *Registry){
+		"deregistered": func(r *Registry) { r.Deregister("b", 5, now) },
+		"restored":     func(r *Registry) { r.RestoreDepartures([]baobabtide.Departure{{Name: "b", Incarnation: 5}}, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r Registry
+			for _, isNew := range []bool{true, false} {
+				changed := r.Changed()
+				depart(&r)
+				announced := false
+				select {
+				case <-changed:
+					announced = true
+				default:
+				}
+				if diff := cmp.Diff(isNew, announced); diff != "" {
+					t.Errorf("announced (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff([]baobabtide.Departure{{Name: "b", Incarnation: 5}}, r.Departures()); diff != "" {
+					t.Errorf("departures (-want +got):\n%s", diff)
+				}
+			}
+		})
+	}
+}
