btrollout: a quiet service is probed with more than a small share

Cause: 4% of 32 requests are one or two, and WhenUndecided completes what is undecided. The reason says so; with more requests the same failures are counted and take the version back, so that neither the reports nor the count are at fault.

Change: where the share can't decide in time, it grows as far as the test needs, for Terms.ProbeRequests of the service at most, at nodes that hear from the others.

--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -32,6 +32,7 @@
 	n.duty.slot.Store(int64(max(slot, 0)))
 	n.duty.readers.Store(int64(len(readers)))
 	cutOff := n.isCutOff(now)
+	n.cutOff.Store(cutOff)
 	reader := (slot >= 0 || cutOff) && n.mayReadLog(now)
 	changed := n.reader.Swap(reader) != reader
 	n.members.mu.Unlock()
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -135,6 +135,9 @@
 	adjusted := *rollout
 	adjusted.Started = p.startedAt(rollout, now)
 	p.decision = btrollout.Decide(&adjusted, evidence, tripped, p.cleared, now)
+	if r.node.knowsEvidence(now) {
+		p.decision = p.decision.ForQuietService(&adjusted, evidence, r.node.settings.Terms.ProbeRequests, now)
+	}
 	if dest != nil {
 		p.decision = p.decision.ForTargets(&adjusted, dest.Next.Pool.Size() > 0, dest.IsOnly, now)
 	}
@@ -152,6 +155,12 @@
 	return p.decision, newTrip
 }
 
+// knowsEvidence reports whether the other nodes' counts reach this one, so that few requests in the
+// evidence mean few requests.
+func (n *Node) knowsEvidence(now time.Time) bool {
+	return !n.cutOff.Load() && now.Sub(n.started) > joinGrace
+}
+
 // setShares decides on each running rollout and sets the traffic shares in a route
 // table, which may be nil. It returns the decisions in the order of running, and
 // the new trips of this node.
--- a/btrollout/decide.go
+++ b/btrollout/decide.go
@@ -42,6 +42,7 @@
 	minorRouteFraction  = 0.02  // fraction of the service's requests below which an undecided route doesn't keep a version from being cleared
 	minFailureRate      = 0.001 // lower bound of estimated failure rates; the likelihood ratio is undefined at 0 and 1
 	maxFailureRate      = 0.999 // upper bound of estimated failure rates
+	quietFactor         = 3     // a service is quiet if this multiple of the requests that MaxBadShare gives the version doesn't clear it
 	minOldRequests      = 10    // with fewer requests, the old version's failure rate is taken as minFailureRate
 	smoothing           = 0.5   // pseudo-count that smooths the estimate of the old version's failure rate
 )
@@ -131,6 +132,30 @@
 	return d
 }
 
+// ForQuietService returns the decision for a service with so few requests that MaxBadShare of them can't clear
+// or trip the version in time: the share grows as far as that needs, until the version has had probeRequests
+// requests. Without evidence it would be completed or taken back blindly.
+func (d Decision) ForQuietService(r *baobabtide.Rollout, evidence []baobabtide.RouteEvidence, probeRequests int, now time.Time) Decision {
+	elapsed := elapsedFraction(r, now)
+	if d.Phase != PhaseProbe || d.Result != "" || elapsed < probeRampFraction || requestsExhausted(r, evidence) {
+		return d
+	}
+	total, probed := 0.0, 0
+	for _, e := range evidence {
+		total += requests(e)
+		probed += e.New.Requests
+	}
+	needed := float64(min(RequestsToClear(&r.Terms), probeRequests) - probed)
+	expected := total / elapsed * max(rampStartFraction-elapsed, probeRampFraction)
+	if needed <= 0 || expected <= 0 || expected*r.Terms.MaxBadShare*quietFactor >= needed {
+		return d
+	}
+	if share := min(1, needed/expected); share > d.Share {
+		d.Share, d.Reason = share, "the service has too few requests for a small share"
+	}
+	return d
+}
+
 // requestsExhausted reports whether the new version has had MaxBadRequests
 // requests on a route, the most that it may get before it is cleared.
 func requestsExhausted(r *baobabtide.Rollout, evidence []baobabtide.RouteEvidence) bool {
--- a/btrollout/decide_test.go
+++ b/btrollout/decide_test.go
@@ -1,6 +1,7 @@
 package btrollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -209,3 +210,39 @@
 		t.Errorf("counts (-want +got):\n%s", diff)
 	}
 }
+
+// TestQuietServiceIsProbed guards against a version of a service with few requests that is completed blindly,
+// and against a larger share where there are enough requests.
+func TestQuietServiceIsProbed(t *testing.T) {
+	r := rollout()
+	r.Terms.CompleteWithin, r.Terms.MaxBadShare, r.Terms.MaxBadRequests, r.Terms.FailureMargin = 16*time.Second, 0.04, 1000, 0.2
+	r.Terms.FalseRevertRate, r.Terms.MissedBadRate, r.Terms.WhenUndecided = 0.001, 0.02, baobabtide.UndecidedComplete
+	at := func(seconds float64) time.Time { return startTime.Add(time.Duration(seconds * float64(time.Second))) }
+	const most = 20
+	tests := map[string]struct {
+		evidence []baobabtide.RouteEvidence
+		seconds  float64
+		most     int
+		want     float64
+	}{
+		"before the share has grown":      {[]baobabtide.RouteEvidence{route("a", counts(2, 0), counts(0, 0))}, 1, most, 0.035},
+		"two requests a second":           {[]baobabtide.RouteEvidence{route("a", counts(4, 0), counts(0, 0))}, 2, most, 18 / (2 * 9.2)},
+		"on two routes":                   {[]baobabtide.RouteEvidence{route("a", counts(2, 0), counts(0, 0)), route("b", counts(2, 0), counts(0, 0))}, 2, most, 18 / (2 * 9.2)},
+		"half a request a second":         {[]baobabtide.RouteEvidence{route("a", counts(1, 0), counts(0, 0))}, 2, most, 1},
+		"later, with some requests to go": {[]baobabtide.RouteEvidence{route("a", counts(8, 0), counts(12, 0))}, 10, most, 1},
+		"enough requests":                 {[]baobabtide.RouteEvidence{route("a", counts(60, 0), counts(2, 0))}, 2, most, 0.04},
+		"the version has had them":        {[]baobabtide.RouteEvidence{route("a", counts(4, 0), counts(18, 1))}, 8, most, 0.04},
+		"the settings allow fewer":        {[]baobabtide.RouteEvidence{route("a", counts(4, 0), counts(5, 0))}, 4, 5, 0.04},
+		"the settings allow none":         {[]baobabtide.RouteEvidence{route("a", counts(4, 0), counts(0, 0))}, 2, 0, 0.04},
+		"no request yet":                  {nil, 4, most, 0.04},
+		"MaxBadRequests on another route": {[]baobabtide.RouteEvidence{route("a", counts(4, 0), counts(0, 0)), route("b", counts(0, 0), counts(1000, 0))}, 4, most, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := Decide(r, tt.evidence, false, time.Time{}, at(tt.seconds)).ForQuietService(r, tt.evidence, tt.most, at(tt.seconds)).Share
+			if math.Abs(tt.want-got) > 1e-9 {
+				t.Errorf("share %g, %g is wanted", got, tt.want)
+			}
+		})
+	}
+}
--- a/btsettings/terms.go
+++ b/btsettings/terms.go
@@ -13,6 +13,10 @@
 	// may send beyond the fraction of its requests that the retry budget allows, 0
 	// for the nodes' default.
 	RetryBurst float64 `json:",omitempty"`
+
+	// ProbeRequests is the number of requests that a new version of a service with few requests may
+	// get beyond MaxBadShare, 0 for none.
+	ProbeRequests int `json:",omitempty"`
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
@@ -24,6 +28,9 @@
 	if t.RetryBurst < 0 {
 		return baobabtide.Fieldf("RetryBurst", "%g is negative", t.RetryBurst)
 	}
+	if t.ProbeRequests < 0 {
+		return baobabtide.Fieldf("ProbeRequests", "%d is negative", t.ProbeRequests)
+	}
 	if err := t.Rollout.Check(); err != nil {
 		return baobabtide.Within("Rollout", err)
 	}
