--- a/contract_bound.go
+++ b/contract_bound.go
@@ -145,7 +145,7 @@
 func (s *ServiceTerms) bound(b *bounder, prefixes map[string]string) {
 	limit(b, "RequestsPerSecond", &s.RequestsPerSecond, 0, math.MaxFloat64)
 	limit(b, "ColdPerSecond", &s.ColdPerSecond, 0, math.MaxFloat64)
-	routes, names := s.Routes[:0], make(map[string]bool, len(s.Routes))
+	routes, names := s.Routes[:0], make(map[string]int, len(s.Routes))
 	for i := range s.Routes {
 		r := s.Routes[i]
 		if why := r.unreachable(prefixes); why != "" {
@@ -175,13 +175,16 @@
 	return ""
 }
 
-// bound bounds a route without methods. names holds the names of the service's routes so far.
-func (r *RouteTerms) bound(b *bounder, names map[string]bool) {
-	name := ValidName(r.Name)
-	for i := 2; names[name]; i++ {
-		name = ValidName(fmt.Sprintf("%s~%d", r.Name, i))
+// bound bounds a route without methods. names holds the names of the service's routes so far, with the
+// number that the last route of the same name got.
+func (r *RouteTerms) bound(b *bounder, names map[string]int) {
+	wanted := ValidName(r.Name)
+	name := wanted
+	for names[name] > 0 {
+		names[wanted]++
+		name = ValidName(fmt.Sprintf("%s~%d", r.Name, names[wanted]))
 	}
-	names[name] = true
+	names[name] = 1
 	if name != r.Name {
 		b.changed("Name", "%q became %q", Truncate(r.Name, maxNameLength), name)
 		r.Name = name
