--- a/btnode/cutoff_test.go
+++ b/btnode/cutoff_test.go
@@ -34,7 +34,7 @@
 	half := len(edges) / 2
 	check := func(name string, reader bool) {
 		t.Helper()
-		n.updateReadDuty(now)
+		n.tickMembers(now)
 		if diff := cmp.Diff(reader, n.reader.Load()); diff != "" {
 			t.Errorf("%s: reads the log (-want +got):\n%s", name, diff)
 		}
--- a/btnode/drain.go
+++ b/btnode/drain.go
@@ -17,7 +17,7 @@
 	defaultFinish = 20 * time.Second // time for the requests in flight after the notice; both apply if neither a contract nor the settings set them
 
 	callTimeDivisor   = 4                      // requests of any duration are admitted for 1/4 of the time to finish if some still run beside the node; those that are admitted last need the rest
-	maxCallTime       = 750 * time.Millisecond // the same on a platform with a grace time, which counts requests that are broken off if they were sent over 3 s after the signal
+	maxCallTime       = 750 * time.Millisecond // the same, at most, on a platform with a grace time: callers that come later are told to come back rather than broken off
 	announceStopTime  = 200 * time.Millisecond // for the server of the backend servers' announcements to stop
 	drainCheckPeriod  = 20 * time.Millisecond  // between checks whether requests are still in flight
 	disseminationTime = 50 * time.Millisecond  // for the other nodes to learn that the targets are draining, before the node refuses requests
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -102,7 +102,7 @@
 
 	logUp          atomic.Bool // the log responded to the last read
 	reader         atomic.Bool // this node reads the log for its zone
-	cutOff         atomic.Bool // see isCutOff
+	cutOff         atomic.Bool // from most other nodes, as of the last tick
 	draining       atomic.Bool // a planned stop has begun
 	refusing       atomic.Bool // new requests are refused, later in a planned stop
 	logBehind      atomic.Bool // the log ends before the configuration in force
--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -31,8 +31,7 @@
 	slot := slices.Index(readers, n.locality.Node)
 	n.duty.slot.Store(int64(max(slot, 0)))
 	n.duty.readers.Store(int64(len(readers)))
-	cutOff := n.isCutOff(now)
-	n.cutOff.Store(cutOff)
+	cutOff := n.cutOff.Load()
 	reader := (slot >= 0 || cutOff) && n.mayReadLog(now)
 	changed := n.reader.Swap(reader) != reader
 	n.members.mu.Unlock()
@@ -44,12 +43,14 @@
 }
 
 // isCutOff reports whether no message has arrived lately from more than half of the neighbors and of the
-// other nodes that this one has edges to. A node that starts has no edges yet. It is called with
-// members.mu held.
+// other nodes that this one has edges to. A node that starts has no edges yet.
 func (n *Node) isCutOff(now time.Time) bool {
 	if now.Sub(n.started) < joinGrace {
 		return false
 	}
+	n.members.mu.Lock()
+	neighbors := n.members.table.Neighbors()
+	n.members.mu.Unlock()
 	heard := n.edges.heardSince(now.Add(-n.doubtLimit()))
 	silent := 0
 	for _, isHeard := range heard {
@@ -58,7 +59,7 @@
 		}
 	}
 	others := len(heard)
-	for _, m := range n.members.table.Neighbors() {
+	for _, m := range neighbors {
 		if _, hasEdge := heard[m.Name]; !hasEdge {
 			silent++
 			others++
--- a/btnode/run.go
+++ b/btnode/run.go
@@ -262,6 +262,7 @@
 	if burst := n.settings.Terms.RetryBurst; burst > 0 {
 		n.dispatch.Budgets.SetBurst(burst * retryBurstShare / float64(live))
 	}
+	n.cutOff.Store(n.isCutOff(now))
 	n.updateReadDuty(now)
 	for _, s := range delta.Statuses {
 		n.log.Info().Str("event", "member.status").Str("member", s.Name).Stringer("status", s.Status).Send()
