btdispatch: the test of log lines doesn't depend on pauses of the process

Moves for overloaded targets end once a part of the time to the objective has passed, and the process had paused for longer: with a pause of 30 ms in the third attempt (trial) the same lines come.

Change: the cases run with the clock of testing/synctest. What they ask is the same.

--- a/btdispatch/log_test.go
+++ b/btdispatch/log_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -90,13 +91,15 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			var got []string
-			for _, line := range serveLogged(t, &tt.peers, tt.method) {
-				got = append(got, abridge(t, line, tt.peers.calls))
-			}
-			if diff := cmp.Diff(tt.want, got); diff != "" {
-				t.Errorf("lines (-want +got):\n%s", diff)
-			}
+			synctest.Test(t, func(t *testing.T) { // a pause of the process would end the moves of an overload early
+				var got []string
+				for _, line := range serveLogged(t, &tt.peers, tt.method) {
+					got = append(got, abridge(t, line, tt.peers.calls))
+				}
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Errorf("lines (-want +got):\n%s", diff)
+				}
+			})
 		})
 	}
 }
