btsettings: a field that is not set is left out

Cause: mixed-builds ended with "all nodes are members on every node: not reached": nodes of the earlier version refused settings in which the load tool had written ProbeRequests as 0. omitempty keeps a 0 in this encoding.

Change: omitzero, as for the other numbers.

--- a/btsettings/terms.go
+++ b/btsettings/terms.go
@@ -16,7 +16,7 @@
 
 	// ProbeRequests is the number of requests that a new version of a service with few requests may
 	// get beyond MaxBadShare, 0 for none.
-	ProbeRequests int `json:",omitempty"`
+	ProbeRequests int `json:",omitzero"`
 }
 
 // Check returns a FieldError for the first field that is invalid, nil if none
