--- a/btbackend/heads_test.go
+++ b/btbackend/heads_test.go
@@ -82,3 +82,14 @@
 		}
 	}
 }
+
+// TestCodingBeforeHTTP11 guards against a chunked body that is passed on with its chunk sizes, as the parser
+// ignores a transfer coding before HTTP/1.1.
+func TestCodingBeforeHTTP11(t *testing.T) {
+	p, closePool := NewPool(btfixture.ServeBytes(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"), 1)
+	defer closePool()
+	want := outcome{Verdict: baobabtide.MayHaveRun, Reason: baobabtide.ReasonBackend}
+	if diff := cmp.Diff(want, do(context.Background(), p, request(time.Minute))); diff != "" {
+		t.Errorf("outcome (-want +got):\n%s", diff)
+	}
+}
