btnode: revision in config.in-force, end of log.behind

Change: config.in-force and a gauge name the sum of the publishers' revisions; log.caught-up ends log.behind.

--- a/btconfig/state.go
+++ b/btconfig/state.go
@@ -51,6 +51,16 @@
 	return nil, false
 }
 
+// Revision returns the sum of the publishers' revisions of all contracts. Of two states of one log, the
+// one that holds the later contract has the higher sum.
+func (s *State) Revision() uint64 {
+	sum := uint64(0)
+	for customer := range s.Contracts {
+		sum += s.Contracts[customer].Contract.Revision
+	}
+	return sum
+}
+
 // Running returns the rollouts that have not ended, ordered by offset.
 func (s *State) Running() []baobabtide.Rollout {
 	var running []baobabtide.Rollout
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -87,6 +87,7 @@
 	gauge := func(name string, value func() float64) { n.metrics.NewGauge(name, value) }
 	counters := &n.dispatch.Counters
 	gauge("baobabtide_config_offset", func() float64 { return float64(n.inForce()) })
+	gauge("baobabtide_config_revision", func() float64 { return float64(n.config.State().Revision()) })
 	gauge("baobabtide_members_live", func() float64 {
 		n.members.mu.Lock()
 		defer n.members.mu.Unlock()
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -116,7 +116,9 @@
 		n.progress.through.Store(0)
 		return n.checkLogEnd(page.Next, offset)
 	}
-	n.logBehind.Store(false)
+	if n.logBehind.Swap(false) {
+		n.log.Info().Str("event", string(btlog.LogCaughtUp)).Uint64("next", uint64(page.Next)).Uint64("offset", uint64(offset)).Int("entries", len(page.Entries)).Send()
+	}
 	n.applyPage(&page)
 	n.progress.through.Store(max(n.progress.through.Load(), page.Through))
 	advanced := n.readPosition() > position
--- a/btnode/routes.go
+++ b/btnode/routes.go
@@ -54,7 +54,7 @@
 	}
 	n.setAccountLimits(accountLimits(state), now)
 	n.inForceAt.Store(now.UnixMicro())
-	n.log.Info().Str("event", "config.in-force").Uint64("offset", uint64(table.Offset)).Send()
+	n.log.Info().Str("event", "config.in-force").Uint64("offset", uint64(table.Offset)).Uint64("revision", state.Revision()).Send()
 	n.changed.signal()
 }
 
