--- a/btconfig/fold.go
+++ b/btconfig/fold.go
@@ -43,7 +43,7 @@
 	}
 	next := s.clone()
 	next.Offset = entry.Offset
-	audit := baobabtide.AuditEntry{Offset: entry.Offset, Time: entry.Time.UTC(), Kind: "Invalid"}
+	audit := baobabtide.AuditEntry{Offset: entry.Offset, Time: entry.Time.UTC(), Kind: "Invalid", Sum: entry.Sum}
 	rec, err := decodeRecord(entry.Data)
 	if err != nil {
 		audit.Reason = reject(RejectInvalid, "%v", err).Error()
@@ -178,8 +178,7 @@
 // adds the version to those of the service.
 func (s *State) applyRelease(r *baobabtide.Release, entry baobabtide.Entry) *RejectError {
 	if r.Terms != nil {
-		s.applyUnversioned(r, entry)
-		return nil
+		return s.applyUnversioned(r, entry)
 	}
 	customers, rejection := s.releaseCustomers(r)
 	if rejection != nil {
@@ -206,10 +205,22 @@
 }
 
 // applyUnversioned starts rollouts of an unversioned service under the release's
-// own terms. They replace running ones, whose versions are taken back.
-func (s *State) applyUnversioned(r *baobabtide.Release, entry baobabtide.Entry) {
+// own terms. They replace running ones, whose versions are taken back. A release that a restored log
+// has kept, or that was written again, starts nothing; it is rejected if a later one is known.
+func (s *State) applyUnversioned(r *baobabtide.Release, entry baobabtide.Entry) *RejectError {
+	former := 0
 	for _, customer := range r.Customers {
-		if a := s.Assignments[AssignmentKey(customer, r.Service)]; a.Current == baobabtide.AnyVersion && a.Running() {
+		a := s.Assignments[AssignmentKey(customer, r.Service)]
+		switch s.relation(&a, entry.Offset, r.Version, r.Terms.CompleteWithin) {
+		case formerOrder:
+			former++
+			continue
+		case sameOrder:
+			a.Rollout = moveRollout(a.Rollout, entry.Offset)
+			s.Assignments[AssignmentKey(customer, r.Service)] = a
+			continue
+		}
+		if a.Current == baobabtide.AnyVersion && a.Running() {
 			s.Outcomes, _ = insertOutcome(s.Outcomes, replacedOutcome(customer, r.Service, a.Rollout.Offset, a.Rollout.To))
 		}
 		s.Assignments[AssignmentKey(customer, r.Service)] = baobabtide.Assignment{
@@ -227,6 +238,10 @@
 			},
 		}
 	}
+	if former > 0 && former == len(r.Customers) {
+		return reject(RejectDuplicate, "version %q was released before the log was restored, and a later one since", r.Version)
+	}
+	return nil
 }
 
 // releaseCustomers returns the customers that a release applies to: those that it
--- a/btconfig/outcomes.go
+++ b/btconfig/outcomes.go
@@ -89,10 +89,10 @@
 func (s *State) withStart(start baobabtide.RolloutStart) *State {
 	key := AssignmentKey(start.Customer, start.Service)
 	a, ok := s.Assignments[key]
-	if ok && a.Current == baobabtide.AnyVersion && a.Rollout != nil && start.Rollout < a.Rollout.Offset {
+	if ok && a.Current == baobabtide.AnyVersion && a.Rollout != nil && precedes(&start, a.Rollout) {
 		return s.WithOutcome(*replacedOutcome(start.Customer, start.Service, start.Rollout, start.Version))
 	}
-	if !ok || !a.Running() || a.Rollout.Offset != start.Rollout || !start.Started.Before(a.Rollout.Started) {
+	if !ok || !a.Running() || !a.Rollout.Is(start.Rollout, start.Version) || !start.Started.Before(a.Rollout.Started) {
 		return s
 	}
 	rollout := *a.Rollout
@@ -103,6 +103,12 @@
 	return next
 }
 
+// precedes reports whether a start is that of a rollout before another one of the service. Between epochs of
+// the log that is known only of records that a restored log has kept, which have the same numbers.
+func precedes(start *baobabtide.RolloutStart, r *baobabtide.Rollout) bool {
+	return start.Rollout < r.Offset && !r.Is(start.Rollout, start.Version) && start.Rollout.Number() < r.Offset.Number()
+}
+
 // compareOutcomes orders outcomes by rollout, customer and service, the fields
 // that identify an outcome.
 func compareOutcomes(a, b baobabtide.OutcomeRecord) int {
@@ -116,6 +122,7 @@
 // reconcileOutcomes ends the rollouts of unversioned services that have an outcome,
 // and works out which of their versions are in force and refused. s must be a clone.
 func (s *State) reconcileOutcomes() {
+	s.copyFormerOutcomes()
 	for key, a := range s.Assignments {
 		if a.Current == baobabtide.AnyVersion && a.Rollout != nil {
 			a.InForce, a.Refused = "", nil
--- a/btconfig/state.go
+++ b/btconfig/state.go
@@ -4,6 +4,7 @@
 package btconfig
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -51,16 +52,6 @@
 	return nil, false
 }
 
-// Revision returns the sum of the publishers' revisions of all contracts. Of two states of one log, the
-// one that holds the later contract has the higher sum.
-func (s *State) Revision() uint64 {
-	sum := uint64(0)
-	for customer := range s.Contracts {
-		sum += s.Contracts[customer].Contract.Revision
-	}
-	return sum
-}
-
 // Running returns the rollouts that have not ended, ordered by offset.
 func (s *State) Running() []baobabtide.Rollout {
 	var running []baobabtide.Rollout
@@ -76,7 +67,7 @@
 // compareRollouts orders rollouts by offset, then by assignment key.
 func compareRollouts(a, b baobabtide.Rollout) int {
 	if a.Offset != b.Offset {
-		return int(a.Offset) - int(b.Offset)
+		return cmp.Compare(a.Offset, b.Offset)
 	}
 	return slices.Compare([]byte(AssignmentKey(a.Customer, a.Service)), []byte(AssignmentKey(b.Customer, b.Service)))
 }
@@ -142,6 +133,14 @@
 	return baobabtide.AuditEntry{}, false
 }
 
+// covers reports whether the log holds all entries from an offset on.
+func (l AuditLog) covers(offset baobabtide.Offset) bool {
+	if len(l.Chunks) < maxAuditEntries/auditChunkSize {
+		return true
+	}
+	return l.Chunks[0][0].Offset <= offset
+}
+
 // At returns the entry of the record at an offset and whether there is one.
 func (l AuditLog) At(offset baobabtide.Offset) (baobabtide.AuditEntry, bool) {
 	for i := len(l.Chunks) - 1; i >= 0; i-- {
--- a/btconfig/store.go
+++ b/btconfig/store.go
@@ -131,23 +131,22 @@
 	s.state.Store(s.State().withStart(start))
 }
 
-// Adopt replaces the state by one with a higher offset, such as a snapshot, and
-// keeps the known outcomes and earlier starts of rollouts. It returns false if the offset is not higher.
+// Adopt joins the state with another one that has a higher offset, such as a snapshot, or later
+// contracts. It returns false if the other one has neither.
 func (s *Store) Adopt(state *State) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.State()
-	if state.Offset <= old.Offset {
+	switch {
+	case state.Offset > old.Offset:
+		s.state.Store(join(old, state))
+		s.tail = nil
+	case state.Revision() > old.Revision():
+		s.state.Store(join(state, old))
+	default:
 		return false
 	}
-	for _, o := range old.Outcomes {
-		state = state.WithOutcome(o)
-	}
-	for _, r := range old.Running() {
-		state = state.withStart(baobabtide.RolloutStart{Rollout: r.Offset, Customer: r.Customer, Service: r.Service, Version: r.To, Started: r.Started})
-	}
-	s.state.Store(state)
-	s.tail, s.encoded = nil, nil
+	s.encoded = nil
 	return true
 }
 
--- a/btlog/events.go
+++ b/btlog/events.go
@@ -35,6 +35,7 @@
 	LogDown           Event = "log.down"
 	LogBehind         Event = "log.behind"
 	LogCaughtUp       Event = "log.caught-up" // the log ends after the configuration in force again
+	LogRestored       Event = "log.restored"  // the log has come back from an older copy
 	LogReader         Event = "log.reader"    // this node has become one of those that read the log, or is no longer one
 	ConfigInForce     Event = "config.in-force"
 	ConfigStalled     Event = "config.stalled"  // the log holds later records, and a read of them advanced nothing
@@ -74,7 +75,7 @@
 func Events() []Event {
 	return []Event{
 		RequestRefused, RequestFailed, RequestMoved, RequestRetried, RequestSettled, RequestUnanswered, AdmitRefused, AdmitLost, ClientRefused, RequestsServed,
-		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogCaughtUp, LogReader,
+		NodeStarted, NodeStopped, NodeDraining, NodeDrained, SignalReceived, SettingsReloaded, SettingsRefused, LogUp, LogDown, LogBehind, LogCaughtUp, LogRestored, LogReader,
 		ConfigInForce, ConfigStalled, ConfigResumed, PullUnanswered, RecordRejected, RecordInvalid, RecordBounded, TargetChanged, TargetRestored, TargetLimit, TargetCold, TargetLeaving, TargetCrashed, QuarantineSuspect, QuarantineSet, QuarantineCleared, QuarantineFailed, NoticeInvalid, ReportInvalid, HeartbeatRefused, MemberStatus,
 		MemberAccused, PeerUnresponsive, RolloutShare, RolloutTripped, RolloutEnded, OutcomeAppend, OutcomesUnread, DirectoryFailed, AccountsAnswered, AccountsFallback, LinesDropped,
 	}
--- a/btnode/catchup.go
+++ b/btnode/catchup.go
@@ -4,12 +4,12 @@
 	"sync"
 	"time"
 
-	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
 )
 
 const (
-	minCatchUpNeighbors = 2                // neighbors whose offsets a starting node needs before it puts a configuration in force
-	catchUpTimeout      = 3 * time.Second  // uptime from which a node no longer waits for neighbors that have not told their offsets
+	minCatchUpNeighbors = 2                // neighbors whose positions a starting node needs before it puts a configuration in force
+	catchUpTimeout      = 3 * time.Second  // uptime from which a node no longer waits for neighbors that have not told their positions
 	catchUpLimit        = 10 * time.Second // uptime from which a node puts any configuration in force
 )
 
@@ -17,20 +17,20 @@
 // older than the one before its restart. A single neighbor that lags may send such
 // a configuration. The zero value is ready to use.
 type catchUp struct {
-	mu      sync.Mutex
-	offsets map[string]baobabtide.Offset // highest configuration offset received from each neighbor
-	live    int                          // highest number of live members that a neighbor knew
+	mu        sync.Mutex
+	positions map[string]btconfig.Position // highest position of the configuration received from each neighbor
+	live      int                          // highest number of live members that a neighbor knew
 }
 
-// recordOffset records the configuration offset of a neighbor. A lower offset that
-// arrives later has no effect.
-func (c *catchUp) recordOffset(name string, offset baobabtide.Offset) {
+// record records the position of a neighbor's configuration. A lower one that arrives later has no
+// effect.
+func (c *catchUp) record(name string, position btconfig.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.offsets == nil {
-		c.offsets = make(map[string]baobabtide.Offset)
+	if c.positions == nil {
+		c.positions = make(map[string]btconfig.Position)
 	}
-	c.offsets[name] = max(c.offsets[name], offset)
+	c.positions[name] = c.positions[name].Join(position)
 }
 
 // recordLive records the number of live members that a neighbor knows. This node does not
@@ -41,27 +41,27 @@
 	c.live = max(c.live, live)
 }
 
-// done reports whether the configuration at offset own may come into force as the
-// first one of this process: no neighbor has sent a higher offset, and at least
+// done reports whether the configuration at position own may come into force as the
+// first one of this process: no neighbor has sent a later position, and at least
 // minCatchUpNeighbors have sent one, or all others if there are fewer. others is the
 // number of other live members that this node knows. After catchUpTimeout only a
-// neighbor that is still connected keeps it from coming into force, by a higher offset, as
+// neighbor that is still connected keeps it from coming into force, by a later position, as
 // this node can get the later configuration there. After catchUpLimit any configuration
 // may. It returns false for offset 0, which means that there is no configuration.
-func (c *catchUp) done(own baobabtide.Offset, others int, uptime time.Duration, connected func(name string) bool) bool {
+func (c *catchUp) done(own btconfig.Position, others int, uptime time.Duration, connected func(name string) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if own == 0 {
+	if own.Offset == 0 {
 		return false
 	}
 	if uptime >= catchUpLimit {
 		return true
 	}
-	for name, offset := range c.offsets {
-		if offset > own && (uptime < catchUpTimeout || connected(name)) {
+	for name, position := range c.positions {
+		if !own.Covers(position) && (uptime < catchUpTimeout || connected(name)) {
 			return false
 		}
 	}
 	others = max(others, c.live-1)
-	return uptime >= catchUpTimeout || len(c.offsets) >= min(minCatchUpNeighbors, others)
+	return uptime >= catchUpTimeout || len(c.positions) >= min(minCatchUpNeighbors, others)
 }
--- a/btnode/catchup_test.go
+++ b/btnode/catchup_test.go
@@ -45,11 +45,11 @@
 		t.Run(name, func(t *testing.T) {
 			var c catchUp
 			for neighbor, offset := range tt.offsets {
-				c.recordOffset(neighbor, offset)
-				c.recordOffset(neighbor, offset-1) // an older message that arrives late
+				c.record(neighbor, btconfig.Position{Offset: offset})
+				c.record(neighbor, btconfig.Position{Offset: offset - 1}) // an older message that arrives late
 			}
 			connected := func(name string) bool { return name != tt.gone }
-			if diff := cmp.Diff(tt.want, c.done(tt.own, tt.others, tt.uptime, connected)); diff != "" {
+			if diff := cmp.Diff(tt.want, c.done(btconfig.Position{Offset: tt.own}, tt.others, tt.uptime, connected)); diff != "" {
 				t.Errorf("done (-want +got):\n%s", diff)
 			}
 		})
--- a/btnode/directory.go
+++ b/btnode/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/baobabtide/baobabtide"
@@ -34,8 +35,10 @@
 		return
 	}
 	registered := false
+	registeredAt := time.Time{}
 	failures := 0
 	for n.ctx.Err() == nil {
+		restored := n.restored.wait()
 		if !registered {
 			err := directory.Register(n.ctx, baobabtide.Listing{
 				Name:        n.locality.Node,
@@ -43,9 +46,11 @@
 				Incarnation: n.incarnation,
 			})
 			registered = err == nil
+			registeredAt = time.Now()
 			n.logDirectoryError("register", err)
 		}
-		listed := n.lookUpNodes(directory)
+		listed, isListed := n.lookUpNodes(directory)
+		registered = registered && isListed
 		n.members.mu.Lock()
 		live := n.members.table.Live()
 		n.members.mu.Unlock()
@@ -54,23 +59,34 @@
 			failures = 0
 		}
 		pause := directoryPause(failures, live)
-		n.sleep(pause + time.Duration(n.jitterFraction()*float64(pause)/directoryJitterDivisor))
+		select {
+		case <-n.ctx.Done():
+		case <-restored:
+			if time.Since(registeredAt) < maxLost {
+				registered = false
+				n.sleep(n.jitter())
+			}
+		case <-time.After(pause + time.Duration(n.jitterFraction()*float64(pause)/directoryJitterDivisor)):
+		}
 	}
 }
 
 // lookUpNodes passes the addresses of the directory's nodes to tickLoop as seeds.
-// It returns the number of nodes, 0 if the lookup fails.
-func (n *Node) lookUpNodes(directory baobabtide.Directory) int {
+// It returns the number of nodes, 0 if the lookup fails, and whether this process may be one of them.
+func (n *Node) lookUpNodes(directory baobabtide.Directory) (int, bool) {
 	nodes, err := directory.Nodes(n.ctx)
 	n.logDirectoryError("look up nodes", err)
 	if err != nil {
-		return 0
+		return 0, true
 	}
+	isListed := slices.ContainsFunc(nodes, func(other baobabtide.Listing) bool {
+		return other.Name == n.locality.Node && other.Incarnation >= n.incarnation
+	})
 	select {
 	case n.directoryAddresses <- seedOrder(nodes, rand.Shuffle):
 	case <-n.ctx.Done():
 	}
-	return len(nodes)
+	return len(nodes), isListed
 }
 
 // seedOrder returns the addresses of nodes in random order, but first those whose
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btpanic"
 	"github.com/baobabtide/baobabtide/btpeer"
 )
@@ -46,7 +47,7 @@
 
 	mu            sync.Mutex
 	batch         gossipBatch
-	offset        baobabtide.Offset // highest configuration offset received
+	position      btconfig.Position // of the configuration, the highest received
 	lastReceived  time.Time         // when the last message arrived
 	doubted       bool              // no message has arrived for long; the link may be full or the connection dead
 	mismatchSeen  bool              // a difference of the membership digests has been found on this edge
@@ -230,9 +231,9 @@
 		n.dial(rejoin.Name, rejoin.PeerAddress, now)
 	}
 	n.dialSeeds(now)
-	heartbeat := &btpeer.Gossip{Heartbeat: &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: digest}}
+	beat := &btpeer.Gossip{Heartbeat: heartbeat(n.config.State(), digest)}
 	for _, e := range n.edges.all() {
-		n.tickEdge(e, neighbors, heartbeat, now)
+		n.tickEdge(e, neighbors, beat, now)
 	}
 }
 
@@ -364,7 +365,7 @@
 	}
 	return &btpeer.Gossip{
 		Hello:     &btpeer.Hello{Node: n.locality.Node, Live: live},
-		Heartbeat: &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: n.members.table.Digest()},
+		Heartbeat: heartbeat(n.config.State(), n.members.table.Digest()),
 		Members:   members,
 	}
 }
--- a/btnode/gossip.go
+++ b/btnode/gossip.go
@@ -4,7 +4,6 @@
 	"errors"
 	"time"
 
-	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btmember"
 	"github.com/baobabtide/baobabtide/btpeer"
@@ -37,7 +36,7 @@
 		n.handleWanted(e, m.Wanted)
 	}
 	if m.Pull != nil {
-		n.handlePull(e, m.Pull.After)
+		n.handlePull(e, m.Pull)
 	}
 	if m.State != nil {
 		n.handleState(e, m.State)
@@ -85,16 +84,17 @@
 	n.markDirty()
 }
 
-// handleHeartbeat compares the sender's configuration offset and membership digest
+// handleHeartbeat compares the position of the sender's configuration and its membership digest
 // with this node's. It pulls a later configuration, and starts an exchange of
 // bucket digests if the memberships have differed for long enough.
 func (n *Node) handleHeartbeat(e *edge, h *btpeer.Heartbeat, now time.Time) {
-	n.catchUp.recordOffset(e.name, h.Offset)
-	e.recordOffset(h.Offset)
+	position := btconfig.Position{Offset: h.Offset, Revision: h.Revision}
+	n.catchUp.record(e.name, position)
+	e.recordPosition(position)
 	if n.routes.Load() == nil {
 		n.markDirty()
 	}
-	if own := n.config.State().Offset; h.Offset > own {
+	if own := n.config.State().Position(); !own.Covers(position) {
 		n.pullFrom(e, own, now)
 	}
 	n.members.mu.Lock()
@@ -112,10 +112,21 @@
 
 // sendHeartbeat sends a heartbeat to the node that opened an edge.
 func (n *Node) sendHeartbeat(e *edge) {
+	e.send(&btpeer.Gossip{Heartbeat: n.heartbeat()})
+}
+
+// heartbeat returns a heartbeat with the present position and digest.
+func (n *Node) heartbeat() *btpeer.Heartbeat {
 	n.members.mu.Lock()
 	digest := n.members.table.Digest()
 	n.members.mu.Unlock()
-	e.send(&btpeer.Gossip{Heartbeat: &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: digest}})
+	return heartbeat(n.config.State(), digest)
+}
+
+// heartbeat returns a heartbeat with the position of a configuration and the digest of a membership.
+func heartbeat(state *btconfig.State, digest uint64) *btpeer.Heartbeat {
+	position := state.Position()
+	return &btpeer.Heartbeat{Offset: position.Offset, Revision: position.Revision, Digest: digest}
 }
 
 // differs reports whether the memberships of the two ends have differed for at least
@@ -180,15 +191,15 @@
 	}
 }
 
-// handlePull sends the entries after an offset, or the whole state if the store
+// handlePull sends the entries after an offset, or the whole state if it is asked for or the store
 // no longer holds them.
-func (n *Node) handlePull(e *edge, after baobabtide.Offset) {
-	links, ok, err := n.config.EncodedSince(after)
+func (n *Node) handlePull(e *edge, pull *btpeer.Pull) {
+	links, ok, err := n.config.EncodedSince(pull.After)
 	if err != nil {
 		n.log.Error().Str("event", "links.encode").Err(err).Send()
 		return
 	}
-	if ok {
+	if ok && !pull.Whole {
 		if links != nil {
 			e.send(&btpeer.Gossip{Links: links})
 		}
@@ -202,18 +213,23 @@
 	e.send(&btpeer.Gossip{State: data})
 }
 
-// handleState replaces the configuration by the state that a neighbor sent if the
-// offset of that state is higher.
+// handleState joins the configuration with the state that a neighbor sent if that holds something later.
 func (n *Node) handleState(e *edge, data []byte) {
 	state, err := btconfig.DecodeState(data)
 	if err != nil {
 		n.log.Warn().Str("event", "state.damaged").Str("member", e.name).Err(err).Send()
 		return
 	}
+	before := n.config.State()
 	adopted := n.config.Adopt(state)
-	n.pulls.answered(n.config.State().Offset)
+	own := n.config.State().Position()
+	n.pulls.answered(own)
 	if adopted {
-		n.configChanged(e)
+		from := e
+		if own != state.Position() {
+			from = nil // the neighbor lacks something, too
+		}
+		n.configApplied(before, from, state)
 	}
 }
 
@@ -246,26 +262,23 @@
 			break
 		}
 	}
-	own := n.config.State().Offset
+	own := n.config.State().Position()
 	n.pulls.answered(own)
 	if gap {
 		n.pull(e, own, time.Now())
 	}
 	if fresh > 0 {
-		n.broadcastReplaced(before)
-		n.configChanged(e)
+		n.configApplied(before, e)
 	}
 	return fresh
 }
 
-// configChanged sends a heartbeat with the new configuration offset on all edges
-// except the one that the change came from, and requests a rebuild of the route
-// table.
-func (n *Node) configChanged(from *edge) {
-	n.members.mu.Lock()
-	digest := n.members.table.Digest()
-	n.members.mu.Unlock()
-	heartbeat := &btpeer.Heartbeat{Offset: n.config.State().Offset, Digest: digest}
-	n.sendToAll(&btpeer.Gossip{Heartbeat: heartbeat}, from)
+// configApplied tells the neighbors of a change of the configuration since an earlier state, except the
+// one that it came from, and requests a rebuild of the route table. Outcomes that the states named in
+// known hold are not sent.
+func (n *Node) configApplied(before *btconfig.State, from *edge, known ...*btconfig.State) {
+	n.followRestore(before)
+	n.broadcastNewOutcomes(append(known, before))
+	n.sendToAll(&btpeer.Gossip{Heartbeat: n.heartbeat()}, from)
 	n.markDirty()
 }
--- a/btnode/logprogress.go
+++ b/btnode/logprogress.go
@@ -4,24 +4,21 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfollow"
 	"github.com/baobabtide/baobabtide/btlog"
 )
 
-// logProgress is what this node's reads of the log have shown. Only readLoop changes it.
+// logProgress tells whether this node's reads of the log advance it. Only readLoop changes it.
 type logProgress struct {
-	next    atomicOffset // of the log, as the last read returned it
-	through atomicOffset // up to which the last page was complete: the log holds no record between the configuration and it
-	readAt  atomic.Int64 // when the last successful read ended, Unix time in microseconds, 0 before the first
 	stalled atomic.Int64 // successful reads that advanced nothing although the log holds later records
 	stalls  bool         // the last read was one of these
 }
 
 // recordProgress logs when reads cease to advance this node although the log holds later
 // records, and when they advance it again.
-func (n *Node) recordProgress(page *baobabtide.Page, advanced bool) {
-	p := &n.progress
-	stalls := !advanced && n.recordsBehind() > 0
+func (n *Node) recordProgress(reading *btfollow.Reading) {
+	p, page := &n.progress, &reading.Page
+	stalls := !reading.Advanced && n.recordsBehind() > 0
 	if stalls {
 		p.stalled.Add(1)
 	}
@@ -43,7 +40,7 @@
 // recordsBehind returns the number of offsets between what this node has read and the end of the
 // log as it read it last, 0 if it has not read the log.
 func (n *Node) recordsBehind() float64 {
-	position, next := n.readPosition(), n.progress.next.Load()
+	position, next := n.follower.Position(), n.follower.Next()
 	if next <= position+1 {
 		return 0
 	}
@@ -52,9 +49,9 @@
 
 // logReadAge returns the time since the last successful read of the log, 0 if there was none.
 func (n *Node) logReadAge() time.Duration {
-	at := n.progress.readAt.Load()
-	if at == 0 {
+	at := n.follower.ReadAt()
+	if at.IsZero() {
 		return 0
 	}
-	return time.Since(time.UnixMicro(at))
+	return time.Since(at)
 }
--- a/btnode/metrics.go
+++ b/btnode/metrics.go
@@ -103,6 +103,8 @@
 	gauge("baobabtide_log_stalled_reads_total", func() float64 { return float64(n.progress.stalled.Load()) })
 	gauge("baobabtide_config_records_behind", n.recordsBehind)
 	gauge("baobabtide_config_records_rejected_total", func() float64 { return float64(n.recordsRejected.Load()) })
+	gauge("baobabtide_log_restores_total", func() float64 { return float64(n.restores.Load()) })
+	gauge("baobabtide_log_epoch", func() float64 { return float64(n.config.State().Offset.Epoch()) })
 	gauge("baobabtide_log_reads_total", func() float64 {
 		reads, _ := n.adapters.Calls()
 		return float64(reads)
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -28,6 +28,7 @@
 	"github.com/baobabtide/baobabtide/btclock"
 	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btdispatch"
+	"github.com/baobabtide/baobabtide/btfollow"
 	"github.com/baobabtide/baobabtide/btlocal"
 	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btmember"
@@ -84,6 +85,7 @@
 	dirty      chan struct{}   // signals rebuildLoop that the route table is out of date
 	catchUp    catchUp
 	changed    broadcast // signaled when a configuration comes into force
+	restored   broadcast // signaled when the log has been restored from an older copy
 
 	members            members
 	seeds              *btmember.Seeds // used by tick and tickLoop only
@@ -96,6 +98,7 @@
 
 	resolving       atomic.Int64 // calls to key partners in progress that report the end of an attempt
 	recordsRejected atomic.Int64 // of the configuration, since the start of the process
+	restores        atomic.Int64 // of the log from an older copy, as far as this node has seen
 
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
 	outcomesRead atomic.Bool  // the outcome log has been read at least once, or the platform has none
@@ -106,6 +109,7 @@
 	draining       atomic.Bool // a planned stop has begun
 	refusing       atomic.Bool // new requests are refused, later in a planned stop
 	logBehind      atomic.Bool // the log ends before the configuration in force
+	follower       btfollow.Follower
 	progress       logProgress
 	duty           readDuty
 	snapshotOffset atomicOffset  // offset of the newest snapshot that this node knows of
@@ -168,6 +172,7 @@
 		metrics:            metrics.NewSet(),
 	}
 	n.registry.Began = now
+	n.follower.Store = &n.config
 	n.reloaded.Store(settings)
 	n.clientBudget = n.newClientBudget()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/btnode/outcomes.go
+++ b/btnode/outcomes.go
@@ -57,12 +57,12 @@
 }
 
 // readOutcomes adds the starts and outcomes in the outcome log to the configuration
-// and returns the position of the next record. It fails if the log can't be read.
-func (n *Node) readOutcomes() (baobabtide.Offset, error) {
+// and returns them. It fails if the log can't be read.
+func (n *Node) readOutcomes() (baobabtide.Outcomes, error) {
 	outcomes, err := n.adapters.Outcomes.Outcomes(n.ctx)
 	if err != nil {
 		n.log.Warn().Str("event", "outcomes.unread").Err(err).Send()
-		return 0, err
+		return baobabtide.Outcomes{}, err
 	}
 	n.outcomesRead.Store(true)
 	n.addOutcomes(nil, outcomes.Ended)
@@ -70,15 +70,25 @@
 		if start.Started.Before(n.started) || n.wasReplaced(&start) { // a later start was seen by this process, whose own time of it is more accurate than another node's
 			n.config.AddRolloutStart(start)
 		}
-		n.rollouts.markStartRecorded(start)
+		n.rollouts.markStartRecorded(n.presentStart(start))
 	}
-	return outcomes.Next, nil
+	return outcomes, nil
+}
+
+// presentStart returns a start under the offset that the release has in the present epoch of the log, if
+// the log has kept it.
+func (n *Node) presentStart(start baobabtide.RolloutStart) baobabtide.RolloutStart {
+	a := n.config.State().Assignments[btconfig.AssignmentKey(start.Customer, start.Service)]
+	if a.Rollout != nil && a.Rollout.Offset.Number() == start.Rollout.Number() && a.Rollout.Is(start.Rollout, start.Version) {
+		start.Rollout = a.Rollout.Offset
+	}
+	return start
 }
 
 // wasReplaced reports whether a later rollout of the service has replaced the one that starts.
 func (n *Node) wasReplaced(start *baobabtide.RolloutStart) bool {
 	a := n.config.State().Assignments[btconfig.AssignmentKey(start.Customer, start.Service)]
-	return a.Rollout != nil && a.Rollout.Offset > start.Rollout
+	return a.Rollout != nil && a.Rollout.Offset > start.Rollout && !a.Rollout.Is(start.Rollout, start.Version)
 }
 
 // addOutcomes adds outcomes to the configuration and sends those that are new on all
@@ -96,12 +106,13 @@
 	}
 }
 
-// broadcastReplaced sends the outcomes of rollouts that later ones have replaced since an earlier state.
-// A node that gets only the newest order of a service doesn't find them.
-func (n *Node) broadcastReplaced(before *btconfig.State) {
+// broadcastNewOutcomes sends the outcomes that the configuration holds and none of the given states does:
+// those of rollouts that later ones have replaced, which a node that gets only the newest order of a service
+// doesn't find, and those that a rollout had under a former offset.
+func (n *Node) broadcastNewOutcomes(known []*btconfig.State) {
 	var fresh []baobabtide.OutcomeRecord
 	for _, o := range n.config.State().Outcomes {
-		if !before.HasOutcome(&o) {
+		if !slices.ContainsFunc(known, func(s *btconfig.State) bool { return s.HasOutcome(&o) }) {
 			fresh = append(fresh, o)
 		}
 	}
@@ -122,7 +133,7 @@
 // recordOutcome adds the outcome of a rollout to the outcome log and the
 // configuration, unless the rollout has ended. It fails if all attempts fail.
 func (n *Node) recordOutcome(outcome *baobabtide.OutcomeRecord) error {
-	known := func() bool { return n.hasEnded(outcome.Rollout) }
+	known := func(*baobabtide.Outcomes) bool { return n.hasEnded(outcome.Rollout) }
 	return n.recordUnlessKnown(known, func(next baobabtide.Offset) error {
 		earlier := n.config.State().EarlierOutcomes(outcome.Customer, outcome.Service, outcome.Rollout)
 		err := n.adapters.Outcomes.Record(n.ctx, next, outcome, earlier)
@@ -143,7 +154,9 @@
 		Version:  rollout.To,
 		Started:  rollout.Started,
 	}
-	known := func() bool { return n.hasEnded(rollout.Offset) || n.rollouts.isStartRecorded(rollout) }
+	known := func(*baobabtide.Outcomes) bool {
+		return n.hasEnded(rollout.Offset) || n.rollouts.isStartRecorded(rollout)
+	}
 	return n.recordUnlessKnown(known, func(next baobabtide.Offset) error {
 		earlier := n.config.State().EarlierOutcomes(start.Customer, start.Service, start.Rollout)
 		err := n.adapters.Outcomes.RecordStart(n.ctx, next, &start, earlier)
@@ -158,15 +171,15 @@
 // the next record, unless known returns true. If either fails, it starts again, up
 // to recordAttempts times in all. An add whose response was lost is thus found by
 // the next read and not repeated. It returns the last error.
-func (n *Node) recordUnlessKnown(known func() bool, add func(next baobabtide.Offset) error) error {
+func (n *Node) recordUnlessKnown(known func(logged *baobabtide.Outcomes) bool, add func(next baobabtide.Offset) error) error {
 	var err error
 	for range recordAttempts {
-		var next baobabtide.Offset
-		if next, err = n.readOutcomes(); err == nil {
-			if known() {
+		var logged baobabtide.Outcomes
+		if logged, err = n.readOutcomes(); err == nil {
+			if known(&logged) {
 				return nil
 			}
-			if err = add(next); err == nil {
+			if err = add(logged.Next); err == nil {
 				return nil
 			}
 		}
--- a/btnode/proposals.go
+++ b/btnode/proposals.go
@@ -103,9 +103,9 @@
 // propose by turns, proposePeriod apart, as the log may refuse all nodes of one.
 func (n *Node) proposalDue(rollout *baobabtide.Rollout, now time.Time, lastProposal func(*progress) *time.Time) bool {
 	n.members.mu.Lock()
-	rank := n.members.table.Rank(btconfig.AssignmentKey(rollout.Customer, rollout.Service))
 	live := n.members.table.Live()
 	n.members.mu.Unlock()
+	rank := n.rank(rollout)
 	groups := (max(live, rank+1) + maxProposers - 1) / maxProposers
 	period := proposePeriod * time.Duration(groups)
 	r := &n.rollouts
@@ -126,3 +126,10 @@
 	*last = now
 	return true
 }
+
+// rank returns the position of this node in the order in which nodes propose for a rollout, from 0.
+func (n *Node) rank(rollout *baobabtide.Rollout) int {
+	n.members.mu.Lock()
+	defer n.members.mu.Unlock()
+	return n.members.table.Rank(btconfig.AssignmentKey(rollout.Customer, rollout.Service))
+}
--- a/btnode/pull.go
+++ b/btnode/pull.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btlog"
 	"github.com/baobabtide/baobabtide/btpeer"
 )
@@ -24,7 +25,7 @@
 type pulls struct {
 	mu     sync.Mutex
 	edge   *edge             // that the request was sent on, nil if none is unanswered
-	after  baobabtide.Offset // of this node's configuration when it was sent
+	after  btconfig.Position // of this node's configuration when it was sent
 	sentAt time.Time
 
 	waiting atomic.Bool // a pull from another zone is delayed, see remotePullDelay
@@ -34,7 +35,7 @@
 
 // begin records a request. It returns false if an earlier one is unanswered and was sent
 // less than pullTimeout ago.
-func (p *pulls) begin(e *edge, after baobabtide.Offset, now time.Time) bool {
+func (p *pulls) begin(e *edge, after btconfig.Position, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.edge != nil && now.Sub(p.sentAt) < pullTimeout {
@@ -44,12 +45,12 @@
 	return true
 }
 
-// answered records an answer, after which this node's configuration is at an offset. One that
+// answered records an answer, after which this node's configuration is at a position. One that
 // brought no later configuration does not count, so that it is not asked for again at once.
-func (p *pulls) answered(offset baobabtide.Offset) {
+func (p *pulls) answered(own btconfig.Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if offset > p.after {
+	if !p.after.Covers(own) {
 		p.edge = nil
 	}
 }
@@ -83,11 +84,11 @@
 	return due
 }
 
-// pullFrom pulls the configuration after an offset from the node of an edge that has a later one.
+// pullFrom pulls the configuration after a position from the node of an edge that has a later one.
 // With a narrow link, an edge to another zone is used only if remotePullDelay brings nothing from
 // this node's zone.
-func (n *Node) pullFrom(e *edge, after baobabtide.Offset, now time.Time) {
-	if !n.settings.Peer.HasNarrowLink() || after == 0 || n.isLocal(e.name) {
+func (n *Node) pullFrom(e *edge, after btconfig.Position, now time.Time) {
+	if !n.settings.Peer.HasNarrowLink() || after.Offset == 0 || n.isLocal(e.name) {
 		n.pull(e, after, now)
 		return
 	}
@@ -108,20 +109,21 @@
 	return len(members) == 1 && members[0].Zone == n.locality.Zone
 }
 
-// pull requests the configuration after an offset, unless an earlier pull is unanswered and
-// was sent less than pullTimeout ago.
-func (n *Node) pull(e *edge, after baobabtide.Offset, now time.Time) {
+// pull requests the configuration after a position, unless an earlier pull is unanswered and
+// was sent less than pullTimeout ago. A neighbor without later entries that has a later contract is
+// asked for its whole configuration.
+func (n *Node) pull(e *edge, after btconfig.Position, now time.Time) {
 	if !n.pulls.begin(e, after, now) {
 		return
 	}
-	e.send(&btpeer.Gossip{Pull: &btpeer.Pull{After: after}})
+	e.send(&btpeer.Gossip{Pull: &btpeer.Pull{After: after.Offset, Whole: e.hasOnlyContracts(after)}})
 	time.AfterFunc(pullTimeout, func() { n.submit(n.pullMissing) })
 }
 
 // pullMissing pulls the configuration from a neighbor that has a later one, if there is one:
 // preferably not from the one that has not answered. It does nothing while an answer may come.
 func (n *Node) pullMissing() {
-	now, own := time.Now(), n.config.State().Offset
+	now, own := time.Now(), n.config.State().Position()
 	asked, ok := n.pulls.overdue(now)
 	if !ok {
 		return
@@ -130,35 +132,43 @@
 	if e == nil || n.ctx.Err() != nil {
 		return
 	}
-	if asked != nil && n.pulls.logDue(own) {
-		n.log.Warn().Str("event", string(btlog.PullUnanswered)).Str("member", asked.name).Uint64("offset", uint64(own)).Send()
+	if asked != nil && n.pulls.logDue(own.Offset) {
+		n.log.Warn().Str("event", string(btlog.PullUnanswered)).Str("member", asked.name).Uint64("offset", uint64(own.Offset)).Send()
 	}
 	n.pull(e, own, now)
 }
 
-// recordOffset records the configuration offset of the node at the other end. A lower one that
-// arrives later has no effect.
-func (e *edge) recordOffset(offset baobabtide.Offset) {
+// recordPosition records the position of the configuration of the node at the other end. A lower one
+// that arrives later has no effect.
+func (e *edge) recordPosition(position btconfig.Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.offset = max(e.offset, offset)
+	e.position = e.position.Join(position)
 }
 
-// isAhead reports whether the node at the other end has a configuration after an offset.
-func (e *edge) isAhead(offset baobabtide.Offset) bool {
+// isAhead reports whether the node at the other end has a configuration after a position.
+func (e *edge) isAhead(own btconfig.Position) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.offset > offset
+	return !own.Covers(e.position)
 }
 
-// ahead returns an edge to a node that has a configuration after an offset, nil if there is
+// hasOnlyContracts reports whether the node at the other end has later contracts than those of a position,
+// and no later entries.
+func (e *edge) hasOnlyContracts(own btconfig.Position) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.position.Revision > own.Revision && e.position.Offset <= own.Offset
+}
+
+// ahead returns an edge to a node that has a configuration after a position, nil if there is
 // none, preferably to a local node. It returns the edge asked, or one that is doubted, only if
 // there is no other.
-func (s *edges) ahead(offset baobabtide.Offset, asked *edge, isLocal func(name string) bool) *edge {
+func (s *edges) ahead(own btconfig.Position, asked *edge, isLocal func(name string) bool) *edge {
 	var remote, last *edge
 	for _, e := range s.all() {
 		switch {
-		case !e.isAhead(offset):
+		case !e.isAhead(own):
 		case e == asked || e.isDoubted():
 			last = e
 		case isLocal(e.name):
--- a/btnode/pull_test.go
+++ b/btnode/pull_test.go
@@ -145,7 +145,8 @@
 				end += baobabtide.Offset(rapid.IntRange(1, 5).Draw(rt, "records"))
 				for _, name := range names {
 					n := nodes[name]
-					prev := n.config.State().Offset
+					before := n.config.State()
+					prev := before.Offset
 					upTo := baobabtide.Offset(rapid.IntRange(0, int(end)).Draw(rt, "read up to"))
 					for offset := prev + 1; offset <= upTo; offset++ {
 						if !rapid.Bool().Draw(rt, "stored") {
@@ -156,7 +157,7 @@
 						}
 						prev = offset
 					}
-					n.configChanged(nil)
+					n.configApplied(before, nil)
 				}
 				if count := deliverAll(nodes, names, 1000); count == 1000 {
 					rt.Fatal("the nodes do not stop exchanging messages")
--- a/btnode/pull_zone_test.go
+++ b/btnode/pull_zone_test.go
@@ -5,13 +5,15 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/baobabtide/baobabtide/btconfig"
 )
 
 // TestPullPrefersOwnZone guards against configurations that are pulled from another zone, whose
 // bytes are paid for, while a node of the own zone has them.
 func TestPullPrefersOwnZone(t *testing.T) {
 	newEdge := func(name string, doubted bool) *edge {
-		e := &edge{name: name, offset: 2, doubted: doubted}
+		e := &edge{name: name, position: btconfig.Position{Offset: 2}, doubted: doubted}
 		e.ctx, e.cancel = context.WithCancelCause(context.Background())
 		return e
 	}
@@ -36,7 +38,7 @@
 				s.add(e)
 			}
 			got := ""
-			if e := s.ahead(1, tt.asked, isLocal); e != nil {
+			if e := s.ahead(btconfig.Position{Offset: 1}, tt.asked, isLocal); e != nil {
 				got = e.name
 			}
 			if diff := cmp.Diff(tt.want, got); diff != "" {
--- a/btnode/quarantinelog.go
+++ b/btnode/quarantinelog.go
@@ -77,6 +77,23 @@
 	u.known[digest] = at
 }
 
+// storeAgain adds those of the entries that this node has stored lately, as a log that was restored may
+// have lost them.
+func (u *unstored) storeAgain(entries []btquarantine.Entry, now time.Time) {
+	for i := range entries {
+		digest := entries[i].Digest
+		u.mu.Lock()
+		isRecent := now.Sub(u.known[digest]) < maxLost
+		if isRecent {
+			u.known[digest] = time.Time{}
+		}
+		u.mu.Unlock()
+		if isRecent {
+			u.add(&entries[i])
+		}
+	}
+}
+
 // next returns an entry to store, and false if there is none. Further crashes under a request
 // that is quarantined already are not stored for quarantineMinGap.
 func (u *unstored) next(now time.Time) (storedEntry, bool) {
--- a/btnode/reader.go
+++ b/btnode/reader.go
@@ -9,6 +9,7 @@
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
 	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btfollow"
 	"github.com/baobabtide/baobabtide/btlog"
 )
 
@@ -17,11 +18,6 @@
 	snapshotJitter      = 0.5             // largest fraction by which the pause between checks is shortened at random
 )
 
-var (
-	errLogBehind  = errors.New("the log ends before the configuration in force")
-	errNoProgress = errors.New("the log holds later records and returned none of them")
-)
-
 // readLoop reads the log while this node is a reader of its zone. A node that the log does not
 // answer goes on trying although others read in its place. Its first read, and those after a
 // failed one, don't wait for new records.
@@ -35,6 +31,7 @@
 			case <-n.ctx.Done():
 			}
 			health, first = readHealth{}, true
+			n.follower.Recheck()
 			continue
 		}
 		wait := time.Duration(0)
@@ -49,7 +46,7 @@
 		}
 		now := time.Now()
 		health.record(err, now.Sub(begun) >= wait+n.settings.Platform.Timeout, now)
-		n.setLogUp(err == nil || errors.Is(err, errLogBehind) || errors.Is(err, errNoProgress), err)
+		n.setLogUp(err == nil || errors.Is(err, btfollow.ErrBehind) || errors.Is(err, btfollow.ErrNoProgress), err)
 		n.announceLogDown(health.down)
 		n.sleep(health.pause(err))
 	}
@@ -97,69 +94,47 @@
 
 // readOnce reads the records after the configuration in force, waiting up to
 // wait for the first, and applies them. If the log no longer stores
-// them, it restores from a snapshot. It fails if the log can't be read, and
-// returns errLogBehind if the log ends before the configuration, and errNoProgress if the log
-// holds later records and none of them advanced the configuration.
+// them, it restores from a snapshot. It fails if the log can't be read, and as btfollow.Follower.Read
+// does.
 func (n *Node) readOnce(wait time.Duration) error {
-	begun, offset := time.Now(), n.config.State().Offset
-	position := max(offset, n.progress.through.Load())
-	page, err := n.adapters.Log.Read(n.ctx, baobabtide.ConfigStream, position+1, wait)
-	if errors.Is(err, baobabtide.ErrRetention) {
+	begun := time.Now()
+	reading, err := n.follower.Read(n.ctx, n.adapters.Log, wait)
+	switch {
+	case errors.Is(err, baobabtide.ErrRetention):
 		return n.restoreFromSnapshot()
-	}
-	if err != nil {
+	case errors.Is(err, btfollow.ErrBehind):
+		n.recordBehind(&reading)
 		return err
+	case err != nil && !errors.Is(err, btfollow.ErrNoProgress):
+		return err
+	case reading.Receded:
+		return nil
 	}
-	n.progress.next.Store(page.Next)
-	n.progress.readAt.Store(time.Now().UnixMicro())
-	if page.Next <= position {
-		n.progress.through.Store(0)
-		return n.checkLogEnd(page.Next, offset)
-	}
-	if n.logBehind.Swap(false) {
-		n.log.Info().Str("event", string(btlog.LogCaughtUp)).Uint64("next", uint64(page.Next)).Uint64("offset", uint64(offset)).Int("entries", len(page.Entries)).Send()
+	n.recordCaughtUp(&reading)
+	for _, offset := range reading.Applied {
+		n.recordRejection(offset)
 	}
-	n.applyPage(&page)
-	n.progress.through.Store(max(n.progress.through.Load(), page.Through))
-	advanced := n.readPosition() > position
-	n.recordProgress(&page, advanced)
-	if !advanced && page.Next > position+1 {
-		return errNoProgress
+	if len(reading.Applied) > 0 {
+		n.configApplied(reading.Before, nil)
 	}
-	if !advanced && time.Since(begun) < wait/2 {
+	n.recordProgress(&reading)
+	if err == nil && !reading.Advanced && time.Since(begun) < wait/2 {
 		n.sleep(rand.N(minReadBackoff)) // the log does not let reads wait
 	}
-	return nil
-}
-
-// readPosition returns the offset up to which this node has read the log.
-func (n *Node) readPosition() baobabtide.Offset {
-	return max(n.config.State().Offset, n.progress.through.Load())
+	return err
 }
 
-// checkLogEnd returns errLogBehind if the log ends before the configuration at an offset, and logs
-// when that begins.
-func (n *Node) checkLogEnd(next, offset baobabtide.Offset) error {
-	if next > offset {
-		return nil
-	}
+// recordBehind logs that the log ends before the configuration, when that begins.
+func (n *Node) recordBehind(reading *btfollow.Reading) {
 	if n.logBehind.CompareAndSwap(false, true) {
-		n.log.Error().Str("event", string(btlog.LogBehind)).Uint64("next", uint64(next)).Uint64("offset", uint64(offset)).Send()
+		n.log.Error().Str("event", string(btlog.LogBehind)).Uint64("next", uint64(reading.Page.Next)).Uint64("offset", uint64(reading.Before.Offset)).Send()
 	}
-	return errLogBehind
 }
 
-// applyPage applies the records of a page that are beyond the configuration in force. Other
-// readers may have passed on some of them in the meantime.
-func (n *Node) applyPage(page *baobabtide.Page) {
-	before := n.config.State()
-	applied := n.config.ApplyAll(page.Entries)
-	for _, offset := range applied {
-		n.recordRejection(offset)
-	}
-	if len(applied) > 0 {
-		n.broadcastReplaced(before)
-		n.configChanged(nil)
+// recordCaughtUp logs that the log ends after the configuration again.
+func (n *Node) recordCaughtUp(reading *btfollow.Reading) {
+	if n.logBehind.Swap(false) {
+		n.log.Info().Str("event", string(btlog.LogCaughtUp)).Uint64("next", uint64(reading.Page.Next)).Uint64("offset", uint64(reading.Before.Offset)).Int("entries", len(reading.Page.Entries)).Send()
 	}
 }
 
@@ -182,12 +157,12 @@
 	if err != nil {
 		return err
 	}
-	state := btconfig.JoinSnapshots(chunks)
+	before, state := n.config.State(), btconfig.JoinSnapshots(chunks)
 	if state == nil || !n.config.Adopt(state) {
 		return fmt.Errorf("restore from snapshot: %w", errNoSnapshot)
 	}
 	n.log.Info().Str("event", "snapshot.adopted").Uint64("offset", uint64(state.Offset)).Send()
-	n.configChanged(nil)
+	n.configApplied(before, nil, state)
 	return nil
 }
 
--- a/btnode/reader_health_test.go
+++ b/btnode/reader_health_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btconfig"
+	"github.com/baobabtide/baobabtide/btfollow"
 	"github.com/baobabtide/baobabtide/btmember"
 )
 
@@ -157,7 +158,7 @@
 	n.adapters.Log = &readsLog{read: func(context.Context, int64, baobabtide.Stream, baobabtide.Offset, time.Duration) (baobabtide.Page, error) {
 		return baobabtide.Page{Next: 14}, nil
 	}}
-	if err := n.readOnce(0); !errors.Is(err, errNoProgress) {
-		t.Errorf("read: %v, not %v", err, errNoProgress)
+	if err := n.readOnce(0); !errors.Is(err, btfollow.ErrNoProgress) {
+		t.Errorf("read: %v, not %v", err, btfollow.ErrNoProgress)
 	}
 }
--- a/btnode/readhealth.go
+++ b/btnode/readhealth.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfollow"
 )
 
 const (
 	minReadBackoff = 100 * time.Millisecond // upper limit of the random pause after the first failed read; doubles with each further one
 	maxReadBackoff = 2 * time.Second        // limit of the doubling
 	maxStallPause  = 500 * time.Millisecond // the same after reads that the log answers without the records that it holds
-	logBehindPause = time.Second            // between reads while the log ends before the configuration in force
+	logBehindPause = 500 * time.Millisecond // between reads while the log ends before the configuration in force
 	downHold       = 2 * time.Second        // for which the log must answer a node before others cease to read in its place
 )
 
@@ -28,7 +29,7 @@
 // record records the result of a read. timedOut says that it took as long as it may. One quick
 // failure may be the end of a connection that the log has closed.
 func (h *readHealth) record(err error, timedOut bool, now time.Time) {
-	if err == nil || errors.Is(err, errLogBehind) {
+	if err == nil || errors.Is(err, btfollow.ErrBehind) {
 		h.setbacks = 0
 	} else {
 		h.setbacks++
@@ -52,9 +53,9 @@
 	switch {
 	case err == nil:
 		return 0
-	case errors.Is(err, errLogBehind):
+	case errors.Is(err, btfollow.ErrBehind):
 		return logBehindPause
-	case errors.Is(err, errNoProgress):
+	case errors.Is(err, btfollow.ErrNoProgress):
 		limit = maxStallPause
 	}
 	return rand.N(min(minReadBackoff<<min(h.setbacks-1, 8), limit))
--- a/btnode/readhealth_test.go
+++ b/btnode/readhealth_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/baobabtide/baobabtide"
+	"github.com/baobabtide/baobabtide/btfollow"
 )
 
 // The log counts as down for a node after a read that timed out or two failed ones, and until it has
@@ -25,10 +26,10 @@
 		"time-out":                 {{0, baobabtide.ErrUncertain, true, true}},
 		"two failures":             {{0, baobabtide.ErrUnavailable, false, false}, {0, baobabtide.ErrUncertain, false, true}},
 		"every other read fails":   {{0, baobabtide.ErrUnavailable, false, false}, {1, nil, false, false}, {2, baobabtide.ErrUnavailable, false, false}},
-		"odd answers":              {{0, odd, false, false}, {1, odd, false, false}, {2, errNoSnapshot, false, false}, {3, errNoProgress, false, false}, {4, errLogBehind, false, false}},
+		"odd answers":              {{0, odd, false, false}, {1, odd, false, false}, {2, errNoSnapshot, false, false}, {3, btfollow.ErrNoProgress, false, false}, {4, btfollow.ErrBehind, false, false}},
 		"answered again":           {{0, baobabtide.ErrUncertain, true, true}, {1, nil, false, true}, {downHold, nil, false, true}, {downHold + 1, nil, false, false}},
 		"answered for a moment":    {{0, baobabtide.ErrUncertain, true, true}, {1, nil, false, true}, {2, baobabtide.ErrUncertain, false, true}, {downHold + 1, nil, false, true}},
-		"answered without records": {{0, baobabtide.ErrUncertain, true, true}, {1, errNoProgress, false, true}, {downHold + 1, errNoProgress, false, false}},
+		"answered without records": {{0, baobabtide.ErrUncertain, true, true}, {1, btfollow.ErrNoProgress, false, true}, {downHold + 1, btfollow.ErrNoProgress, false, false}},
 	}
 	for name, reads := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -50,9 +51,9 @@
 		limit time.Duration
 	}{
 		"success":     {nil, 0},
-		"no progress": {errNoProgress, maxStallPause},
+		"no progress": {btfollow.ErrNoProgress, maxStallPause},
 		"no answer":   {baobabtide.ErrUnavailable, maxReadBackoff},
-		"log behind":  {errLogBehind, logBehindPause},
+		"log behind":  {btfollow.ErrBehind, logBehindPause},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -31,6 +31,7 @@
 	reportStore btrollout.ReportStore
 	counters    btrollout.Counters
 	progress    map[btrollout.ID]*progress
+	unwritten   map[string]*time.Time // assignments whose outcomes this node may have to record again, with the time when it last proposed to
 }
 
 // progress holds the state of one rollout on this node.
@@ -191,6 +192,7 @@
 	state := n.config.State()
 	running := state.Running()
 	n.rollouts.forget(state, running)
+	n.rewriteOutcomes(state, now)
 	for i := range running {
 		n.report(&running[i], now)
 	}
--- a/btnode/routes.go
+++ b/btnode/routes.go
@@ -39,7 +39,7 @@
 	others := n.members.table.Live() - 1
 	n.members.mu.Unlock()
 	old := n.routes.Load()
-	if old == nil && !n.catchUp.done(state.Offset, others, time.Since(n.started), n.edges.connected) {
+	if old == nil && !n.catchUp.done(state.Position(), others, time.Since(n.started), n.edges.connected) {
 		return
 	}
 	table := btroute.Build(state, members, n.locality, old)
@@ -49,12 +49,12 @@
 	n.local.Limiter.Set(rateLimits(state))
 	n.local.SetColdLimits(coldLimits(state))
 	n.routes.Store(table)
-	if old != nil && old.Offset == table.Offset {
+	if old != nil && old.Offset == table.Offset && old.Revision == table.Revision {
 		return
 	}
 	n.setAccountLimits(accountLimits(state), now)
 	n.inForceAt.Store(now.UnixMicro())
-	n.log.Info().Str("event", "config.in-force").Uint64("offset", uint64(table.Offset)).Uint64("revision", state.Revision()).Send()
+	n.log.Info().Str("event", "config.in-force").Uint64("offset", uint64(table.Offset)).Uint64("revision", table.Revision).Send()
 	n.changed.signal()
 }
 
--- a/btpeer/message.go
+++ b/btpeer/message.go
@@ -58,6 +58,8 @@
 type Heartbeat struct {
 	Offset baobabtide.Offset `cbor:"1,keyasint"` // of the sender's configuration
 	Digest uint64            `cbor:"2,keyasint"` // of the sender's membership table
+
+	Revision uint64 `cbor:"3,keyasint,omitempty"` // of the sender's configuration, as btconfig.State.Revision returns it
 }
 
 // Repair lists the versions of the sender's records in the buckets in which two
@@ -67,9 +69,10 @@
 	Versions []btmember.Version `cbor:"2,keyasint"`
 }
 
-// Pull requests the configuration entries after an offset.
+// Pull requests the configuration entries after an offset, or the whole configuration.
 type Pull struct {
 	After baobabtide.Offset `cbor:"1,keyasint"`
+	Whole bool              `cbor:"2,keyasint,omitempty"`
 }
 
 // Check returns an error for the first invalid field.
--- a/btrollout/counters.go
+++ b/btrollout/counters.go
@@ -105,6 +105,18 @@
 	return routes
 }
 
+// Move keeps the counts of a rollout under another ID of the same rollout, unless that has some already.
+func (c *Counters) Move(from, to ID) {
+	routes, ok := c.rollouts[from]
+	if !ok {
+		return
+	}
+	delete(c.rollouts, from)
+	if _, counted := c.rollouts[to]; !counted {
+		c.rollouts[to] = routes
+	}
+}
+
 // Forget deletes the counts of every rollout for which keep returns false.
 func (c *Counters) Forget(keep func(ID) bool) {
 	for id := range c.rollouts {
--- a/btrollout/evidence.go
+++ b/btrollout/evidence.go
@@ -153,6 +153,22 @@
 	return reports, trips
 }
 
+// Move stores the reports and the trip of a rollout under another ID of the same rollout, and returns the
+// trip and whether there is one.
+func (s *ReportStore) Move(from, to ID) (Trip, bool) {
+	for _, r := range s.reports[from] {
+		r.Rollout = to
+		s.Merge(r)
+	}
+	delete(s.reports, from)
+	if t, ok := s.trips[from]; ok {
+		t.Rollout = to
+		s.AddTrip(t)
+		delete(s.trips, from)
+	}
+	return s.Trip(to)
+}
+
 // Forget deletes the reports and trips of every rollout for which keep returns
 // false.
 func (s *ReportStore) Forget(keep func(ID) bool) {
--- a/btroute/table.go
+++ b/btroute/table.go
@@ -20,6 +20,7 @@
 // for concurrent use.
 type Table struct {
 	Offset       baobabtide.Offset // log offset of the configuration
+	Revision     uint64            // of the configuration, as btconfig.State.Revision returns it
 	customers    map[string]*customerRoutes
 	destinations map[string]*Destination // by btconfig.AssignmentKey
 	targets      map[targetKey]*Target
@@ -67,6 +68,7 @@
 func Build(state *btconfig.State, members []baobabtide.Member, locality Locality, prev *Table) *Table {
 	t := &Table{
 		Offset:       state.Offset,
+		Revision:     state.Revision(),
 		customers:    make(map[string]*customerRoutes, len(state.Contracts)),
 		destinations: make(map[string]*Destination, len(state.Assignments)),
 		targets:      make(map[targetKey]*Target),
@@ -242,7 +244,7 @@
 	if old == nil {
 		return false
 	}
-	if old.lost && old.Rollout != nil && old.Rollout.Offset == d.Rollout.Offset {
+	if old.lost && old.Rollout != nil && d.Rollout.Is(old.Rollout.Offset, old.Rollout.To) {
 		return true
 	}
 	return slices.ContainsFunc(old.Current.Pool.Targets(), func(t *Target) bool { return t.Version != d.Rollout.To })
--- a/log.go
+++ b/log.go
@@ -6,11 +6,6 @@
 	"time"
 )
 
-// Offset is the position of a record in a stream of the platform's log. Offsets start
-// at 1 and increase, but need not be consecutive; 0 stands for the state before the
-// first record. The offset of the last folded record identifies a configuration.
-type Offset uint64
-
 // Stream names a stream of the platform's log.
 type Stream string
 
@@ -27,6 +22,10 @@
 	Offset Offset    `json:"Offset" cbor:"1,keyasint"`
 	Time   time.Time `json:"Time" cbor:"2,keyasint"` // time of the append, by the log's clock
 	Data   []byte    `json:"Data" cbor:"3,keyasint"`
+
+	// Sum is a hash of the record as the log stores it, which tells records at one offset apart. It
+	// is 0 for a log that gives out no offset twice.
+	Sum uint64 `json:"Sum,omitzero" cbor:"4,keyasint,omitempty"`
 }
 
 // Page is the result of one read.
@@ -38,9 +37,14 @@
 	// Through is the offset up to which the log holds no record from the requested offset on but
 	// Entries. 0 stands for the offset of the last entry.
 	Through Offset `json:"Through,omitzero"`
+
+	// Unmarked says that the log does not tell its epoch: the offsets are of the epoch that the read
+	// asked for, and may name other records than in earlier reads.
+	Unmarked bool `json:"Unmarked,omitzero"`
 }
 
-// Log is the platform's append-only log service.
+// Log is the platform's append-only log service. It may be restored from an older copy. It has lost the
+// newest records then, and its epoch is a higher one.
 type Log interface {
 	// Append adds one record to a stream and returns it as an entry.
 	// ErrUncertain means that it may have been added.
@@ -48,7 +52,8 @@
 	// Read returns the records from an offset on. If there is none yet, it waits
 	// up to wait for the first. ErrRetention means that records from that offset
 	// are no longer stored. A log that keeps the newest record of each key may return
-	// those instead, in the order of their offsets and with older ones among them.
+	// those instead, in the order of their offsets and with older ones among them. It does so if from is
+	// in an earlier epoch, and if it is the start of one.
 	Read(ctx context.Context, stream Stream, from Offset, wait time.Duration) (Page, error)
 }
 
--- a/record.go
+++ b/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -93,6 +94,7 @@
 	Actor    string
 	Kind     string // as Record.Kind returns it
 	Subject  string // as Record.Subject returns it
+	Sum      uint64 `json:"-" cbor:"Sum,omitempty"` // as in the Entry
 	Before   Offset // revision of the subject before the record
 	After    Offset // revision of the subject after it, equal to Before if it was rejected
 	Accepted bool
@@ -108,12 +110,23 @@
 	To       string    // version that the traffic moves to
 	Started  time.Time // by the log's clock
 	Terms    RolloutTerms
+	Former   []Offset        `json:",omitempty"` // of the same release in earlier epochs of the log, in increasing order
 	Result   Result          `json:",omitempty"` // empty while the rollout runs
 	Reason   string          `json:",omitempty"`
 	Ended    time.Time       `json:",omitzero"` // by the log's clock
 	Evidence []RouteEvidence `json:",omitempty"`
 }
 
+// Is reports whether a rollout of the same customer and service is this one, by the offset of its release
+// and the version that it moves traffic to. A release that a restored log has kept has the number that it had
+// in the epochs before.
+func (r *Rollout) Is(offset Offset, version string) bool {
+	if r.Offset == offset || slices.Contains(r.Former, offset) {
+		return true
+	}
+	return r.Offset.Epoch() != offset.Epoch() && r.Offset.Number() == offset.Number() && r.To == version
+}
+
 // Deadline returns the time by which the rollout must end.
 func (r *Rollout) Deadline() time.Time { return r.Started.Add(r.Terms.CompleteWithin) }
 
