--- a/baobabtide-load/btexperiment/faults.go
+++ b/baobabtide-load/btexperiment/faults.go
@@ -58,7 +58,11 @@
 		if f.LogFaults.Outage || f.LogFaults.Delay > 0 {
 			defer r.disturbances.beginLog()()
 		}
-		return r.withLogFaults(f, f.LogFaults)
+		isRestored := f.LogFaults.Restore > 0
+		if err := r.withLogFaults(f, f.LogFaults); err != nil || !isRestored {
+			return err
+		}
+		return r.publishAgain()
 	case RefuseNodes:
 		return r.refuseNodes(f)
 	case BackendFault:
@@ -172,12 +176,25 @@
 		union.Truncate += f.Truncate
 		union.Forget = union.Forget || f.Forget
 		union.Silence = union.Silence || f.Silence
+		union.Restore = max(union.Restore, f.Restore)
 		union.Refusals = append(union.Refusals, f.Refusals...)
-		f.Truncate, f.Forget, f.Silence = 0, false, false
+		f.Truncate, f.Forget, f.Silence, f.Restore = 0, false, false, 0
 	}
 	return r.deployment.SetLogFaults(union)
 }
 
+// publishAgain publishes the newest contract once more, after the log may have lost it.
+func (r *Runner) publishAgain() error {
+	r.mu.Lock()
+	newest := r.newest
+	r.mu.Unlock()
+	if newest == nil {
+		return nil
+	}
+	again := *newest
+	return r.publishContract(context.Background(), &again)
+}
+
 // drainNodes stops nodes as planned, one after the other, and restarts each after the
 // fault's duration.
 func (r *Runner) drainNodes(f *Fault) error {
--- a/baobabtide-load/btexperiment/inforce.go
+++ b/baobabtide-load/btexperiment/inforce.go
@@ -156,21 +156,28 @@
 // readSteps returns what a node put in force according to the log that it wrote, oldest
 // first.
 func readSteps(path string) ([]step, error) {
+	steps, _, err := readInForce(path)
+	return steps, err
+}
+
+// readInForce returns what a node put in force according to the log that it wrote, oldest first: by
+// offsets, and by the publishers' revisions in place of these.
+func readInForce(path string) (steps, revisions []step, err error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, fmt.Errorf("read log of a node: %w", err)
+		return nil, nil, fmt.Errorf("read log of a node: %w", err)
 	}
 	defer file.Close()
-	var steps []step
 	scanner := bufio.NewScanner(file)
 	for scanner.Scan() {
 		if !bytes.Contains(scanner.Bytes(), []byte(btlog.ConfigInForce)) && !bytes.Contains(scanner.Bytes(), []byte(btlog.NodeStarted)) {
 			continue
 		}
 		var line struct {
-			Event  btlog.Event       `json:"event"`
-			Offset baobabtide.Offset `json:"offset"`
-			Micros int64             `json:"time"`
+			Event    btlog.Event       `json:"event"`
+			Offset   baobabtide.Offset `json:"offset"`
+			Revision baobabtide.Offset `json:"revision"`
+			Micros   int64             `json:"time"`
 		}
 		// A line that was truncated when its process was killed is before that of the next one.
 		text := scanner.Bytes()
@@ -180,12 +187,13 @@
 		switch line.Event {
 		case btlog.ConfigInForce, btlog.NodeStarted:
 			steps = append(steps, step{at: time.UnixMicro(line.Micros), offset: line.Offset})
+			revisions = append(revisions, step{at: time.UnixMicro(line.Micros), offset: line.Revision})
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, fmt.Errorf("read log of a node: %w", err)
+		return nil, nil, fmt.Errorf("read log of a node: %w", err)
 	}
-	return steps, nil
+	return steps, revisions, nil
 }
 
 // wentBack returns how often a process put a configuration in force that is older than the
@@ -243,18 +251,19 @@
 }
 
 // findLate returns a line about each change that was not in force in time at all nodes, with
-// the latest nodes first. started is the start of the load, end that of the observation.
-func findLate(acks []btlogstandin.Ack, nodes map[string][]step, d *disturbances, started, end time.Time) []string {
+// the latest nodes first. started is the start of the load, end that of the observation, name what the
+// offsets of acks and nodes are.
+func findLate(name string, acks []btlogstandin.Ack, nodes map[string][]step, d *disturbances, started, end time.Time) []string {
 	var lines []string
 	for _, ack := range acks {
 		var late []lateNode
-		for name, steps := range nodes {
-			due, ok := d.due(name, ack.Time)
+		for node, steps := range nodes {
+			due, ok := d.due(node, ack.Time)
 			if !ok || due.After(end) {
 				continue
 			}
 			if by, inForce := lateness(steps, ack.Offset, due, end); by > 0 {
-				late = append(late, lateNode{name, by, inForce})
+				late = append(late, lateNode{node, by, inForce})
 			}
 		}
 		if len(late) == 0 {
@@ -262,7 +271,7 @@
 		}
 		slices.SortFunc(late, func(a, b lateNode) int { return cmp.Or(cmp.Compare(b.by, a.by), strings.Compare(a.name, b.name)) })
 		var text strings.Builder
-		fmt.Fprintf(&text, "change at offset %d, acknowledged at %s: ", ack.Offset, ack.Time.Sub(started).Round(time.Millisecond))
+		fmt.Fprintf(&text, "change at %s %s, acknowledged at %s: ", name, ack.Offset, ack.Time.Sub(started).Round(time.Millisecond))
 		for i := range late[:min(len(late), maxLateNodes)] {
 			if i > 0 {
 				text.WriteString(", ")
@@ -285,16 +294,18 @@
 		return err
 	}
 	acks = slices.DeleteFunc(acks, func(a btlogstandin.Ack) bool { return a.Time.Before(started) })
-	nodes := make(map[string][]step)
+	nodes, revisions := make(map[string][]step), make(map[string][]step)
 	for _, n := range r.deployment.Nodes {
-		steps, err := readSteps(r.deployment.Output(n))
-		if err != nil {
+		var err error
+		if nodes[n.Name], revisions[n.Name], err = readInForce(r.deployment.Output(n)); err != nil {
 			return err
 		}
-		nodes[n.Name] = steps
-		*result.WentBack += wentBack(steps)
+		*result.WentBack += wentBack(nodes[n.Name]) + wentBack(revisions[n.Name])
 	}
-	result.LateChanges = findLate(acks, nodes, &r.disturbances, started, end)
+	result.LateChanges = slices.Concat(
+		findLate("offset", acks, nodes, &r.disturbances, started, end),
+		findLate("revision", r.published, revisions, &r.disturbances, started, end),
+	)
 	acked, late := len(acks), len(result.LateChanges)
 	starved := r.disturbances.starvedTime(r.deployment.Nodes).Seconds() / end.Sub(started).Seconds() / float64(len(nodes))
 	result.Acknowledged, result.Late, result.StarvedShare = &acked, &late, &starved
--- a/baobabtide-load/btexperiment/inforce_test.go
+++ b/baobabtide-load/btexperiment/inforce_test.go
@@ -71,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := &disturbances{log: tt.log, nodes: map[string][]*span{"n": tt.nodes}, starved: tt.starved}
 			nodes := map[string][]step{"n": tt.steps, "other": {{at(10), 5}}}
-			got := findLate([]btlogstandin.Ack{{Offset: 5, Time: at(10)}}, nodes, d, at(0), at(end))
+			got := findLate("offset", []btlogstandin.Ack{{Offset: 5, Time: at(10)}}, nodes, d, at(0), at(end))
 			var want []string
 			for _, late := range tt.want {
 				want = append(want, "change at offset 5, acknowledged at 10s: "+late)
@@ -87,7 +87,7 @@
 func TestFindLateNames(t *testing.T) {
 	nodes := map[string][]step{"a": {{at(13), 5}}, "b": {{at(16), 5}}, "c": {{at(14), 5}}, "d": {{at(1), 4}}, "e": {{at(14), 5}}, "f": {{at(11), 5}}}
 	acks := []btlogstandin.Ack{{Offset: 4, Time: at(0.5)}, {Offset: 5, Time: at(10)}}
-	got := findLate(acks, nodes, &disturbances{}, at(0), at(30))
+	got := findLate("offset", acks, nodes, &disturbances{}, at(0), at(30))
 	want := []string{
 		"change at offset 4, acknowledged at 500ms: b 13.5s late, c 11.5s late, e 11.5s late and 2 more nodes",
 		"change at offset 5, acknowledged at 10s: d not after 18s, b 4s late, c 2s late and 2 more nodes",
--- a/baobabtide-load/btexperiment/run.go
+++ b/baobabtide-load/btexperiment/run.go
@@ -44,7 +44,9 @@
 	logFaults    []*btlogstandin.Faults // of the faults that last
 
 	mu          sync.Mutex
-	convergence []time.Duration // per node and change
+	newest      *baobabtide.Contract // that was published, by its revision
+	published   []btlogstandin.Ack   // contracts, with their revisions in place of offsets
+	convergence []time.Duration      // per node and change
 	outcomes    []releaseOutcome
 	lostRecords bool // a backend server was killed, and the record of its runs is lost
 	problems    []string
@@ -156,7 +158,7 @@
 			return 0, err
 		}
 		if !result.Entry.Accepted {
-			return 0, fmt.Errorf("publish %s: %s", record.Kind(), result.Entry.Reason)
+			return 0, fmt.Errorf("publish %s: %w: %s", record.Kind(), errRejected, result.Entry.Reason)
 		}
 		return result.Entry.Offset, nil
 	}
@@ -278,6 +280,27 @@
 	}
 }
 
+// publishContract publishes a contract unless a later one is in force.
+func (r *Runner) publishContract(ctx context.Context, contract *baobabtide.Contract) error {
+	_, err := r.publish(ctx, &baobabtide.Record{Contract: contract})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isLatest := r.newest == nil || contract.Revision > r.newest.Revision
+	if err == nil {
+		r.published = append(r.published, btlogstandin.Ack{Offset: baobabtide.Offset(contract.Revision), Time: time.Now()})
+	}
+	if err == nil && isLatest {
+		r.newest = contract
+	}
+	if errors.Is(err, errRejected) && !isLatest {
+		return nil
+	}
+	return err
+}
+
+// errRejected is returned for a record that had no effect.
+var errRejected = errors.New("rejected")
+
 // publishChange publishes the contract with a different timeout of its first
 // route, waits until it is in force on every node and records the convergence, unless
 // changes overlap.
@@ -286,9 +309,13 @@
 	contract.Services = slices.Clone(contract.Services)
 	contract.Services[0].Routes = slices.Clone(contract.Services[0].Routes)
 	contract.Services[0].Routes[0].Timeout += time.Duration(i+1) * time.Millisecond
+	contract.Revision += uint64(i + 1)
 	started := time.Now()
+	if r.Experiment.Changes.Overlap {
+		return r.publishContract(ctx, &contract)
+	}
 	offset, err := r.publish(ctx, &baobabtide.Record{Contract: &contract})
-	if err != nil || r.Experiment.Changes.Overlap {
+	if err != nil {
 		return err
 	}
 	status, err := r.observer.AwaitOffset(ctx, offset, changeTimeout)
--- a/baobabtide-load/btexperiment/soak.go
+++ b/baobabtide-load/btexperiment/soak.go
@@ -13,10 +13,16 @@
 	soakEnd      = 4 * time.Second // without a new fault, before the load ends
 	minNodeFault = 500 * time.Millisecond
 	maxNodeFault = 3 * time.Second
-	maxRefusal   = 8 * time.Second  // longer than the pauses of readers after failed reads, which hide a short one
-	minNotice    = 4 * time.Second  // of what backend servers state, long enough to be checked
-	maxNotice    = 10 * time.Second // the same
-	minRateLimit = 0.5              // requests per second
+	maxRefusal   = 8 * time.Second         // longer than the pauses of readers after failed reads, which hide a short one
+	minNotice    = 4 * time.Second         // of what backend servers state, long enough to be checked
+	maxNotice    = 10 * time.Second        // the same
+	maxAway      = 1500 * time.Millisecond // of a log that comes back from an older copy
+	minCopyAge   = 300 * time.Millisecond
+	maxCopyAge   = 4 * time.Second
+
+	restoreStream = 60 // of the random numbers that restores are drawn from
+
+	minRateLimit = 0.5 // requests per second
 	maxRateLimit = 50.0
 )
 
@@ -42,9 +48,24 @@
 		f.For = min(f.For, e.Duration-soakEnd-at+minNodeFault)
 		soak.Faults = append(soak.Faults, f)
 	}
+	soak.Faults = append(soak.Faults, e.soakRestores(seed)...)
 	return &soak
 }
 
+// soakRestores returns up to two restores of the log from an older copy, none for half of the seeds. They are drawn
+// apart from the other faults.
+func (e *Experiment) soakRestores(seed uint64) []Fault {
+	rng := rand.New(rand.NewPCG(seed, restoreStream))
+	var faults []Fault
+	for range rng.IntN(2) * (1 + rng.IntN(2)) {
+		f := Fault{For: between(rng, minNodeFault, maxAway), Kind: LogFault}
+		f.At = between(rng, soakStart, e.Duration-soakEnd-f.For)
+		f.LogFaults = btlogstandin.Faults{Outage: true, Restore: between(rng, minCopyAge, maxCopyAge)}
+		faults = append(faults, f)
+	}
+	return faults
+}
+
 func between(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Int64N(int64(high-low)))
 }
--- a/baobabtide-load/btexperiment/soak_test.go
+++ b/baobabtide-load/btexperiment/soak_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	kinds := make(map[FaultKind]bool)
-	forgetting, silent, refusing := 0, 0, 0 // seeds
+	forgetting, silent, refusing, restoring := 0, 0, 0, 0 // seeds
 	for seed := range uint64(50) {
 		soak := e.Soak(seed)
 		if diff := cmp.Diff(soak, e.Soak(seed)); diff != "" {
@@ -30,11 +30,12 @@
 			t.Errorf("seed %d: %v", seed, err)
 		}
 		overlaps := 0
-		forgets, silence, refusesAll := false, false, false
+		forgets, silence, refusesAll, restores := false, false, false, false
 		for i, f := range soak.Faults {
 			kinds[f.Kind] = true
 			forgets = forgets || f.LogFaults.Forget
 			silence = silence || f.LogFaults.Silence
+			restores = restores || f.LogFaults.Restore > 0
 			refusesAll = refusesAll || f.Readers && f.Zone == ""
 			if f.At+f.For > e.Duration {
 				t.Errorf("seed %d: %s from %s for %s, the load ends after %s", seed, f.Kind, f.At, f.For, e.Duration)
@@ -57,12 +58,15 @@
 		if silence {
 			silent++
 		}
+		if restores {
+			restoring++
+		}
 		if refusesAll {
 			refusing++
 		}
 	}
-	if forgetting == 0 || silent == 0 || refusing == 0 {
-		t.Errorf("of 50 seeds the log forgets in %d, falls silent in %d and refuses all readers in %d", forgetting, silent, refusing)
+	if forgetting == 0 || silent == 0 || refusing == 0 || restoring == 0 {
+		t.Errorf("of 50 seeds the log forgets in %d, falls silent in %d, refuses all readers in %d and is restored in %d", forgetting, silent, refusing, restoring)
 	}
 	if want := 8; len(kinds) != want {
 		t.Errorf("%d kinds of faults in 50 seeds, want %d", len(kinds), want)
--- a/baobabtide-standin/btlogstandin/log.go
+++ b/baobabtide-standin/btlogstandin/log.go
@@ -3,6 +3,7 @@
 package btlogstandin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,7 @@
 	Truncate    int           // number of the newest configuration records to delete, once
 	Forget      bool          // deletes all configuration records, once; waiting reads of them get no response
 	Silence     bool          // open connections never get another response, once; new ones do
+	Restore     time.Duration `json:",omitzero"`  // age of the copy from which the log is restored, once: later records of all streams are lost, and waiting reads get no response
 	Refusals    []Refusal     `json:",omitempty"` // the first one of a caller applies
 }
 
@@ -58,6 +60,9 @@
 	if f.LoseAnswers < 0 || f.Truncate < 0 {
 		return baobabtide.Fieldf("LoseAnswers, Truncate", "negative")
 	}
+	if f.Restore < 0 || f.Restore > time.Minute {
+		return baobabtide.Fieldf("Restore", "%s, 0s to 1m are allowed", f.Restore)
+	}
 	for i, r := range f.Refusals {
 		if !slices.Contains(RefusalModes(), r.Mode) {
 			return baobabtide.Fieldf(fmt.Sprintf("Refusals[%d].Mode", i), "%q is unknown", r.Mode)
@@ -68,14 +73,39 @@
 
 // stream holds the records of one stream.
 type stream struct {
-	entries []baobabtide.Entry // the newest records, with contiguous offsets
+	entries []baobabtide.Entry // the newest records, with contiguous offsets within an epoch
+	dropped baobabtide.Offset  // of the newest record that is no longer stored, but for those that a restore has lost
 	next    baobabtide.Offset  // offset of the next append
 	changed chan struct{}      // closed and replaced with each append
-	forgets int                // how often Faults.Forget has deleted the records
+	forgets int                // how often records were deleted for which reads may wait
 }
 
 // first returns the offset of the oldest record, that of the next append if there is none.
-func (s *stream) first() baobabtide.Offset { return s.next - baobabtide.Offset(len(s.entries)) }
+func (s *stream) first() baobabtide.Offset {
+	if len(s.entries) == 0 {
+		return s.next
+	}
+	return s.entries[0].Offset
+}
+
+// drop deletes the oldest records.
+func (s *stream) drop(count int) {
+	if count > 0 {
+		s.dropped = s.entries[count-1].Offset
+		s.entries = slices.Clone(s.entries[count:])
+	}
+}
+
+// restore deletes the records that were added after a time. The offsets of later ones are those of the
+// next epoch, so that none is given out twice.
+func (s *stream) restore(to time.Time) {
+	if i := slices.IndexFunc(s.entries, func(e baobabtide.Entry) bool { return e.Time.After(to) }); i >= 0 {
+		s.entries = s.entries[:i:i]
+	}
+	s.next = s.next.NextEpoch() + 1
+	s.forgets++
+	s.wake()
+}
 
 // Log implements baobabtide.Log in memory. All methods are safe for concurrent
 // use.
@@ -124,14 +154,21 @@
 	}
 	if f.Forget {
 		s := l.stream(baobabtide.ConfigStream)
-		s.entries = nil
+		s.drop(len(s.entries))
 		s.forgets++
 		s.wake()
 	}
+	if f.Restore > 0 {
+		copied := time.Now().Add(-f.Restore)
+		for _, s := range l.streams {
+			s.restore(copied)
+		}
+		l.acks = slices.DeleteFunc(l.acks, func(a Ack) bool { return a.Time.After(copied) })
+	}
 	if f.Silence {
 		l.silencedAt = time.Now()
 	}
-	f.Truncate, f.Forget, f.Silence = 0, false, false
+	f.Truncate, f.Forget, f.Silence, f.Restore = 0, false, false, 0
 	l.faults = f
 	close(l.faultsChanged)
 	l.faultsChanged = make(chan struct{})
@@ -181,7 +218,8 @@
 	l.acks = append(l.acks, Ack{Offset: entry.Offset, Time: entry.Time})
 }
 
-// Acks returns the acknowledged appends to the configuration stream, in their order.
+// Acks returns the acknowledged appends to the configuration stream, in their order, but for those of records
+// that a restore has lost.
 func (l *Log) Acks() []Ack {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -244,9 +282,7 @@
 	entry := baobabtide.Entry{Offset: s.next, Time: time.Now().UTC(), Data: slices.Clone(data)}
 	s.next++
 	s.entries = append(s.entries, entry)
-	if len(s.entries) > l.retention {
-		s.entries = slices.Clone(s.entries[len(s.entries)-l.retention:])
-	}
+	s.drop(len(s.entries) - l.retention)
 	s.wake()
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
@@ -309,19 +345,17 @@
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	page := baobabtide.Page{Next: s.next}
-	first := s.first()
 	if len(s.entries) > 0 {
-		page.First = first
-	}
-	if from == 0 {
-		from = first
+		page.First = s.first()
 	}
-	if from < first {
+	if from > 0 && from <= s.dropped {
 		return page, nil, baobabtide.ErrRetention
 	}
-	if from < s.next {
-		entries := s.entries[from-first:]
-		page.Entries = slices.Clone(entries[:min(len(entries), maxPageEntries)])
+	i, _ := slices.BinarySearchFunc(s.entries, from, func(e baobabtide.Entry, offset baobabtide.Offset) int { return cmp.Compare(e.Offset, offset) })
+	entries := s.entries[i:]
+	page.Entries = slices.Clone(entries[:min(len(entries), maxPageEntries)])
+	if len(entries) <= maxPageEntries {
+		page.Through = s.next - 1
 	}
 	return page, s.changed, nil
 }
