--- a/baobabtidectl/account.go
+++ b/baobabtidectl/account.go
@@ -78,11 +78,11 @@
 		return err
 	}
 	if len(found.Accounts) == 0 {
-		return &btoperator.Error{Code: btoperator.CodeNotFound, Err: fmt.Errorf("account %q is not in the configuration at offset %d of node %q", name, found.Offset, found.Node)}
+		return &btoperator.Error{Code: btoperator.CodeNotFound, Err: fmt.Errorf("account %q is not in the configuration at offset %s of node %q", name, found.Offset, found.Node)}
 	}
 	return global.print(c, found, func(w io.Writer) {
 		writeAccounts(w, found.Accounts)
-		fmt.Fprintf(w, "configuration at offset %d of node %s\n", found.Offset, found.Node)
+		fmt.Fprintf(w, "configuration at offset %s of node %s\n", found.Offset, found.Node)
 		for _, a := range found.Accounts {
 			for _, key := range a.Keys {
 				fmt.Fprintf(w, "%s/%s  key with SHA-256 digest %s\n", a.Customer, a.Name, key)
--- a/baobabtidectl/publish.go
+++ b/baobabtidectl/publish.go
@@ -77,7 +77,7 @@
 	if e.Accepted {
 		outcome = "accepted"
 	}
-	fmt.Fprintf(w, "%d  %s  %-8s  %s  %s %s  revision %d -> %d", e.Offset, e.Time.Format(time.RFC3339), outcome, e.Actor, e.Kind, e.Subject, e.Before, e.After)
+	fmt.Fprintf(w, "%s  %s  %-8s  %s  %s %s  revision %s -> %s", e.Offset, e.Time.Format(time.RFC3339), outcome, e.Actor, e.Kind, e.Subject, e.Before, e.After)
 	if e.Reason != "" {
 		fmt.Fprintf(w, "  %s", e.Reason)
 	}
--- a/baobabtidectl/status.go
+++ b/baobabtidectl/status.go
@@ -99,7 +99,7 @@
 			fmt.Fprintf(t, "%s\t%s\t%s\t-\t-\t-\t-\t-\n", n.Name, n.Zone, state)
 			continue
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\n", n.Name, n.Zone, state, n.Offset, n.Peers, n.Members, yesOrDash(n.Reader), logState(n))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", n.Name, n.Zone, state, n.Offset, n.Peers, n.Members, yesOrDash(n.Reader), logState(n))
 	}
 	_ = t.Flush()
 }
