btnode: a node beside readers of an earlier version reads the log

Cause: an earlier version that gets a configuration of a later epoch from a node of this one asks the log for a record that is not there, for good. Change: a node with such a neighbor reads the log as well.

--- a/btnode/readduty.go
+++ b/btnode/readduty.go
@@ -24,7 +24,8 @@
 
 // updateReadDuty determines from the membership whether this node reads the log. A node that is cut off
 // from most others reads it too: the readers may not be able to pass a change on to it, and it takes
-// seconds until failure detection has found that out of all of them.
+// seconds until failure detection has found that out of all of them. So does a node beside others of an earlier
+// version, if these can't read on.
 func (n *Node) updateReadDuty(now time.Time) {
 	n.members.mu.Lock() // also for the result, so that the latest membership determines it
 	readers := n.members.table.LogReaders(n.settings.Platform.ReadersPerZone)
@@ -32,7 +33,7 @@
 	n.duty.slot.Store(int64(max(slot, 0)))
 	n.duty.readers.Store(int64(len(readers)))
 	cutOff := n.cutOff.Load()
-	reader := (slot >= 0 || cutOff) && n.mayReadLog(now)
+	reader := (slot >= 0 || cutOff || n.hasOutdatedNeighbor()) && n.mayReadLog(now)
 	changed := n.reader.Swap(reader) != reader
 	n.members.mu.Unlock()
 	if !changed {
@@ -68,6 +69,23 @@
 	return silent > others/2
 }
 
+// hasOutdatedNeighbor reports whether a neighbor runs an earlier version, which knows no epochs of the log
+// and so finds no record after a configuration of a later one. It sends no revision of its configuration.
+func (n *Node) hasOutdatedNeighbor() bool {
+	own := n.config.State().Position()
+	if own.Offset.Epoch() == 0 || own.Revision == 0 {
+		return false
+	}
+	return slices.ContainsFunc(n.edges.all(), (*edge).isOutdated)
+}
+
+// isOutdated reports whether the node at the other end has a configuration and sends no revision.
+func (e *edge) isOutdated() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.position.Offset > 0 && e.position.Revision == 0
+}
+
 // mayAffectReaders reports whether a change of these members may change the readers of this
 // node's zone.
 func (n *Node) mayAffectReaders(members []baobabtide.Member) bool {
