--- a/baobabtide-load/btexperiment/inforce.go
+++ b/baobabtide-load/btexperiment/inforce.go
@@ -156,16 +156,22 @@
 // readSteps returns what a node put in force according to the log that it wrote, oldest
 // first.
 func readSteps(path string) ([]step, error) {
-	steps, _, err := readInForce(path)
-	return steps, err
+	inForce, err := readInForce(path)
+	return inForce.offsets, err
 }
 
-// readInForce returns what a node put in force according to the log that it wrote, oldest first: by
-// offsets, and by the publishers' revisions in place of these.
-func readInForce(path string) (steps, revisions []step, err error) {
+// history is what a node put in force, oldest first: by offsets, and by the publishers' revisions in place of
+// these.
+type history struct {
+	offsets, revisions []step
+}
+
+// readInForce returns what a node put in force according to the log that it wrote.
+func readInForce(path string) (history, error) {
+	var inForce history
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, nil, fmt.Errorf("read log of a node: %w", err)
+		return inForce, fmt.Errorf("read log of a node: %w", err)
 	}
 	defer file.Close()
 	scanner := bufio.NewScanner(file)
@@ -186,14 +192,14 @@
 		}
 		switch line.Event {
 		case btlog.ConfigInForce, btlog.NodeStarted:
-			steps = append(steps, step{at: time.UnixMicro(line.Micros), offset: line.Offset})
-			revisions = append(revisions, step{at: time.UnixMicro(line.Micros), offset: line.Revision})
+			inForce.offsets = append(inForce.offsets, step{at: time.UnixMicro(line.Micros), offset: line.Offset})
+			inForce.revisions = append(inForce.revisions, step{at: time.UnixMicro(line.Micros), offset: line.Revision})
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, nil, fmt.Errorf("read log of a node: %w", err)
+		return inForce, fmt.Errorf("read log of a node: %w", err)
 	}
-	return steps, revisions, nil
+	return inForce, nil
 }
 
 // wentBack returns how often a process put a configuration in force that is older than the
@@ -296,10 +302,11 @@
 	acks = slices.DeleteFunc(acks, func(a btlogstandin.Ack) bool { return a.Time.Before(started) })
 	nodes, revisions := make(map[string][]step), make(map[string][]step)
 	for _, n := range r.deployment.Nodes {
-		var err error
-		if nodes[n.Name], revisions[n.Name], err = readInForce(r.deployment.Output(n)); err != nil {
+		inForce, err := readInForce(r.deployment.Output(n))
+		if err != nil {
 			return err
 		}
+		nodes[n.Name], revisions[n.Name] = inForce.offsets, inForce.revisions
 		*result.WentBack += wentBack(nodes[n.Name]) + wentBack(revisions[n.Name])
 	}
 	result.LateChanges = slices.Concat(
