btnode: a test that the quarantine is stored again after a restore

Cause: nothing showed that an entry which a restored log had lost is written again. Change: TestQuarantineIsStoredAgainAfterRestore.

--- a/btnode/quarantinelog_test.go
+++ b/btnode/quarantinelog_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabtide/baobabtide"
 	"github.com/baobabtide/baobabtide/btcodec"
+	"github.com/baobabtide/baobabtide/btconfig"
 	"github.com/baobabtide/baobabtide/btpeer"
 	"github.com/baobabtide/baobabtide/btquarantine"
 )
@@ -92,3 +93,47 @@
 		}
 	})
 }
+
+// A quarantine that a restored log had lost was unknown once all nodes had restarted. Only the node that had stored
+// an entry lately stores it again.
+func TestQuarantineIsStoredAgainAfterRestore(t *testing.T) {
+	entry := btquarantine.Entry{
+		Digest: badDigest, Service: "s", Method: "GET", Path: "/bad",
+		Crashes: []btquarantine.Crash{{Server: "b", Incarnation: 1}, {Server: "b", Incarnation: 2}, {Server: "b", Incarnation: 3}},
+	}
+	for name, tt := range map[string]struct {
+		stored time.Duration // ago, by this node; negative for never
+		want   int
+	}{
+		"lately":        {time.Second, 1},
+		"long ago":      {maxLost, 0},
+		"not by itself": {-1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := idleNode(t, zerolog.Nop())
+			now := time.Now()
+			n.quarantine.Merge(&entry, now)
+			n.unstored.markKnown(badDigest)
+			if tt.stored >= 0 {
+				n.unstored.done(&storedEntry{Entry: entry}, now.Add(-tt.stored))
+			}
+			before := n.config.State()
+			if _, err := n.config.Apply(btconfig.Link{Entry: contractEntry(t, 1)}); err != nil {
+				t.Fatal(err)
+			}
+			n.configApplied(before, nil) // the first configuration is no restore
+			before = n.config.State()
+			if _, err := n.config.Apply(btconfig.Link{Prev: 1, Entry: contractEntry(t, baobabtide.NewOffset(1, 1))}); err != nil {
+				t.Fatal(err)
+			}
+			n.configApplied(before, nil)
+			store := &fakeQuarantineLog{values: make(map[baobabtide.Digest][]byte)}
+			if err := n.storeQuarantine(store); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.want, len(store.values)); diff != "" {
+				t.Errorf("stored entries (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
