btnode: outcomes are sent once on a new edge

Cause: runEdge sends all outcomes already; sent those that count twice. Change: sendKnown sends reports, quarantine and outcomes, also in the generator. The sum of a release is looked up only if it matters.

--- a/btconfig/join.go
+++ b/btconfig/join.go
@@ -137,7 +137,7 @@
 	for i := range s.Outcomes {
 		o := s.Outcomes[i]
 		a, ok := s.Assignments[AssignmentKey(o.Customer, o.Service)]
-		if !ok || a.Current != baobabtide.AnyVersion || a.Rollout == nil || o.Rollout == a.Rollout.Offset || !a.Rollout.Is(o.Rollout, o.Version, s.sumOf(&o)) {
+		if !ok || a.Current != baobabtide.AnyVersion || a.Rollout == nil || o.Rollout == a.Rollout.Offset || !s.isOutcomeOf(&o, a.Rollout) {
 			continue
 		}
 		o.Rollout = a.Rollout.Offset
@@ -145,6 +145,11 @@
 	}
 }
 
+// isOutcomeOf reports whether an outcome is that of a rollout of its customer and service.
+func (s *State) isOutcomeOf(o *baobabtide.OutcomeRecord, r *baobabtide.Rollout) bool {
+	return r.Is(o.Rollout, o.Version, o.Sum) && r.Is(o.Rollout, o.Version, s.sumOf(o)) // the sum is looked up only if it matters
+}
+
 // join returns the state that holds what two states hold, of which the second one has the same or a
 // higher offset: the later contract of each customer, the later rollouts, all outcomes and the earlier
 // starts of rollouts.
--- a/btnode/edges.go
+++ b/btnode/edges.go
@@ -403,11 +403,7 @@
 	n.members.mu.Lock()
 	n.members.table.Watch(e.name, now)
 	n.members.mu.Unlock()
-	n.sendReports(e)
-	n.sendQuarantine(e)
-	if outcomes := n.config.State().Outcomes; len(outcomes) > 0 {
-		e.send(&btpeer.Gossip{Outcomes: outcomes})
-	}
+	n.sendKnown(e)
 	go e.sendLoop(conn)
 	go n.receiveLoop(e, conn, first)
 	<-e.ctx.Done()
@@ -415,6 +411,16 @@
 	n.log.Debug().Str("event", "edge.closed").Str("member", e.name).AnErr("cause", context.Cause(e.ctx)).Send()
 }
 
+// sendKnown sends what the node at the other end of a new edge may lack, but for members and the
+// configuration.
+func (n *Node) sendKnown(e *edge) {
+	n.sendReports(e)
+	n.sendQuarantine(e)
+	if outcomes := n.config.State().Outcomes; len(outcomes) > 0 {
+		e.send(&btpeer.Gossip{Outcomes: outcomes})
+	}
+}
+
 // removeEdge removes a closed edge. If it is the last one to its node, no messages are
 // expected from the node any more, unless the edge was doubted: a failed attempt to
 // replace it may have started to watch the node.
--- a/btnode/restore_model_test.go
+++ b/btnode/restore_model_test.go
@@ -395,7 +395,7 @@
 	m.prepare(name)
 	for _, other := range m.names {
 		if other != name {
-			m.nodes[other].sendReports(m.nodes[other].edges[name])
+			m.nodes[other].sendKnown(m.nodes[other].edges[name])
 		}
 	}
 }
--- a/btnode/rollouts.go
+++ b/btnode/rollouts.go
@@ -325,12 +325,8 @@
 	}
 }
 
-// sendReports sends all stored reports and trips on a new edge, and the outcomes that still count, which a
-// node that starts finds in the outcome log only if that has not lost them.
+// sendReports sends all stored reports and trips on a new edge.
 func (n *Node) sendReports(e *edge) {
-	if known := countingOutcomes(n.config.State()); len(known) > 0 {
-		e.send(&btpeer.Gossip{Outcomes: known})
-	}
 	r := &n.rollouts
 	r.mu.Lock()
 	reports, trips := r.reportStore.Reports(func(btrollout.ID) bool { return true })
