--- a/baobabtide-load/btexperiment/inforce_test.go
+++ b/baobabtide-load/btexperiment/inforce_test.go
@@ -160,3 +160,43 @@
 		})
 	}
 }
+
+// The revisions that a node logs are a history of their own, in which a restored log that nodes follow too far back
+// shows. Nodes of earlier versions log none.
+func TestReadRevisions(t *testing.T) {
+	const (
+		started = `{"event":"node.started","time":1000000}`
+		fifth   = `{"event":"config.in-force","offset":9,"revision":5,"time":2000000}`
+		fourth  = `{"event":"config.in-force","offset":1099511627777,"revision":4,"time":3000000}`
+		none    = `{"event":"config.in-force","offset":10,"time":4000000}`
+	)
+	start, first, second := step{time.UnixMicro(1e6), 0}, step{time.UnixMicro(2e6), 5}, step{time.UnixMicro(3e6), 4}
+	tests := map[string]struct {
+		lines     []string
+		revisions []step
+		back      int
+		unrevised bool
+	}{
+		"back while the offset rises": {[]string{started, fifth, fourth}, []step{start, first, second}, 1, false},
+		"restarted":                   {[]string{started, fifth, started, fourth}, []step{start, first, start, second}, 0, false},
+		"earlier version":             {[]string{started, fifth, none}, []step{start, first, {time.UnixMicro(4e6), 0}}, 0, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "n.log")
+			if err := os.WriteFile(path, []byte(strings.Join(tt.lines, "\n")), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			inForce, err := readInForce(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.revisions, inForce.revisions, cmp.AllowUnexported(step{})); diff != "" {
+				t.Errorf("revisions (-want +got):\n%s", diff)
+			}
+			if got := wentBack(inForce.revisions); got != tt.back || inForce.unrevised != tt.unrevised {
+				t.Errorf("went back %d times, unrevised %t", got, inForce.unrevised)
+			}
+		})
+	}
+}
