--- a/btconfig/fold.go
+++ b/btconfig/fold.go
@@ -223,10 +223,10 @@
 			Sum:      entry.Sum,
 		}
 		switch s.relation(&a, rollout) {
-		case formerOrder:
+		case formerRelease:
 			former++
 			continue
-		case sameOrder:
+		case sameRelease:
 			a.Rollout = moveRollout(a.Rollout, entry.Offset)
 			s.Assignments[key] = a
 			continue
--- a/btfollow/follower.go
+++ b/btfollow/follower.go
@@ -109,7 +109,7 @@
 		return page, err
 	}
 	restored := page.Unmarked && before.Contradicts(&page)
-	if checks && !restored && !reachesBack(&page, before.Offset) {
+	if checks && !restored && isSilent(&page, before.Offset) {
 		last, err := log.Read(ctx, baobabtide.ConfigStream, before.Offset, 0)
 		if err != nil {
 			return page, err
@@ -123,8 +123,9 @@
 	return page, err
 }
 
-// reachesBack reports whether a page holds a record at or below an offset, so that it shows whether the log
-// is the one that was read up to there.
-func reachesBack(page *baobabtide.Page, offset baobabtide.Offset) bool {
-	return offset.Number() <= 1 || slices.ContainsFunc(page.Entries, func(e baobabtide.Entry) bool { return e.Offset <= offset })
+// isSilent reports whether a page of a log that goes beyond an offset holds no record at or below it, and so doesn't show
+// whether the log is the one that was read up to there.
+func isSilent(page *baobabtide.Page, offset baobabtide.Offset) bool {
+	return offset.Number() > 1 && page.Next > offset &&
+		!slices.ContainsFunc(page.Entries, func(e baobabtide.Entry) bool { return e.Offset <= offset })
 }
--- a/btnode/node.go
+++ b/btnode/node.go
@@ -96,9 +96,10 @@
 	quarantine         btquarantine.Table
 	unstored           unstored
 
-	resolving       atomic.Int64 // calls to key partners in progress that report the end of an attempt
-	recordsRejected atomic.Int64 // of the configuration, since the start of the process
-	restores        atomic.Int64 // of the log from an older copy, as far as this node has seen
+	resolving       atomic.Int64  // calls to key partners in progress that report the end of an attempt
+	recordsRejected atomic.Int64  // of the configuration, since the start of the process
+	epoch           atomic.Uint32 // of the log, the latest that this node has known
+	restores        atomic.Int64  // of the log from an older copy, as far as this node has seen
 
 	linesDropped atomic.Int64 // lines that the decision log dropped, updated by summaryLoop
 	outcomesRead atomic.Bool  // the outcome log has been read at least once, or the platform has none
--- a/btnode/outcomes.go
+++ b/btnode/outcomes.go
@@ -136,7 +136,7 @@
 // configuration, unless the rollout has ended. It fails if all attempts fail.
 func (n *Node) recordOutcome(outcome *baobabtide.OutcomeRecord) error {
 	known := func(logged *baobabtide.Outcomes) bool {
-		return n.hasEnded(outcome.Rollout) || logged.AreLater(outcome.Service, outcome.Rollout)
+		return n.hasEnded(outcome.Rollout) || logged.HasLater(outcome.Service, outcome.Rollout)
 	}
 	return n.recordUnlessKnown(known, func(next baobabtide.Offset) error {
 		earlier := n.config.State().EarlierOutcomes(outcome.Customer, outcome.Service, outcome.Rollout)
@@ -160,7 +160,7 @@
 		Sum:      rollout.Sum,
 	}
 	known := func(logged *baobabtide.Outcomes) bool {
-		return n.hasEnded(rollout.Offset) || n.rollouts.isStartRecorded(rollout) || logged.AreLater(rollout.Service, rollout.Offset)
+		return n.hasEnded(rollout.Offset) || n.rollouts.isStartRecorded(rollout) || logged.HasLater(rollout.Service, rollout.Offset)
 	}
 	return n.recordUnlessKnown(known, func(next baobabtide.Offset) error {
 		earlier := n.config.State().EarlierOutcomes(start.Customer, start.Service, start.Rollout)
--- a/log.go
+++ b/log.go
@@ -80,9 +80,9 @@
 	Next  Offset // position after the newest record
 }
 
-// AreLater reports whether there is a start or an outcome of a service in a later epoch of the log than that of a
+// HasLater reports whether there is a start or an outcome of a service in a later epoch of the log than that of a
 // rollout.
-func (o *Outcomes) AreLater(service string, rollout Offset) bool {
+func (o *Outcomes) HasLater(service string, rollout Offset) bool {
 	isLater := func(other string, offset Offset) bool { return other == service && offset.Epoch() > rollout.Epoch() }
 	return slices.ContainsFunc(o.Begun, func(s RolloutStart) bool { return isLater(s.Service, s.Rollout) }) ||
 		slices.ContainsFunc(o.Ended, func(r OutcomeRecord) bool { return isLater(r.Service, r.Rollout) })
