--- a/btplatform/wire.go
+++ b/btplatform/wire.go
@@ -8,6 +8,9 @@
 //
 //	POST /v1/streams/{stream}/records              appends the body, returns a baobabtide.Entry
 //	GET  /v1/streams/{stream}/records?from=&wait=  returns a baobabtide.Page
+//
+// The log gives out no offset twice: after it has been restored from an older copy, the offsets of later
+// records are those of the next epoch, and the records that it has kept keep theirs.
 const (
 	StreamsPath   = "/v1/streams/"
 	RecordsSuffix = "/records"
