btconfig: the state with the lower rollout judges a join

Change: joinAssignments lets the state whose rollout has the lower offset judge; Rollout.Unseen joins the offsets of one release. Only joins across epochs change.

--- a/btconfig/join.go
+++ b/btconfig/join.go
@@ -19,7 +19,7 @@
 		case !ok && next.names(a.Customer, a.Service):
 			next.Assignments[key] = a
 		case ok:
-			next.Assignments[key] = older.joinAssignment(a, held)
+			next.Assignments[key] = joinAssignments(older, a, newer, held)
 		}
 	}
 	for service, versions := range older.Services {
@@ -43,42 +43,43 @@
 	return ok
 }
 
-// joinAssignment returns which of two assignments of a service holds: that of s, or one of a state that
-// has the same or a higher offset.
-func (s *State) joinAssignment(a, later baobabtide.Assignment) baobabtide.Assignment {
-	if a.Current != baobabtide.AnyVersion || later.Current != baobabtide.AnyVersion || a.Rollout == nil {
-		return later
-	}
-	if later.Rollout == nil {
+// joinAssignments returns which of two assignments of a service holds, each with the state that holds it. The state
+// whose rollout has the lower offset judges the other one: it alone can know that this is an earlier one, which a
+// restored log has kept.
+func joinAssignments(s *State, a baobabtide.Assignment, other *State, b baobabtide.Assignment) baobabtide.Assignment {
+	switch {
+	case a.Current != baobabtide.AnyVersion || b.Current != baobabtide.AnyVersion || a.Rollout == nil:
+		return b
+	case b.Rollout == nil:
 		return a
+	case b.Rollout.Offset < a.Rollout.Offset:
+		return joinAssignments(other, b, s, a)
 	}
-	r := later.Rollout
-	relation := s.relation(&a, r)
+	relation := s.relation(&a, b.Rollout)
 	switch {
-	case r.Offset == a.Rollout.Offset, r.Sum != 0 && r.Sum == a.Rollout.Sum, relation == sameRelease:
-		later.Rollout = unite(a.Rollout, r)
-	case relation == formerRelease, relation == newRelease && r.Offset < a.Rollout.Offset:
+	case b.Rollout.Offset == a.Rollout.Offset, b.Rollout.Sum != 0 && b.Rollout.Sum == a.Rollout.Sum, relation == sameRelease:
+		b.Rollout = unite(a.Rollout, b.Rollout)
+	case relation == formerRelease:
 		return a
 	default:
-		replacing := *r
+		replacing := *b.Rollout
 		replace(a.Rollout, &replacing)
-		replacing.Former = addFormer(replacing.Former, r.Former...)
-		later.Rollout = &replacing
+		replacing.Former = addFormer(replacing.Former, b.Rollout.Former...)
+		b.Rollout = &replacing
 	}
-	return later
+	return b
 }
 
-// unite returns what two nodes know of one rollout. Its offset is the one of the later epoch, and within an epoch
-// that of the second one, whose state is the later one.
+// unite returns what two nodes know of one rollout, under the higher of its offsets, which is that of b.
 func unite(a, b *baobabtide.Rollout) *baobabtide.Rollout {
-	if a.Offset.Epoch() > b.Offset.Epoch() {
-		a, b = b, a
-	}
 	united := *b
 	united.Former = addFormer(a.Former, b.Former...)
 	if a.Offset != b.Offset {
 		united.Former = addFormer(united.Former, a.Offset)
 	}
+	for _, f := range a.Unseen {
+		united.Unseen = addUnseen(united.Unseen, f)
+	}
 	if a.Started.Before(b.Started) {
 		united.Started = a.Started
 	}
--- a/btconfig/releases.go
+++ b/btconfig/releases.go
@@ -84,6 +84,18 @@
 
 const maxUnseen = 8 // rollouts in Rollout.Unseen
 
+// addUnseen returns a copy of rollouts with one more, or with the offsets of one that is among them.
+func addUnseen(unseen []baobabtide.FormerRollout, f baobabtide.FormerRollout) []baobabtide.FormerRollout {
+	unseen = slices.Clone(unseen)
+	for i := range unseen {
+		if unseen[i].Sum == f.Sum {
+			unseen[i].Offsets = addFormer(unseen[i].Offsets, f.Offsets...)
+			return unseen
+		}
+	}
+	return append(unseen, f)
+}
+
 // isUnseen reports whether a rollout of an earlier epoch that a new one replaces may be the later one: its release
 // had a higher number and has not come in the present epoch, so the new one's may be one that the log has kept.
 func isUnseen(latest, r *baobabtide.Rollout) bool {
@@ -99,11 +111,11 @@
 	}
 	for _, f := range latest.Unseen {
 		if !returns || f.Sum != r.Sum {
-			r.Unseen = append(r.Unseen, f)
+			r.Unseen = addUnseen(r.Unseen, f)
 		}
 	}
 	if isUnseen(latest, r) {
-		r.Unseen = append(r.Unseen, baobabtide.FormerRollout{Offsets: addFormer(latest.Former, latest.Offset), Sum: latest.Sum})
+		r.Unseen = addUnseen(r.Unseen, baobabtide.FormerRollout{Offsets: addFormer(latest.Former, latest.Offset), Sum: latest.Sum})
 	}
 	if extra := len(r.Unseen) - maxUnseen; extra > 0 {
 		r.Unseen = r.Unseen[extra:]
