--- a/baobabtide-load/btexperiment/soak.go
+++ b/baobabtide-load/btexperiment/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/baobabtide/baobabtide/baobabtide-standin/btbackendstandin"
@@ -21,8 +20,6 @@
 	minCopyAge   = 300 * time.Millisecond
 	maxCopyAge   = 4 * time.Second
 
-	maxReadPause = 3 * time.Second // of readers after failed reads, and for the read itself
-
 	restoreStream = 60 // of the random numbers that restores are drawn from
 
 	minRateLimit = 0.5 // requests per second
@@ -51,33 +48,24 @@
 		f.For = min(f.For, e.Duration-soakEnd-at+minNodeFault)
 		soak.Faults = append(soak.Faults, f)
 	}
-	soak.Faults = append(soak.Faults, e.soakRestores(seed, soak.Faults)...)
+	soak.Faults = append(soak.Faults, e.soakRestores(seed)...)
 	return &soak
 }
 
 // soakRestores returns up to two restores of the log from an older copy, none for half of the seeds. They are drawn
-// apart from the other faults. None comes shortly before the log forgets its records, as readers may not have read again
-// those that were added since the log came back.
-func (e *Experiment) soakRestores(seed uint64, others []Fault) []Fault {
+// apart from the other faults.
+func (e *Experiment) soakRestores(seed uint64) []Fault {
 	rng := rand.New(rand.NewPCG(seed, restoreStream))
 	var faults []Fault
 	for range rng.IntN(2) * (1 + rng.IntN(2)) {
 		f := Fault{For: between(rng, minNodeFault, maxAway), Kind: LogFault}
 		f.At = between(rng, soakStart, e.Duration-soakEnd-f.For)
 		f.LogFaults = btlogstandin.Faults{Outage: true, Restore: between(rng, minCopyAge, maxCopyAge)}
-		if !slices.ContainsFunc(others, func(other Fault) bool { return other.LogFaults.Forget && f.endsBefore(&other) }) {
-			faults = append(faults, f)
-		}
+		faults = append(faults, f)
 	}
 	return faults
 }
 
-// endsBefore reports whether another fault begins while this one lasts or before readers of the log have read
-// again.
-func (f *Fault) endsBefore(other *Fault) bool {
-	return other.At >= f.At && other.At < f.At+f.For+maxReadPause
-}
-
 func between(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Int64N(int64(high-low)))
 }
--- a/baobabtide-load/btexperiment/soak_test.go
+++ b/baobabtide-load/btexperiment/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -45,9 +44,6 @@
 				if f.At < other.At+other.For && other.At < f.At+f.For {
 					overlaps++
 				}
-				if f.LogFaults.Restore > 0 && other.LogFaults.Forget && other.At >= f.At && other.At < f.At+f.For+3*time.Second {
-					t.Errorf("seed %d: the log forgets at %s what was added since it came back at %s", seed, other.At, f.At+f.For)
-				}
 			}
 		}
 		if overlaps == 0 {
