--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -29,6 +29,7 @@
 	Store   *Store
 	Nodes   []*Node
 	Targets []*Target
+	Front   func(t *Target, ip string) // may put something before a target, nil for nothing
 
 	*Deployment
 }
@@ -96,6 +97,9 @@
 		if err := t.Start(ip); err != nil {
 			return err
 		}
+		if w.Front != nil {
+			w.Front(t, ip)
+		}
 		n, err := w.NewNode("node-"+p.Zone+"-"+strconv.Itoa(i+1), p.Zone, p.Service, ip, t.Address)
 		if err != nil {
 			return err
