--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,10 +5,8 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -29,7 +27,6 @@
 	Store   *Store
 	Nodes   []*Node
 	Targets []*Target
-	Front   func(t *Target, ip string) // may put something before a target, nil for nothing
 
 	*Deployment
 }
@@ -88,27 +85,10 @@
 // Build starts a node and a target on each machine, and waits until all nodes are ready. The configuration must
 // have been written before.
 func (w *World) Build(places []Place, prepare func(*Target)) error {
-	for i, p := range places {
-		ip := "127.0.10." + strconv.Itoa(i+1)
-		t := &Target{ID: "i-" + NewID()[:8], Service: p.Service, Version: "v1", Zone: p.Zone, Slots: 6, Work: 20 * time.Millisecond, Record: w.Record}
-		if prepare != nil {
-			prepare(t)
-		}
-		if err := t.Start(ip); err != nil {
+	for _, p := range places {
+		if err := w.Add(p, prepare); err != nil {
 			return err
 		}
-		if w.Front != nil {
-			w.Front(t, ip)
-		}
-		n, err := w.NewNode("node-"+p.Zone+"-"+strconv.Itoa(i+1), p.Zone, p.Service, ip, t.Address)
-		if err != nil {
-			return err
-		}
-		if err := n.Start(); err != nil {
-			return err
-		}
-		w.Nodes, w.Targets = append(w.Nodes, n), append(w.Targets, t)
-		go t.BeatUntil(n.Control)
 	}
 	if err := AwaitReady(w.Nodes, 20*time.Second); err != nil {
 		return err
@@ -117,6 +97,29 @@
 	return nil
 }
 
+// Add adds a machine with a node and a target.
+func (w *World) Add(p Place, prepare func(*Target)) error {
+	number := strconv.Itoa(len(w.Nodes) + 1)
+	ip := "127.0.10." + number
+	t := &Target{ID: "i-" + NewID()[:8], Service: p.Service, Version: "v1", Zone: p.Zone, Slots: 6, Work: 20 * time.Millisecond, Record: w.Record}
+	if prepare != nil {
+		prepare(t)
+	}
+	if err := t.Start(ip); err != nil {
+		return err
+	}
+	n, err := w.NewNode("node-"+p.Zone+"-"+number, p.Zone, p.Service, ip, t.Address)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	w.Nodes, w.Targets = append(w.Nodes, n), append(w.Targets, t)
+	go t.BeatUntil(n.Control)
+	return nil
+}
+
 // Load sends requests from nodes at a steady rate until stop is closed.
 func (w *World) Load(nodes []*Node, every time.Duration, stop chan struct{}, send func(n *Node)) *sync.WaitGroup {
 	var group sync.WaitGroup
@@ -142,6 +145,3 @@
 	fmt.Fprintln(os.Stderr, text)
 	return unable
 }
-
-var _ = filepath.Join
-var _ = syscall.SIGKILL
